--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Every target sets up what it needs; a fresh clone needs nothing first.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test check format measure capacity binary clean
+
+demo: $(READY)
+	$(BIN)/python -m standins.demo
+
+test: check
+	$(BIN)/python -m pytest
+
+check: $(READY)
+	$(BIN)/black --quiet --check src standins tests
+	$(BIN)/flake8 src standins tests
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/black --quiet src standins tests
+
+measure: $(READY)
+	$(BIN)/python -m standins.measure
+
+capacity: $(READY)
+	$(BIN)/python -m standins.capacity
+
+binary: $(READY)
+	$(BIN)/python -m standins.binary
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(READY)
+
+clean:
+	rm -rf $(VENV) build .mypy_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/src/chiveroad/__main__.py
@@ -0,0 +1,30 @@
+"""The program's entry point.
+
+A daemon with plain arguments starts without the command line library, which
+would cost it a tenth of its memory; everything else goes through it.
+"""
+
+import pathlib
+import sys
+
+
+def main() -> None:
+    """Run the program with the process's arguments."""
+    arguments = sys.argv[1:]
+    if _is_plain_daemon(arguments):
+        from chiveroad import daemon
+
+        sys.exit(daemon.run_file(pathlib.Path(arguments[1])))
+    from chiveroad import cli
+
+    cli.main()
+
+
+def _is_plain_daemon(arguments: list[str]) -> bool:
+    if len(arguments) != 2 or arguments[0] != "daemon":
+        return False
+    return not arguments[1].startswith("-")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/chiveroad/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line."""
+
+from chiveroad.cli._app import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/chiveroad/cli/_app.py
@@ -0,0 +1,137 @@
+"""The commands: parse, hand over, turn what happened into an exit code."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import typing
+
+import typer
+
+import chiveroad
+from chiveroad.cli import _check
+from chiveroad.cli import _explain
+from chiveroad.cli import _output
+from chiveroad.cli import _push
+from chiveroad.cli import _status
+from chiveroad import daemon
+from chiveroad import errors
+from chiveroad import store
+
+app = typer.Typer(
+    name="chiveroad",
+    help="Configuration distribution and routing for a service mesh.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+
+Folder = typing.Annotated[
+    pathlib.Path, typer.Argument(help="A folder of TOML files.")
+]
+StoreAddress = typing.Annotated[
+    str,
+    typer.Option(
+        "--store",
+        envvar="CHIVEROAD_STORE",
+        help="The platform's object API, HOST:PORT.",
+    ),
+]
+DaemonAddress = typing.Annotated[
+    str,
+    typer.Option(
+        "--daemon",
+        envvar="CHIVEROAD_DAEMON",
+        help="A daemon's control address, to ask how it sees upstreams.",
+    ),
+]
+Output = typing.Annotated[
+    _output.Format, typer.Option("--output", "-o", help="Form of output.")
+]
+TABLE = _output.Format.TABLE
+
+
+@app.command("daemon")
+def run_daemon(
+    settings: typing.Annotated[
+        pathlib.Path, typer.Argument(help="The settings file, TOML.")
+    ],
+) -> None:
+    """Run the daemon beside an upstream until it is asked to stop."""
+    raise typer.Exit(daemon.run_file(settings))
+
+
+@app.command()
+def check(folder: Folder, output: Output = TABLE) -> None:
+    """Validate a folder offline."""
+    _finish(_check.check(folder), output)
+
+
+@app.command()
+def push(
+    folder: Folder,
+    store_address: StoreAddress,
+    yes: typing.Annotated[
+        bool, typer.Option("--yes", "-y", help="Don't ask.")
+    ] = False,
+    output: Output = TABLE,
+) -> None:
+    """Make the stored folder equal to a local one."""
+
+    def agreed(plan: _output.Report) -> bool:
+        if output is TABLE:
+            _output.show(plan, output)
+        return yes or typer.confirm("Go on?", err=True)
+
+    platform = store.HttpStore(store_address)
+    report = _push.push(platform, folder, agreed, _output.progress)
+    _finish(report, output)
+
+
+@app.command()
+def status(store_address: StoreAddress, output: Output = TABLE) -> None:
+    """Show what is in force, the verdict on each file, and who lags."""
+    found = _status.read(store.HttpStore(store_address))
+    _finish(_status.report(found), output)
+
+
+@app.command()
+def explain(
+    path: typing.Annotated[str, typer.Argument(help="A request's path.")],
+    store_address: StoreAddress,
+    daemon_address: DaemonAddress = "",
+    method: typing.Annotated[
+        str, typer.Option("--method", "-m", help="A request's method.")
+    ] = "GET",
+    output: Output = TABLE,
+) -> None:
+    """Show which route takes a request, who set it, and who is asked."""
+    platform = store.HttpStore(store_address)
+    found = _explain.explain(platform, daemon_address, method, path)
+    _finish(_explain.report(found), output)
+
+
+@app.command()
+def version(output: Output = TABLE) -> None:
+    """Show the version."""
+    if output is TABLE:
+        print(f"chiveroad {chiveroad.__version__}")
+        return
+    print(f'{{"version": "{chiveroad.__version__}"}}')
+
+
+def _finish(report: _output.Report, output: _output.Format) -> typing.NoReturn:
+    _output.show(report, output)
+    raise typer.Exit(report.exit_code)
+
+
+def main() -> None:
+    """Run the command line; errors become one numbered line."""
+    try:
+        app()
+    except errors.FileError as exc:
+        where = f"{exc.file}:{exc.line}: " if exc.file else ""
+        print(f"chiveroad: {where}{exc} ({exc.hint})", file=sys.stderr)
+        sys.exit(exc.exit_code)
+    except errors.ChiveroadError as exc:
+        print(f"chiveroad: {exc} ({exc.hint})", file=sys.stderr)
+        sys.exit(exc.exit_code)
--- /dev/null
+++ b/src/chiveroad/cli/_check.py
@@ -0,0 +1,75 @@
+"""``chiveroad check``: validating a folder without any other process."""
+
+from __future__ import annotations
+
+import collections.abc
+import pathlib
+
+from chiveroad.cli import _output
+from chiveroad import config
+from chiveroad import errors
+
+
+def read_folder(folder: pathlib.Path) -> list[config.Source]:
+    """Read the TOML files of a local folder, in name order.
+
+    :raises errors.UsageError: when it isn't a folder or can't be read.
+    """
+    if not folder.is_dir():
+        raise errors.UsageError(f"{folder} is not a folder")
+    sources = []
+    for path in sorted(folder.iterdir()):
+        if path.suffix != ".toml" or not path.is_file():
+            continue
+        try:
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            raise errors.UsageError(f"{path}: {exc}") from exc
+        sources.append(config.Source(path.name, 1, text))
+    return sources
+
+
+def check(folder: pathlib.Path) -> _output.Report:
+    """Return what the merge of the folder would say."""
+    merged = config.merge(read_folder(folder))
+    refused = [verdict for verdict in merged.verdicts if verdict.code]
+    services = sum(key.startswith("service/") for key in merged.items)
+    notes = [
+        f"{len(merged.verdicts)} files, {len(refused)} refused, "
+        f"{services} services, {len(merged.items) - services} routes."
+    ]
+    return _output.Report(
+        value=[verdict_value(verdict) for verdict in merged.verdicts],
+        title=f"Folder {folder}",
+        columns=("file", "line", "verdict", "message", "hint"),
+        rows=verdict_rows(merged.verdicts),
+        notes=notes,
+        exit_code=errors.FileError.exit_code if refused else 0,
+    )
+
+
+def verdict_value(verdict: config.Verdict) -> dict[str, object]:
+    """Return a verdict for JSON output."""
+    return {
+        "file": verdict.file,
+        "line": verdict.line,
+        "code": verdict.code,
+        "message": verdict.message,
+        "hint": verdict.hint,
+    }
+
+
+def verdict_rows(
+    verdicts: collections.abc.Sequence[config.Verdict],
+) -> list[list[str]]:
+    """Return verdicts as table rows."""
+    return [
+        [
+            verdict.file,
+            str(verdict.line or ""),
+            f"E{verdict.code}" if verdict.code else "ok",
+            verdict.message,
+            verdict.hint,
+        ]
+        for verdict in verdicts
+    ]
--- /dev/null
+++ b/src/chiveroad/cli/_explain.py
@@ -0,0 +1,89 @@
+"""``chiveroad explain``: why a request goes where it goes."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+
+from chiveroad.cli import _output
+from chiveroad import config
+from chiveroad import control
+from chiveroad import errors
+from chiveroad import store
+from chiveroad import traffic
+
+
+class Explanation(msgspec.Struct):
+    """Which route takes a request, who set it, and who would be asked.
+
+    ``files`` names the file that sets each part.
+    """
+
+    route: config.Route
+    service: config.Service
+    files: dict[str, str]
+    upstreams: list[traffic.UpstreamView]
+
+
+def explain(
+    platform: store.Store, daemon: str, method: str, path: str
+) -> Explanation:
+    """Explain a request.
+
+    :param daemon: the control address of the daemon whose view of the
+        upstreams is told, or an empty string.
+    :raises errors.NoRoute: when no route matches.
+    """
+    current = control.read_current(platform)
+    base = control.read_base(platform, current)
+    held = config.Config(base.items)
+    route = held.match(method, path)
+    if route is None:
+        raise errors.NoRoute(f"no route for {method} {path}")
+    service = held.services[route.service]
+    files = {}
+    for source in base.sources:
+        document = config.parse(source.name, source.text)
+        if any(entry.name == route.name for entry in document.routes):
+            files[f"route {route.name}"] = source.name
+        if any(entry.name == service.name for entry in document.services):
+            files[f"service {service.name}"] = source.name
+    upstreams = ask_daemon(daemon, service.name) if daemon else []
+    return Explanation(route, service, files, upstreams)
+
+
+def ask_daemon(address: str, service: str) -> list[traffic.UpstreamView]:
+    """Ask a daemon how it sees the upstreams of a service."""
+    url = f"http://{address}{traffic.UPSTREAMS_PATH}?{service}"
+    try:
+        response = urllib3.request("GET", url, timeout=2.0, retries=False)
+    except urllib3.exceptions.HTTPError as exc:
+        raise errors.PeerUnavailable(f"{address}: {exc}") from exc
+    return msgspec.json.decode(response.data, type=list[traffic.UpstreamView])
+
+
+def report(found: Explanation) -> _output.Report:
+    """Return an explanation as a report."""
+    route, service = found.route, found.service
+    kind = service.kinds[route.kind]
+    files = [f"{part} is set by {name}." for part, name in found.files.items()]
+    repeat = "may be repeated" if kind.idempotent else "runs at most once"
+    return _output.Report(
+        value=found,
+        title=f"Route {route.name}",
+        columns=("upstream", "distance", "load", "would be picked"),
+        rows=[
+            [u.instance, u.distance, f"{u.load:.2f}", u.why]
+            for u in found.upstreams
+        ],
+        notes=[
+            f"{' '.join(route.methods)} {route.path} of team {route.team} "
+            f"leads to {service.name} of team {service.team}.",
+            f"Kind {route.kind}: weight {kind.weight}, "
+            f"timeout {kind.timeout_ms} ms, {repeat}.",
+            f"Limits for each upstream: {service.slots} slots, "
+            f"{service.connections} connections, "
+            f"{service.queue_length} waiting.",
+            *files,
+        ],
+    )
--- /dev/null
+++ b/src/chiveroad/config/__init__.py
@@ -0,0 +1,47 @@
+"""The configuration: files in, one whole checked configuration out."""
+
+from chiveroad.config._delta import Delta
+from chiveroad.config._delta import diff
+from chiveroad.config._delta import digest
+from chiveroad.config._delta import pack
+from chiveroad.config._delta import pack_delta
+from chiveroad.config._delta import patch
+from chiveroad.config._delta import unpack
+from chiveroad.config._delta import unpack_delta
+from chiveroad.config._files import check_name
+from chiveroad.config._files import Document
+from chiveroad.config._files import MAX_FILE_BYTES
+from chiveroad.config._files import parse
+from chiveroad.config._merge import merge
+from chiveroad.config._merge import Merged
+from chiveroad.config._merge import Source
+from chiveroad.config._merge import Verdict
+from chiveroad.config._model import Config
+from chiveroad.config._model import Items
+from chiveroad.config._model import Kind
+from chiveroad.config._model import Route
+from chiveroad.config._model import Service
+
+__all__ = [
+    "Config",
+    "Delta",
+    "Document",
+    "Items",
+    "Kind",
+    "MAX_FILE_BYTES",
+    "Merged",
+    "Route",
+    "Service",
+    "Source",
+    "Verdict",
+    "check_name",
+    "diff",
+    "digest",
+    "merge",
+    "pack",
+    "pack_delta",
+    "parse",
+    "patch",
+    "unpack",
+    "unpack_delta",
+]
--- /dev/null
+++ b/src/chiveroad/control/_agent.py
@@ -0,0 +1,251 @@
+"""The control plane of one daemon: its roles, its parent, its children."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+import typing
+
+from chiveroad.control import _feed
+from chiveroad.control import _lease
+from chiveroad.control import _merger
+from chiveroad.control import _node
+from chiveroad.control import _plan
+from chiveroad.control import _publisher
+from chiveroad.control import _source
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import membership
+from chiveroad import settings
+from chiveroad import store
+
+MERGER: typing.Final = "merger"
+FAR_OBSERVE_S: typing.Final = 3.0
+LOOK_EVERY_S: typing.Final = 0.5
+STOPGAP_HOLD_MS: typing.Final = 300
+
+_TICK_S: typing.Final = 0.5
+_IDLE_S: typing.Final = 0.1
+_log = logs.Logger("control")
+
+
+class Agent:
+    """Runs the control plane.
+
+    Every daemon is a member.  The holder of its failure domain's lease is
+    the relay, the holder of its region's lease the leader, who alone watches
+    the store, and one leader holds the merger lease.
+    """
+
+    def __init__(
+        self,
+        options: settings.Settings,
+        platform: store.Store,
+        node: _node.Node,
+    ) -> None:
+        self._options = options
+        self._node = node
+        me = _lease.Record(
+            holder=f"{options.instance}:{node.member.incarnation}",
+            instance=options.instance,
+            address=options.listen.control,
+            term=0,
+        )
+        near = options.region == options.platform.region
+        observe_s = _lease.OBSERVE_S if near else FAR_OBSERVE_S
+        domain = f"domain-{options.failure_domain}"
+        self._relay = _lease.Keeper(platform, domain, me)
+        self._leader = _lease.Keeper(platform, f"region-{options.region}", me)
+        self._merge = _lease.Keeper(platform, MERGER, me, observe_s)
+        self._parent = _source.ParentSource(node)
+        self._store = _source.StoreSource(platform, node)
+        self._feed = _feed.Feed(platform, node, self._store, self._feeds)
+        self._merger = _merger.Merger(platform, self._merge)
+        self._publisher = _publisher.Publisher(platform, node, self._relay)
+        self._judge = _publisher.Judge(node, self._relay)
+        self._failed_s: dict[str, float] = {}
+        self._lost_since_s: float | None = None
+        self._looked_s = 0.0
+        self._planned_address = ""
+        self.stopped = False
+
+    def start(self) -> None:
+        """Begin all parts in the background."""
+        for keeper in (self._relay, self._leader, self._merge):
+            keeper.start()
+        self._feed.start()
+        self._merger.start()
+        self._publisher.start()
+        for work in (self._ask, self._tick):
+            threading.Thread(
+                target=work, name=work.__name__, daemon=True
+            ).start()
+
+    @property
+    def parent(self) -> str:
+        """Return the address last asked for news; the leader has none."""
+        return "" if self._leader.acting else self._parent.address
+
+    @property
+    def relay(self) -> str:
+        """Return the name of the failure domain's relay, as far as known."""
+        if self._relay.acting:
+            return self._options.instance
+        answer = self._parent.answer
+        record = self._relay.record
+        if record is not None and record.instance:
+            return record.instance
+        return answer.relay if answer else ""
+
+    def ancestors(self) -> list[str]:
+        """Return the addresses that children may turn to instead."""
+        if self._leader.acting or not self._parent.address:
+            return []
+        answer = self._parent.answer
+        above = answer.ancestors if answer else []
+        return [self._parent.address, *above][:3]
+
+    def roles(self) -> list[str]:
+        """Return the roles that this daemon has now."""
+        named = (
+            ("relay", self._relay),
+            ("leader", self._leader),
+            ("merger", self._merge),
+        )
+        return [name for name, keeper in named if keeper.acting]
+
+    def confirm(self, at_s: float) -> None:
+        """Try to learn that nothing newer was accepted at a time."""
+        source = self._store if self._feeds() else self._parent
+        source.confirm(at_s)
+
+    def announce(self) -> None:
+        """Tell the parent at once what this daemon says of itself."""
+        if self._leader.acting or not self._parent.address:
+            return
+        try:
+            self._parent.sync(self._parent.address, 0, unconfirmed=False)
+        except errors.ChiveroadError as exc:
+            _log.info("The parent wasn't told: {}.", exc)
+
+    def give_back_leases(self) -> None:
+        """Give all leases back, the widest first."""
+        self._merger.stopped = True
+        for keeper in (self._merge, self._leader, self._relay):
+            keeper.give_back()
+
+    def _feeds(self) -> bool:
+        direct = self._options.control.distribution == "direct"
+        return direct or self._leader.acting
+
+    def _tick(self) -> None:
+        while not self.stopped:
+            self._merge.wanted = self._leader.acting
+            self._judge.tick(self.relay)
+            time.sleep(_TICK_S)
+
+    def _ask(self) -> None:
+        spread_s = self._options.control.start_spread_ms / 1000
+        time.sleep(random.uniform(0, spread_s))
+        while not self.stopped:
+            if self._leader.acting:
+                self._relay.wanted = True
+                self._confirm_once()
+                time.sleep(_IDLE_S)
+                continue
+            address = self._choose()
+            if address:
+                self._sync(address, planned=address == self._planned_address)
+            else:
+                self._look()
+
+    def _confirm_once(self) -> None:
+        if not self._node.applied.ready:
+            self._store.confirm(time.monotonic())
+
+    def _choose(self) -> str:
+        answer = self._parent.answer
+        mine = self._options
+        peers = self._node.view.of_domain(mine.failure_domain)
+        situation = _plan.Situation(
+            planned=self._planned(peers),
+            ancestors=answer.ancestors if answer else (),
+            peers=[member.control for member in peers],
+            failed_s=self._failed_s,
+            own_address=mine.listen.control,
+            now_s=time.monotonic(),
+        )
+        self._planned_address = situation.planned
+        chosen = _plan.choose_parent(situation)
+        if chosen != situation.planned:
+            self._look()
+        return chosen
+
+    def _planned(self, peers: tuple[membership.Member, ...]) -> str:
+        if self._relay.acting:
+            record = self._leader.record
+            return record.address if record and record.holder else ""
+        record = self._relay.record
+        if record is None or not record.holder:
+            return ""
+        names = [member.instance for member in peers]
+        name = membership.parent(
+            self._options.instance, record.instance, names
+        )
+        member = self._node.view.get(name)
+        if name == record.instance or member is None:
+            return record.address
+        return member.control
+
+    def _sync(self, address: str, planned: bool) -> None:
+        unconfirmed = not self._node.applied.ready
+        hold_ms = _source.HOLD_MS if planned else STOPGAP_HOLD_MS
+        hold_ms = 0 if unconfirmed else hold_ms
+        try:
+            self._parent.sync(address, hold_ms, unconfirmed)
+        except errors.ChiveroadError as exc:
+            _log.info("Parent {} failed: {}.", address, exc)
+            self._failed_s[address] = time.monotonic()
+            return
+        if self._parent.address != address:
+            _log.info("Parent is {}.", address)
+        self._parent.address = address
+        self._failed_s.pop(address, None)
+        if unconfirmed and not self._node.applied.ready:
+            time.sleep(_IDLE_S)
+
+    def _look(self) -> None:
+        """Look at the lease of whoever should be the parent.
+
+        While its holder doesn't answer, contend for it.
+        """
+        now_s = time.monotonic()
+        if now_s - self._looked_s < LOOK_EVERY_S:
+            time.sleep(_IDLE_S)
+            return
+        self._looked_s = now_s
+        keeper = self._leader if self._relay.acting else self._relay
+        try:
+            record = keeper.look()
+        except errors.StoreError as exc:
+            _log.debug("The lease can't be read: {}.", exc)
+            time.sleep(_IDLE_S * random.uniform(1, 5))
+            return
+        keeper.wanted = self._contends(record, now_s)
+
+    def _contends(self, record: _lease.Record | None, now_s: float) -> bool:
+        if record is None or not record.holder:
+            return True
+        if record.address not in self._failed_s:
+            self._lost_since_s = None
+            return record.address == self._options.listen.control
+        if self._lost_since_s is None:
+            self._lost_since_s = now_s
+        lost_s = now_s - self._lost_since_s
+        mine = self._options
+        if self._relay.acting:
+            return _plan.contends(lost_s, mine.instance, (), "")
+        living = self._node.view.of_domain(mine.failure_domain)
+        names = [member.instance for member in living]
+        return _plan.contends(lost_s, mine.instance, names, record.instance)
--- /dev/null
+++ b/src/chiveroad/control/_applied.py
@@ -0,0 +1,159 @@
+"""The configuration in force in this process.
+
+It changes by one swap of one reference, and only to a greater version with a
+matching digest.  A process that has just started holds what it is told, but
+is not ready before a read of the store, made after its start, has confirmed
+that nothing newer had been accepted: an earlier life of this instance may
+have run a version that its peers haven't seen.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import threading
+import time
+import typing
+
+from chiveroad import config
+from chiveroad import errors
+from chiveroad import logs
+
+KEPT_VERSIONS: typing.Final = 8
+
+_Items = config.Items
+_log = logs.Logger("config")
+
+
+class Offer(enum.Enum):
+    """What an offered version is to the one in force."""
+
+    NEWER = "newer"
+    SAME = "same"
+    OLDER = "older"
+    CONTRADICTS = "contradicts"
+
+
+def weigh(current: tuple[int, str], offered: tuple[int, str]) -> Offer:
+    """Compare two pairs of version and digest.
+
+    >>> weigh((3, "a"), (2, "b"))
+    <Offer.OLDER: 'older'>
+    """
+    if offered[0] > current[0]:
+        return Offer.NEWER
+    if offered[0] < current[0]:
+        return Offer.OLDER
+    return Offer.SAME if offered[1] == current[1] else Offer.CONTRADICTS
+
+
+@dataclasses.dataclass(frozen=True)
+class Version:
+    """One version as it is held; ``applied_at_ms`` is Unix time."""
+
+    number: int
+    digest: str
+    config: config.Config
+    applied_at_ms: float
+
+
+def _nothing() -> Version:
+    return Version(0, config.digest({}), config.Config({}), 0.0)
+
+
+class Applied:
+    """Holder of the version in force.
+
+    :param news: notified whenever the version or the confirmation changes.
+    """
+
+    def __init__(self, news: threading.Condition) -> None:
+        self._news = news
+        self._started_s = time.monotonic()
+        self._confirmed_s: float | None = None
+        self._earlier: collections.OrderedDict[str, _Items] = (
+            collections.OrderedDict()
+        )
+        self.current = _nothing()
+
+    @property
+    def config(self) -> config.Config:
+        """Return the configuration in force."""
+        return self.current.config
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the version was confirmed since the start."""
+        return (
+            self._confirmed_s is not None
+            and self._confirmed_s >= self._started_s
+        )
+
+    @property
+    def confirmed_s(self) -> float | None:
+        """Return the monotonic time that the last confirmation speaks of."""
+        return self._confirmed_s
+
+    def offer(self, number: int, digest: str, items: _Items) -> Offer:
+        """Put a version in force if it is newer.
+
+        :raises errors.DigestMismatch: when the items don't have the digest.
+        """
+        verdict = weigh(
+            (self.current.number, self.current.digest), (number, digest)
+        )
+        if verdict is not Offer.NEWER:
+            self._complain(verdict, number)
+            return verdict
+        if config.digest(items) != digest:
+            raise errors.DigestMismatch(f"version {number}")
+        ready_made = config.Config(items)
+        assert not ready_made.dangling(), "report this: a dangling route"
+        with self._news:
+            current = self.current
+            verdict = weigh((current.number, current.digest), (number, digest))
+            if verdict is not Offer.NEWER:
+                return verdict
+            self._remember(current)
+            self.current = Version(
+                number, digest, ready_made, time.time() * 1000
+            )
+            self._news.notify_all()
+        _log.info(
+            "Version {} in force, {} services, {} routes.",
+            number,
+            len(ready_made.services),
+            len(ready_made.routes),
+        )
+        return Offer.NEWER
+
+    def confirm(self, at_s: float) -> None:
+        """Note that nothing newer had been accepted at a monotonic time."""
+        with self._news:
+            if self._confirmed_s is not None and at_s <= self._confirmed_s:
+                return
+            was_ready = self.ready
+            self._confirmed_s = at_s
+            if self.ready and not was_ready:
+                _log.info("Ready with version {}.", self.current.number)
+                self._news.notify_all()
+
+    def earlier(self, digest: str) -> _Items | None:
+        """Return the items of a recent version, to build a delta from."""
+        if digest == self.current.digest:
+            return self.current.config.items
+        return self._earlier.get(digest)
+
+    def _remember(self, version: Version) -> None:
+        items: collections.abc.Mapping[str, str] = version.config.items
+        self._earlier[version.digest] = items
+        while len(self._earlier) > KEPT_VERSIONS:
+            self._earlier.popitem(last=False)
+
+    def _complain(self, verdict: Offer, number: int) -> None:
+        if verdict is Offer.CONTRADICTS:
+            _log.error(
+                "Version {} was offered with another digest and not taken.",
+                number,
+            )
--- /dev/null
+++ b/src/chiveroad/control/_feed.py
@@ -0,0 +1,100 @@
+"""The leader's part: feeding a region from the store."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import threading
+import time
+import typing
+
+import msgspec
+
+from chiveroad.control import _accept
+from chiveroad.control import _messages
+from chiveroad.control import _node
+from chiveroad.control import _source
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import store
+
+WATCH_S: typing.Final = 30.0
+RETRY_S: typing.Final = 0.4
+IDLE_S: typing.Final = 0.1
+
+_log = logs.Logger("feed")
+
+
+class Feed:
+    """Watches the accepted version and the domains while it is active."""
+
+    def __init__(
+        self,
+        platform: store.Store,
+        node: _node.Node,
+        source: _source.StoreSource,
+        active: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._store = platform
+        self._node = node
+        self._source = source
+        self._active = active
+        self.stopped = False
+
+    def start(self) -> None:
+        """Begin both watches in the background."""
+        for work in (self._configs, self._domains):
+            threading.Thread(
+                target=self._run,
+                args=(work,),
+                name=f"feed {work.__name__}",
+                daemon=True,
+            ).start()
+
+    def _run(self, work: collections.abc.Callable[[], None]) -> None:
+        while not self.stopped:
+            if not self._active():
+                time.sleep(IDLE_S)
+                continue
+            try:
+                work()
+            except errors.ChiveroadError as exc:
+                _log.debug("Feeding waits: {}.", exc)
+                time.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
+    def _going(self) -> bool:
+        return self._active() and not self.stopped
+
+    def _configs(self) -> None:
+        version = self._source.read()
+        if version == store.ABSENT:
+            version = self._store.list(
+                store.Kind.CONFIGS, _accept.CURRENT
+            ).version
+            self._source.read()
+        while self._going():
+            watch = self._store.watch(store.Kind.CONFIGS, version, WATCH_S)
+            for event in watch:
+                version = max(version, event.version)
+                if event.object is not None:
+                    self._source.apply(_accept.decode(event.object))
+                if not self._going():
+                    return
+
+    def _domains(self) -> None:
+        listing = self._store.list(store.Kind.DOMAINS)
+        for stored in listing.objects:
+            self._take(stored)
+        version = listing.version
+        while self._going():
+            watch = self._store.watch(store.Kind.DOMAINS, version, WATCH_S)
+            for event in watch:
+                version = max(version, event.version)
+                if event.object is not None:
+                    self._take(event.object)
+                if not self._going():
+                    return
+
+    def _take(self, stored: store.StoredObject) -> None:
+        heard = msgspec.json.decode(stored.spec, type=_messages.DomainMembers)
+        self._node.take(heard.members)
--- /dev/null
+++ b/src/chiveroad/control/_messages.py
@@ -0,0 +1,91 @@
+"""What daemons tell each other: typed messages, JSON on the wire."""
+
+from __future__ import annotations
+
+import msgspec
+
+from chiveroad import membership
+
+
+class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A child asks its parent for news; it is the heartbeat as well.
+
+    ``member`` is the child itself and ``members`` are news from below it.
+    ``source`` and ``epoch`` say which of the parent's view changes it has.
+    ``hold_ms`` is how long the parent may hold the answer back while there
+    is nothing new.  ``unconfirmed`` asks for a confirmation.  ``behind``
+    names daemons below that run an older version, as far as known.
+    """
+
+    member: membership.Member
+    version: int
+    digest: str
+    source: str = ""
+    epoch: int = 0
+    hold_ms: int = 0
+    unconfirmed: bool = False
+    members: list[membership.Member] = []
+    behind: list[str] = []
+
+
+class SyncAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The parent's answer.
+
+    ``delta`` or ``snapshot`` is there when the parent has a newer version;
+    both are compressed.  ``confirmed_ago_ms`` says how long ago the version
+    was known to be the newest accepted, or is negative where it never was.
+    ``ancestors`` are control addresses to turn to when the parent fails.
+    ``wants_snapshot`` asks the child for its newer version.
+    """
+
+    source: str
+    epoch: int
+    version: int
+    digest: str
+    relay: str
+    confirmed_ago_ms: float = -1.0
+    members: list[membership.Member] = []
+    ancestors: list[str] = []
+    delta: bytes = b""
+    snapshot: bytes = b""
+    wants_snapshot: bool = False
+
+
+class SnapshotOffer(msgspec.Struct, frozen=True):
+    """A child hands its parent a version that the parent lacks."""
+
+    version: int
+    digest: str
+    snapshot: bytes
+
+
+class DaemonStatus(msgspec.Struct, frozen=True):
+    """What a daemon says of itself."""
+
+    instance: str
+    incarnation: int
+    version: int
+    digest: str
+    applied_at_ms: float
+    ready: bool
+    state: membership.State
+    roles: list[str]
+    parent: str
+    members: int
+    behind: list[str]
+
+
+class DomainStatus(msgspec.Struct, frozen=True):
+    """What a relay publishes about its failure domain's versions."""
+
+    failure_domain: str
+    relay: str
+    version: int
+    daemons: int
+    behind: list[str]
+
+
+class DomainMembers(msgspec.Struct, frozen=True):
+    """The value of a failure domain's membership object."""
+
+    members: list[membership.Member]
--- /dev/null
+++ b/src/chiveroad/control/_node.py
@@ -0,0 +1,135 @@
+"""What the parts of a daemon's control plane share."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import threading
+import time
+import typing
+
+import msgspec
+
+from chiveroad.control import _applied
+from chiveroad import logs
+from chiveroad import membership
+
+MAX_BEHIND: typing.Final = 20
+
+_log = logs.Logger("membership")
+
+
+@dataclasses.dataclass(slots=True)
+class Child:
+    """A daemon that asks this one for news."""
+
+    heard_s: float
+    version: int = 0
+    behind: collections.abc.Sequence[str] = ()
+
+
+class Node:
+    """This daemon in the mesh.
+
+    :param member: the daemon's first word on itself.
+    """
+
+    def __init__(self, member: membership.Member) -> None:
+        self.news = threading.Condition()
+        self.applied = _applied.Applied(self.news)
+        self.view = membership.View(self.news)
+        self.children: dict[str, Child] = {}
+        self._member = member
+        self._upward: dict[str, membership.Member] = {}
+        self.view.merge([member])
+
+    @property
+    def member(self) -> membership.Member:
+        """Return the daemon's latest word on itself."""
+        return self._member
+
+    def say(self, state: membership.State) -> None:
+        """Put the daemon into a state, and tell it at the next occasion."""
+        with self.news:
+            if self._member.state is state:
+                return
+            self._speak(state, self._member.sequence + 1)
+
+    def take(
+        self, heard: collections.abc.Iterable[membership.Member]
+    ) -> collections.abc.Sequence[membership.Member]:
+        """Merge words on members, and refute what is wrong about ourselves."""
+        fresh = self.view.merge(heard)
+        mine = self._member
+        for member in fresh:
+            if member.instance != mine.instance:
+                _log.info(
+                    "Member {} is {}.", member.instance, member.state.value
+                )
+            elif member.order() > mine.order():
+                self._refute(member)
+        return fresh
+
+    def take_from_below(
+        self, heard: collections.abc.Iterable[membership.Member]
+    ) -> None:
+        """Merge words from below; what is news goes further up."""
+        fresh = self.take(heard)
+        with self.news:
+            for member in fresh:
+                self._upward[member.instance] = member
+
+    def upward(self) -> list[membership.Member]:
+        """Return what the parent hasn't been told yet."""
+        with self.news:
+            return list(self._upward.values())
+
+    def told(
+        self, members: collections.abc.Iterable[membership.Member]
+    ) -> None:
+        """Note that the parent has been told."""
+        with self.news:
+            for member in members:
+                if self._upward.get(member.instance) == member:
+                    del self._upward[member.instance]
+
+    def tell_domain_again(self) -> None:
+        """Queue all of the own domain, for a parent that is new."""
+        domain = self._member.failure_domain
+        with self.news:
+            for member in self.view.all():
+                if member.failure_domain == domain:
+                    self._upward[member.instance] = member
+
+    def behind(self) -> list[str]:
+        """Return the daemons below that run an older version."""
+        number = self.applied.current.number
+        names: set[str] = set()
+        for instance, child in list(self.children.items()):
+            names.update(child.behind)
+            if child.version < number:
+                names.add(instance)
+        return sorted(names)[:MAX_BEHIND]
+
+    def heard(self, instance: str) -> Child:
+        """Note a sign of life of a child, and return what is known of it."""
+        child = self.children.setdefault(instance, Child(0.0))
+        child.heard_s = time.monotonic()
+        return child
+
+    def _refute(self, member: membership.Member) -> None:
+        with self.news:
+            state = self._member.state
+            if member.incarnation > self._member.incarnation:
+                _log.error("Another {} is running.", member.instance)
+                return
+            self._speak(state, member.sequence + 1)
+        _log.info("Refuted being {}.", member.state.value)
+
+    def _speak(self, state: membership.State, sequence: int) -> None:
+        self._member = msgspec.structs.replace(
+            self._member, state=state, sequence=sequence
+        )
+        self.view.merge([self._member])
+        self._upward[self._member.instance] = self._member
+        self.news.notify_all()
--- /dev/null
+++ b/src/chiveroad/control/_server.py
@@ -0,0 +1,194 @@
+"""What a daemon answers on its control address."""
+
+from __future__ import annotations
+
+import collections.abc
+import http
+import threading
+import time
+import typing
+import uuid
+
+import msgspec
+
+from chiveroad import config
+from chiveroad.control import _agent
+from chiveroad.control import _messages
+from chiveroad.control import _node
+from chiveroad.control import _source
+from chiveroad import errors
+from chiveroad import membership
+from chiveroad import serving
+
+MAX_MESSAGE_BYTES: typing.Final = 64 * 1024 * 1024
+MAX_HOLD_MS: typing.Final = 5_000
+GATHER_S: typing.Final = 0.05
+STATUS_PATH: typing.Final = "/control/v1/status"
+
+_T = typing.TypeVar("_T")
+_KEPT_PACKS: typing.Final = 16
+_JSON: typing.Final = (("Content-Type", "application/json"),)
+_request_decoder = msgspec.json.Decoder(_messages.SyncRequest)
+_offer_decoder = msgspec.json.Decoder(_messages.SnapshotOffer)
+
+
+class ControlHandler(serving.Handler):
+    """Answers children, operators, and whoever scrapes metrics."""
+
+    def __init__(self, node: _node.Node, agent: _agent.Agent) -> None:
+        self._node = node
+        self._agent = agent
+        self._source = uuid.uuid4().hex[:12]
+        self._packs: collections.OrderedDict[tuple[str, str], bytes] = (
+            collections.OrderedDict()
+        )
+        self._packs_lock = threading.Lock()
+        self.stopped = False
+        self._pages: dict[
+            tuple[str, str], collections.abc.Callable[[serving.Request], None]
+        ] = {
+            ("POST", _source.SYNC_PATH): self._sync,
+            ("POST", _source.SNAPSHOT_PATH): self._snapshot,
+            ("GET", STATUS_PATH): self._status,
+        }
+
+    def add_page(
+        self,
+        path: str,
+        page: collections.abc.Callable[[serving.Request], None],
+    ) -> None:
+        """Serve one more page."""
+        self._pages["GET", path] = page
+
+    def handle(self, request: serving.Request) -> None:
+        """Answer one request."""
+        page = self._pages.get((request.method, request.path))
+        if page is None:
+            raise errors.NoRoute(f"no page {request.path}")
+        page(request)
+
+    def _sync(self, request: serving.Request) -> None:
+        asked = self._read(request, _request_decoder)
+        node = self._node
+        child = node.heard(asked.member.instance)
+        child.version = asked.version
+        child.behind = asked.behind
+        node.take_from_below([asked.member, *asked.members])
+        if asked.unconfirmed:
+            self._agent.confirm(request.received_s)
+        else:
+            self._hold(asked)
+        node.heard(asked.member.instance)
+        answer = msgspec.json.encode(self._answer(asked))
+        request.answer(http.HTTPStatus.OK, _JSON, answer)
+
+    def _hold(self, asked: _messages.SyncRequest) -> None:
+        hold_ms = min(asked.hold_ms, MAX_HOLD_MS)
+        end_s = time.monotonic() + hold_ms / 1000
+        node = self._node
+        with node.news:
+            while not self._is_news(asked) and not self.stopped:
+                left_s = end_s - time.monotonic()
+                if left_s <= 0:
+                    return
+                node.news.wait(left_s)
+            if node.applied.current.number == asked.version:
+                # News of members come in bursts; they are sent together.
+                node.news.wait(GATHER_S)
+
+    def _is_news(self, asked: _messages.SyncRequest) -> bool:
+        node = self._node
+        if node.applied.current.number != asked.version:
+            return True
+        return asked.source != self._source or node.view.epoch > asked.epoch
+
+    def _answer(self, asked: _messages.SyncRequest) -> _messages.SyncAnswer:
+        node = self._node
+        confirmed_s = node.applied.confirmed_s
+        ago_ms = -1.0
+        if confirmed_s is not None:
+            ago_ms = (time.monotonic() - confirmed_s) * 1000
+        held = node.applied.current
+        known = asked.epoch if asked.source == self._source else 0
+        changes = node.view.since(known)
+        delta = snapshot = b""
+        if held.number > asked.version:
+            delta, snapshot = self._news_of_config(asked.digest)
+        return _messages.SyncAnswer(
+            source=self._source,
+            epoch=changes.epoch,
+            version=held.number,
+            digest=held.digest,
+            relay=self._agent.relay,
+            confirmed_ago_ms=ago_ms,
+            members=self._members_for(asked.member, changes.members),
+            ancestors=self._agent.ancestors(),
+            delta=delta,
+            snapshot=snapshot,
+            wants_snapshot=asked.version > held.number,
+        )
+
+    def _members_for(
+        self,
+        child: membership.Member,
+        changed: tuple[membership.Member, ...],
+    ) -> list[membership.Member]:
+        """Return the news, and the child's own record where it is wrong."""
+        members = [member for member in changed if member != child]
+        known = self._node.view.get(child.instance)
+        if known is not None and known.order() > child.order():
+            members = [m for m in members if m.instance != child.instance]
+            members.append(known)
+        return members
+
+    def _news_of_config(self, digest: str) -> tuple[bytes, bytes]:
+        held = self._node.applied.current
+        with self._packs_lock:
+            packed = self._packs.get((digest, held.digest))
+            base = self._node.applied.earlier(digest)
+            if packed is None:
+                packed = self._pack(base, held.config.items)
+                self._packs[digest, held.digest] = packed
+                while len(self._packs) > _KEPT_PACKS:
+                    self._packs.popitem(last=False)
+        return (b"", packed) if base is None else (packed, b"")
+
+    def _pack(self, base: config.Items | None, items: config.Items) -> bytes:
+        if base is None:
+            return config.pack(items)
+        return config.pack_delta(config.diff(base, items))
+
+    def _snapshot(self, request: serving.Request) -> None:
+        offer = self._read(request, _offer_decoder)
+        try:
+            items = config.unpack(offer.snapshot, offer.digest)
+            self._node.applied.offer(offer.version, offer.digest, items)
+        except errors.DigestMismatch as exc:
+            raise errors.BadRequest(str(exc)) from exc
+        request.answer(http.HTTPStatus.OK, _JSON, b"{}")
+
+    def _status(self, request: serving.Request) -> None:
+        node = self._node
+        held = node.applied.current
+        status = _messages.DaemonStatus(
+            instance=node.member.instance,
+            incarnation=node.member.incarnation,
+            version=held.number,
+            digest=held.digest,
+            applied_at_ms=held.applied_at_ms,
+            ready=node.applied.ready,
+            state=node.member.state,
+            roles=self._agent.roles(),
+            parent=self._agent.parent,
+            members=len(node.view.all()),
+            behind=node.behind(),
+        )
+        request.answer(http.HTTPStatus.OK, _JSON, msgspec.json.encode(status))
+
+    def _read(
+        self, request: serving.Request, decoder: msgspec.json.Decoder[_T]
+    ) -> _T:
+        try:
+            return decoder.decode(request.read_body(MAX_MESSAGE_BYTES))
+        except msgspec.DecodeError as exc:
+            raise errors.BadRequest(f"unreadable message: {exc}") from exc
--- /dev/null
+++ b/src/chiveroad/control/_source.py
@@ -0,0 +1,215 @@
+"""Where a daemon's news come from: the store, or a parent in the tree."""
+
+from __future__ import annotations
+
+import abc
+import threading
+import time
+import typing
+
+import msgspec
+import urllib3
+
+from chiveroad import config
+from chiveroad.control import _accept
+from chiveroad.control import _messages
+from chiveroad.control import _node
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import store
+
+HOLD_MS: typing.Final = 1_500
+CONNECT_TIMEOUT_S: typing.Final = 0.5
+SYNC_GRACE_S: typing.Final = 2.0
+
+SYNC_PATH: typing.Final = "/control/v1/sync"
+SNAPSHOT_PATH: typing.Final = "/control/v1/snapshot"
+
+_answer_decoder = msgspec.json.Decoder(_messages.SyncAnswer)
+_log = logs.Logger("control")
+
+
+class Source(abc.ABC):
+    """Something that can confirm which version is the newest accepted."""
+
+    @abc.abstractmethod
+    def confirm(self, at_s: float) -> None:
+        """Try to learn that nothing newer was accepted at a time.
+
+        Callers at the same time share one attempt.  A failure is silent:
+        the confirmation just doesn't come.
+        """
+
+
+class StoreSource(Source):
+    """The store itself, read by the leader of a region."""
+
+    def __init__(self, platform: store.Store, node: _node.Node) -> None:
+        self._store = platform
+        self._node = node
+        self._lock = threading.Lock()
+
+    def confirm(self, at_s: float) -> None:
+        """Read the accepted version, unless that has just been done."""
+        with self._lock:
+            known_s = self._node.applied.confirmed_s
+            if known_s is not None and known_s >= at_s:
+                return
+            try:
+                self.read()
+            except errors.ChiveroadError as exc:
+                _log.debug("No confirmation: {}.", exc)
+
+    def read(self) -> int:
+        """Read and apply the accepted version.
+
+        :returns: the store's version of what was read.
+        """
+        asked_s = time.monotonic()
+        current = _accept.read_current(self._store)
+        self.apply(current.accepted)
+        self._node.applied.confirm(asked_s)
+        return current.store_version
+
+    def apply(self, accepted: _accept.Accepted) -> None:
+        """Put an accepted version in force, by its delta where it fits."""
+        held = self._node.applied.current
+        if accepted.version <= held.number:
+            return
+        items = self._from_delta(accepted, held.number, held.config.items)
+        if items is None:
+            items = _accept.read_items(self._store, accepted)
+        self._node.applied.offer(accepted.version, accepted.digest, items)
+
+    def _from_delta(
+        self, accepted: _accept.Accepted, held: int, items: config.Items
+    ) -> config.Items | None:
+        if accepted.version != held + 1 or not accepted.delta:
+            return None
+        try:
+            return config.patch(items, config.unpack_delta(accepted.delta))
+        except errors.DigestMismatch as exc:
+            _log.warning("Delta dropped for the snapshot: {}.", exc)
+            return None
+
+
+class ParentSource(Source):
+    """A parent in the tree, asked over HTTP."""
+
+    def __init__(self, node: _node.Node) -> None:
+        self._node = node
+        self._http = urllib3.PoolManager(maxsize=4, retries=False)
+        self._lock = threading.Lock()
+        self._source = ""
+        self._epoch = 0
+        self._told_to = ""
+        self.address = ""
+        self.answer: _messages.SyncAnswer | None = None
+
+    def confirm(self, at_s: float) -> None:
+        """Ask the parent for a confirmation."""
+        with self._lock:
+            known_s = self._node.applied.confirmed_s
+            if not self.address or (known_s is not None and known_s >= at_s):
+                return
+            try:
+                self.sync(self.address, 0, unconfirmed=True)
+            except errors.ChiveroadError as exc:
+                _log.debug("No confirmation: {}.", exc)
+
+    def sync(
+        self, address: str, hold_ms: int, unconfirmed: bool
+    ) -> _messages.SyncAnswer:
+        """Ask a parent for news once, and take them in.
+
+        :raises errors.PeerUnavailable: when it doesn't answer.
+        :raises errors.BadMessage: when its answer can't be read.
+        """
+        node = self._node
+        if address != self._told_to:
+            node.tell_domain_again()
+        upward = node.upward()
+        current = node.applied.current
+        request = _messages.SyncRequest(
+            member=node.member,
+            version=current.number,
+            digest=current.digest,
+            source=self._source,
+            epoch=self._epoch,
+            hold_ms=hold_ms,
+            unconfirmed=unconfirmed,
+            members=upward,
+            behind=node.behind(),
+        )
+        asked_s = time.monotonic()
+        answer = self._post(address, request, hold_ms)
+        node.told(upward)
+        self._told_to = address
+        self._take(answer, asked_s)
+        if answer.wants_snapshot:
+            self._hand_up(address)
+        return answer
+
+    def _take(self, answer: _messages.SyncAnswer, asked_s: float) -> None:
+        node = self._node
+        node.take(answer.members)
+        self._source = answer.source
+        self._epoch = answer.epoch
+        self.answer = answer
+        items = self._items(answer)
+        if items is not None:
+            node.applied.offer(answer.version, answer.digest, items)
+        held = node.applied.current.number
+        if answer.confirmed_ago_ms >= 0 and held >= answer.version:
+            node.applied.confirm(asked_s - answer.confirmed_ago_ms / 1000)
+
+    def _items(self, answer: _messages.SyncAnswer) -> config.Items | None:
+        if answer.snapshot:
+            return config.unpack(answer.snapshot, answer.digest)
+        if not answer.delta:
+            return None
+        held = self._node.applied.current.config.items
+        try:
+            return config.patch(held, config.unpack_delta(answer.delta))
+        except errors.DigestMismatch as exc:
+            # The next request names another digest, and so gets a snapshot.
+            _log.warning("Delta dropped: {}.", exc)
+            return None
+
+    def _hand_up(self, address: str) -> None:
+        held = self._node.applied.current
+        offer = _messages.SnapshotOffer(
+            held.number, held.digest, config.pack(held.config.items)
+        )
+        body = msgspec.json.encode(offer)
+        self._call(address, SNAPSHOT_PATH, body, SYNC_GRACE_S)
+
+    def _post(
+        self, address: str, request: _messages.SyncRequest, hold_ms: int
+    ) -> _messages.SyncAnswer:
+        body = msgspec.json.encode(request)
+        timeout_s = hold_ms / 1000 + SYNC_GRACE_S
+        data = self._call(address, SYNC_PATH, body, timeout_s)
+        try:
+            return _answer_decoder.decode(data)
+        except msgspec.DecodeError as exc:
+            raise errors.BadMessage(f"{address}: {exc}") from exc
+
+    def _call(
+        self, address: str, path: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        try:
+            response = self._http.request(
+                "POST",
+                f"http://{address}{path}",
+                body=body,
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=timeout_s
+                ),
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise errors.PeerUnavailable(f"{address}: {exc}") from exc
+        if response.status != 200:
+            raise errors.PeerUnavailable(f"{address}: {response.status}")
+        return response.data
--- /dev/null
+++ b/src/chiveroad/membership/__init__.py
@@ -0,0 +1,31 @@
+"""Who is in the mesh: members, the view of them, and the tree they form."""
+
+from chiveroad.membership._liveness import DEAD_AFTER_S
+from chiveroad.membership._liveness import FORGET_AFTER_S
+from chiveroad.membership._liveness import judge
+from chiveroad.membership._liveness import Judgement
+from chiveroad.membership._member import declared_dead
+from chiveroad.membership._member import Member
+from chiveroad.membership._member import newer
+from chiveroad.membership._member import State
+from chiveroad.membership._tree import depth
+from chiveroad.membership._tree import FAN_OUT
+from chiveroad.membership._tree import parent
+from chiveroad.membership._view import Changes
+from chiveroad.membership._view import View
+
+__all__ = [
+    "Changes",
+    "DEAD_AFTER_S",
+    "FAN_OUT",
+    "FORGET_AFTER_S",
+    "Judgement",
+    "Member",
+    "State",
+    "View",
+    "declared_dead",
+    "depth",
+    "judge",
+    "newer",
+    "parent",
+]
--- /dev/null
+++ b/src/chiveroad/membership/_view.py
@@ -0,0 +1,100 @@
+"""The view of all members that a daemon holds."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import threading
+
+from chiveroad.membership import _member
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed in a view after an epoch, and the epoch it leads to."""
+
+    epoch: int
+    members: tuple[_member.Member, ...]
+
+
+class View:
+    """All members, merged from every word heard.
+
+    Each merge that changes something advances ``epoch``, a number that only
+    this process understands.
+
+    :param news: notified whenever the view changes.
+    """
+
+    def __init__(self, news: threading.Condition) -> None:
+        self._news = news
+        self._members: dict[str, _member.Member] = {}
+        self._changed_at: dict[str, int] = {}
+        self._by_service: dict[str, tuple[_member.Member, ...]] = {}
+        self.epoch = 0
+
+    def merge(
+        self, heard: collections.abc.Iterable[_member.Member]
+    ) -> collections.abc.Sequence[_member.Member]:
+        """Take in words on members, and return those that were news."""
+        with self._news:
+            fresh = _member.newer(self._members, heard)
+            if not fresh:
+                return ()
+            self.epoch += 1
+            self._members.update(fresh)
+            for instance in fresh:
+                self._changed_at[instance] = self.epoch
+            self._by_service = {}
+            self._news.notify_all()
+            return tuple(fresh.values())
+
+    def since(self, epoch: int) -> Changes:
+        """Return what changed after an epoch of this view; 0 gives all."""
+        with self._news:
+            members = tuple(
+                self._members[instance]
+                for instance, changed in self._changed_at.items()
+                if changed > epoch
+            )
+            return Changes(self.epoch, members)
+
+    def get(self, instance: str) -> _member.Member | None:
+        """Return a member by its name."""
+        return self._members.get(instance)
+
+    def all(self) -> tuple[_member.Member, ...]:
+        """Return all members, by name."""
+        with self._news:
+            return tuple(self._members[name] for name in sorted(self._members))
+
+    def of_service(self, service: str) -> tuple[_member.Member, ...]:
+        """Return the members that take new work for a service, by name."""
+        found = self._by_service.get(service)
+        if found is not None:
+            return found
+        with self._news:
+            ready = [
+                member
+                for member in self.all()
+                if member.service == service
+                and member.state is _member.State.READY
+            ]
+            found = self._by_service[service] = tuple(ready)
+        return found
+
+    def of_domain(self, domain: str) -> tuple[_member.Member, ...]:
+        """Return the living members of a failure domain, by name."""
+        return tuple(
+            member
+            for member in self.all()
+            if member.failure_domain == domain and member.alive
+        )
+
+    def forget(self, instances: collections.abc.Iterable[str]) -> None:
+        """Drop members that have been gone for long."""
+        with self._news:
+            for instance in instances:
+                self._members.pop(instance, None)
+                self._changed_at.pop(instance, None)
+            self._by_service = {}
--- /dev/null
+++ b/src/chiveroad/serving/__init__.py
@@ -0,0 +1,21 @@
+"""The HTTP server: safe framing, streaming, and a stop that cuts nothing."""
+
+from chiveroad.serving._http import CODE_HEADER
+from chiveroad.serving._http import RAN_HEADER
+from chiveroad.serving._server import BodyCut
+from chiveroad.serving._server import Handler
+from chiveroad.serving._server import Header
+from chiveroad.serving._server import IDLE_TIMEOUT_S
+from chiveroad.serving._server import Request
+from chiveroad.serving._server import Server
+
+__all__ = [
+    "BodyCut",
+    "CODE_HEADER",
+    "Handler",
+    "Header",
+    "IDLE_TIMEOUT_S",
+    "RAN_HEADER",
+    "Request",
+    "Server",
+]
--- /dev/null
+++ b/src/chiveroad/serving/_http.py
@@ -0,0 +1,190 @@
+"""Request parsing and connection handling on top of cheroot.
+
+The subclasses here close what the library leaves open: repeated or odd
+framing headers, folded header lines, trailers, and plain-text refusals
+without a code.  A connection that has just been used is watched by its own
+worker for a moment, which saves two thread hand-overs for each request of a
+busy connection.
+"""
+
+from __future__ import annotations
+
+import http
+import re
+import select
+import socket
+import typing
+
+from cheroot import server as cheroot_server
+import msgspec
+
+from chiveroad import errors
+from chiveroad.serving import _stream
+
+LINGER_MS: typing.Final = 20
+MAX_HEAD_BYTES: typing.Final = 32 * 1024
+
+_TOKEN: typing.Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_LENGTH: typing.Final = re.compile(rb"[0-9]{1,18}")
+_SINGLE: typing.Final = frozenset(
+    {
+        b"Content-Length",
+        b"Content-Type",
+        b"Host",
+        b"Idempotency-Key",
+        b"Transfer-Encoding",
+        b"Authorization",
+    }
+)
+_LIST_HEADERS: typing.Final = frozenset(
+    cheroot_server.comma_separated_headers  # type: ignore[attr-defined]
+)
+_TOO_LARGE: typing.Final = ("413", "414")
+
+CODE_HEADER: typing.Final = "Chiveroad-Code"
+RAN_HEADER: typing.Final = "Chiveroad-Ran"
+
+
+class _Headers(dict[bytes, bytes]):
+    """A header table that refuses or joins repeated headers."""
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name not in self or name in _LIST_HEADERS - _SINGLE:
+            super().__setitem__(name, value)
+            return
+        if name in _SINGLE:
+            raise ValueError(f"repeated header {name.decode('latin-1')}")
+        joint = b"; " if name == b"Cookie" else b", "
+        super().__setitem__(name, self[name] + joint + value)
+
+
+class _HeaderReader(cheroot_server.HeaderReader):
+    """A reader for one head that refuses folded lines and odd names."""
+
+    def __init__(self) -> None:
+        self._named = False
+
+    def _transform_key(self, key_name: bytes) -> bytes:
+        if not _TOKEN.fullmatch(key_name):
+            raise ValueError("malformed header name")
+        self._named = True
+        return key_name.title()
+
+    def _allow_header(self, key_name: bytes) -> bool:
+        if not self._named:
+            raise ValueError("folded header line")
+        self._named = False
+        return True
+
+
+class HttpRequest(cheroot_server.HTTPRequest):
+    """A request whose framing can't be read in two ways."""
+
+    def __init__(self, server: typing.Any, conn: typing.Any) -> None:
+        super().__init__(server, conn)
+        self.inheaders: dict[bytes, bytes] = _Headers()
+        self.header_reader = _HeaderReader()
+
+    def read_request_headers(self) -> bool:
+        """Read the head, and refuse ambiguous framing."""
+        if not self._read_head():
+            return False
+        length = self.inheaders.get(b"Content-Length")
+        encoding = self.inheaders.get(b"Transfer-Encoding")
+        if length is not None and not _LENGTH.fullmatch(length):
+            return self._refuse("malformed Content-Length")
+        if encoding is not None and encoding.lower() != b"chunked":
+            return self._refuse("unknown Transfer-Encoding")
+        if encoding is not None and length is not None:
+            return self._refuse("both Content-Length and Transfer-Encoding")
+        if encoding is not None and self.response_protocol != "HTTP/1.1":
+            return self._refuse("Transfer-Encoding before HTTP/1.1")
+        options = self.inheaders.get(b"Connection", b"").lower()
+        if b"close" in options or encoding is not None:
+            # What follows a chunked body (trailers) is never reused.
+            self.close_connection = True
+        return True
+
+    def _read_head(self) -> bool:
+        read = super().read_request_headers
+        return bool(read())  # type: ignore[no-untyped-call]
+
+    def _refuse(self, message: str) -> bool:
+        self.simple_response("400 Bad Request", message)
+        return False
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer a request that can't be used, with a code, and close."""
+        self.close_connection = True
+        number = int(str(status)[:3])
+        too_large = str(number) in _TOO_LARGE
+        error: type[errors.Refusal] = errors.BadRequest
+        if too_large:
+            error = errors.RequestTooLarge
+        body = refusal_body(error(msg or str(status)))
+        phrase = http.HTTPStatus(number).phrase
+        head = (
+            f"HTTP/1.1 {number} {phrase}\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Content-Type: application/json\r\n"
+            f"{CODE_HEADER}: {error.code}\r\n"
+            f"{RAN_HEADER}: {error.ran}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        try:
+            self.conn.wfile.write(head.encode("latin-1") + body)
+        except OSError:
+            return
+
+
+class HttpConnection(cheroot_server.HTTPConnection):
+    """A connection that stays with its worker while it is busy."""
+
+    RequestHandlerClass = HttpRequest
+
+    def __init__(
+        self, server: typing.Any, sock: socket.socket, _: typing.Any
+    ) -> None:
+        super().__init__(server, sock, _stream.make_file)
+
+    def communicate(self) -> bool:
+        """Serve requests until the connection is quiet or over."""
+        while self._serve_one():
+            if not self.server.may_linger():
+                return True
+            with self.server.lingering():
+                active = self._readable(LINGER_MS)
+            if not active:
+                return True
+        return False
+
+    def _serve_one(self) -> bool:
+        return bool(super().communicate())  # type: ignore[no-untyped-call]
+
+    def _readable(self, timeout_ms: int) -> bool:
+        if self.rfile.has_data():
+            return True
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(timeout_ms))
+
+
+class _RefusalBody(msgspec.Struct):
+    code: int
+    message: str
+    hint: str
+    ran: str
+    retry_after_ms: int
+
+
+def refusal_body(refusal: errors.Refusal) -> bytes:
+    """Return the JSON body of a refusal."""
+    return msgspec.json.encode(
+        _RefusalBody(
+            refusal.code,
+            refusal.reason,
+            refusal.hint,
+            refusal.ran,
+            refusal.retry_after_ms,
+        )
+    )
--- /dev/null
+++ b/src/chiveroad/settings.py
@@ -0,0 +1,142 @@
+"""The settings file of a daemon, validated whole at start."""
+
+from __future__ import annotations
+
+import ipaddress
+import pathlib
+import tomllib
+import typing
+
+import msgspec
+
+from chiveroad import errors
+
+Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
+]
+Address = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9a-f.:\[\]]+:[0-9]+$")
+]
+Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+
+
+class _Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A table whose keys are all known."""
+
+
+class Listen(_Table, frozen=True):
+    """The addresses that the daemon listens on, ``IP:PORT``."""
+
+    entry: Address
+    guard: Address
+    control: Address
+
+
+class Upstream(_Table, frozen=True):
+    """The upstream beside the daemon."""
+
+    address: Address
+
+
+class Platform(_Table, frozen=True):
+    """The platform's object API; ``region`` is where it stands."""
+
+    address: Address
+    region: Name
+    timeout_ms: Milliseconds = 3_000
+
+
+class Log(_Table, frozen=True):
+    """The log, written to the standard error stream."""
+
+    level: typing.Literal["debug", "info", "warning", "error"] = "info"
+    format: typing.Literal["text", "json"] = "text"
+
+
+class Control(_Table, frozen=True):
+    """The control plane.
+
+    ``distribution`` is ``tree``, or ``direct`` for the baseline in which
+    every daemon watches the store.  ``start_spread_ms`` spreads the first
+    calls of daemons that start together.
+    """
+
+    distribution: typing.Literal["tree", "direct"] = "tree"
+    start_spread_ms: Milliseconds = 300
+
+
+class Traffic(_Table, frozen=True):
+    """The entry and the guard.
+
+    ``balancing`` is ``two-choices``, or ``round-robin`` or ``least-reported``
+    for the baselines.  ``limits`` switches the guard's slots and queue off,
+    for a baseline only.  ``drain_limit_ms`` bounds a planned stop.
+    """
+
+    balancing: typing.Literal[
+        "two-choices", "round-robin", "least-reported"
+    ] = "two-choices"
+    limits: bool = True
+    threads: typing.Annotated[int, msgspec.Meta(ge=4, le=512)] = 48
+    drain_limit_ms: Milliseconds = 30_000
+
+
+class Metrics(_Table, frozen=True):
+    """Pushing metrics; without an address they are only served."""
+
+    push_address: str = ""
+    push_interval_ms: Milliseconds = 10_000
+
+
+class Settings(_Table, frozen=True):
+    """All settings of one daemon."""
+
+    instance: Name
+    service: Name
+    failure_domain: Name
+    region: Name
+    listen: Listen
+    upstream: Upstream
+    platform: Platform
+    log: Log = Log()
+    control: Control = Control()
+    traffic: Traffic = Traffic()
+    metrics: Metrics = Metrics()
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read and validate a settings file.
+
+    :raises errors.SettingsError: with the file and the key at fault.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f"{path}: {exc}") from exc
+    return parse(text, str(path))
+
+
+def parse(text: str, name: str = "settings") -> Settings:
+    """Validate the text of a settings file."""
+    try:
+        table = tomllib.loads(text)
+        settings = msgspec.convert(table, Settings)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
+        raise errors.SettingsError(f"{name}: {exc}") from exc
+    listen = settings.listen
+    addresses = [listen.entry, listen.guard, listen.control]
+    if len(set(addresses)) < len(addresses):
+        raise errors.SettingsError(f"{name}: an address is used twice")
+    for address in [*addresses, settings.upstream.address]:
+        _check_address(address, name)
+    return settings
+
+
+def _check_address(address: str, name: str) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError as exc:
+        raise errors.SettingsError(f"{name}: {exc}") from exc
+    if not 0 < int(port) < 65_536:
+        raise errors.SettingsError(f"{name}: {address} has no usable port")
--- /dev/null
+++ b/src/chiveroad/store/__init__.py
@@ -0,0 +1,23 @@
+"""The platform's object API: an interface, and a client over HTTP."""
+
+from chiveroad.store._base import ABSENT
+from chiveroad.store._base import Event
+from chiveroad.store._base import EventType
+from chiveroad.store._base import Kind
+from chiveroad.store._base import Listing
+from chiveroad.store._base import MAX_VALUE_BYTES
+from chiveroad.store._base import Store
+from chiveroad.store._base import StoredObject
+from chiveroad.store._http import HttpStore
+
+__all__ = [
+    "ABSENT",
+    "Event",
+    "EventType",
+    "HttpStore",
+    "Kind",
+    "Listing",
+    "MAX_VALUE_BYTES",
+    "Store",
+    "StoredObject",
+]
--- /dev/null
+++ b/src/chiveroad/store/_base.py
@@ -0,0 +1,115 @@
+"""What chiveroad asks of the platform's object API."""
+
+from __future__ import annotations
+
+import abc
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+import msgspec
+
+ABSENT: typing.Final = 0
+"""The version to give for an object that must not exist yet."""
+
+MAX_VALUE_BYTES: typing.Final = 1_000_000
+
+
+class Kind(enum.Enum):
+    """The kinds of object that chiveroad keeps."""
+
+    FILES = "files"
+    CONFIGS = "configs"
+    SNAPSHOTS = "snapshots"
+    LEASES = "leases"
+    DOMAINS = "domains"
+    STATUSES = "statuses"
+    CLAIMS = "claims"
+
+
+class EventType(enum.Enum):
+    """What a watch reports."""
+
+    ADDED = "ADDED"
+    MODIFIED = "MODIFIED"
+    DELETED = "DELETED"
+    BOOKMARK = "BOOKMARK"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object: its name, the version of its last write, and its value.
+
+    ``spec`` is the JSON text of the value, decoded by whoever knows its type.
+    """
+
+    name: str
+    version: int
+    spec: msgspec.Raw
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """The objects of a kind as they stood at ``version``."""
+
+    version: int
+    objects: tuple[StoredObject, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One change seen by a watch.  A bookmark has no object."""
+
+    type: EventType
+    version: int
+    object: StoredObject | None
+
+
+class Store(abc.ABC):
+    """The platform's object API, as far as chiveroad uses it.
+
+    Every method raises ``errors.StoreUnavailable`` when the store can't be
+    asked, and every write raises ``errors.StoreOutcomeUnknown`` when its
+    answer was lost after the write may have taken effect.
+    """
+
+    @abc.abstractmethod
+    def get(self, kind: Kind, name: str) -> StoredObject:
+        """Return an object.
+
+        :raises errors.StoreNotFound: when there is none.
+        """
+
+    @abc.abstractmethod
+    def list(self, kind: Kind, prefix: str = "") -> Listing:
+        """Return the objects whose names begin with the prefix."""
+
+    @abc.abstractmethod
+    def put(
+        self, kind: Kind, name: str, spec: object, version: int
+    ) -> StoredObject:
+        """Write an object if its version is still the one given.
+
+        :param version: the version read before, or ``ABSENT`` to create.
+        :raises errors.StoreConflict: when the object has another version.
+        :raises errors.StoreTooLarge: when the value is over the limit.
+        """
+
+    @abc.abstractmethod
+    def delete(self, kind: Kind, name: str, version: int) -> None:
+        """Delete an object if its version is still the one given.
+
+        :raises errors.StoreConflict: when the object has another version.
+        :raises errors.StoreNotFound: when there is none.
+        """
+
+    @abc.abstractmethod
+    def watch(
+        self, kind: Kind, version: int, timeout_s: float
+    ) -> collections.abc.Iterator[Event]:
+        """Yield the changes after a version until the time is over.
+
+        :raises errors.StoreExpired: when the version is older than the
+            store keeps; the caller lists again.
+        """
--- /dev/null
+++ b/src/chiveroad/traffic/_balancer.py
@@ -0,0 +1,154 @@
+"""Choosing an upstream for a request.
+
+The load of an upstream is what its guard said in its last answer, fading
+towards what this entry itself has in flight there.  Of the candidates in
+reach two are drawn at random and the less loaded is taken (power of two
+choices).  Reach widens from the own failure domain to the region and then
+over the paid link only when the nearer candidates are loaded.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import random
+import typing
+
+WIDEN_LOAD: typing.Final = 0.5
+CROSS_LOAD: typing.Final = 1.0
+FADE_S: typing.Final = 0.5
+SLOW_START_S: typing.Final = 10.0
+SLOW_START_FLOOR: typing.Final = 0.1
+EJECT_AFTER_FAILURES: typing.Final = 3
+EJECT_S: typing.Final = 5.0
+MAX_EJECTED_SHARE: typing.Final = 0.5
+
+
+class Distance(enum.IntEnum):
+    """How far an upstream is from the entry."""
+
+    DOMAIN = 0
+    REGION = 1
+    REMOTE = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Track:
+    """What an entry has learnt of one upstream.
+
+    ``reported`` is the guard's running and queued requests, ``slots`` its
+    slots, ``reported_s`` and the other times are monotonic seconds.
+    """
+
+    since_s: float
+    in_flight: int = 0
+    reported: int = 0
+    slots: int = 1
+    reported_s: float = 0.0
+    failures: int = 0
+    ejected_until_s: float = 0.0
+    blocked_until_s: float = 0.0
+
+    def learn(self, running: int, slots: int, now_s: float) -> None:
+        """Take in what the guard said of its load."""
+        self.reported = running
+        self.slots = max(1, slots)
+        self.reported_s = now_s
+
+    def succeeded(self) -> None:
+        """Note an answer."""
+        self.failures = 0
+
+    def failed(self, now_s: float) -> None:
+        """Note a failure; several in a row eject the upstream."""
+        self.failures += 1
+        if self.failures >= EJECT_AFTER_FAILURES:
+            self.ejected_until_s = now_s + EJECT_S
+
+    def blocked(self, now_s: float, for_s: float) -> None:
+        """Note that the guard refuses new work for a while."""
+        self.blocked_until_s = max(self.blocked_until_s, now_s + for_s)
+
+    def load(self, now_s: float) -> float:
+        """Return the load, where 1 means that every slot is taken."""
+        age_s = now_s - self.reported_s
+        fresh = max(0.0, 1.0 - age_s / FADE_S)
+        known = max(self.in_flight, round(self.reported * fresh))
+        return (known + 1) / (self.slots * self._ramp(now_s)) - 1 / self.slots
+
+    def _ramp(self, now_s: float) -> float:
+        warm = (now_s - self.since_s) / SLOW_START_S
+        return min(1.0, max(SLOW_START_FLOOR, warm))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An upstream that could be chosen, as it stands now."""
+
+    instance: str
+    distance: Distance
+    load: float
+    ejected: bool = False
+    blocked: bool = False
+
+
+def candidate(
+    instance: str, distance: Distance, track: Track, now_s: float
+) -> Candidate:
+    """Return a candidate as its track says."""
+    return Candidate(
+        instance,
+        distance,
+        track.load(now_s),
+        track.ejected_until_s > now_s,
+        track.blocked_until_s > now_s,
+    )
+
+
+def pick(
+    candidates: collections.abc.Sequence[Candidate], rng: random.Random
+) -> Candidate | None:
+    """Choose a candidate, or None where there is none at all.
+
+    Ejected ones count as absent, unless more than ``MAX_EJECTED_SHARE`` are
+    ejected: then the judgement is doubted and nobody is.  Blocked ones have
+    just refused, and are taken only when all have.
+    """
+    healthy = _healthy(candidates)
+    open_ = [entry for entry in healthy if not entry.blocked]
+    best: Candidate | None = None
+    for reach, limit in _reaches(open_ or healthy):
+        best = _two_choices(reach, rng)
+        if best.load <= limit:
+            break
+    return best
+
+
+def _healthy(
+    candidates: collections.abc.Sequence[Candidate],
+) -> collections.abc.Sequence[Candidate]:
+    healthy = [entry for entry in candidates if not entry.ejected]
+    ejected = len(candidates) - len(healthy)
+    if ejected > MAX_EJECTED_SHARE * len(candidates):
+        return candidates
+    return healthy
+
+
+def _reaches(
+    candidates: collections.abc.Sequence[Candidate],
+) -> collections.abc.Iterator[tuple[list[Candidate], float]]:
+    limits = {Distance.DOMAIN: WIDEN_LOAD, Distance.REGION: CROSS_LOAD}
+    for distance in Distance:
+        reach = [entry for entry in candidates if entry.distance <= distance]
+        if reach:
+            yield reach, limits.get(distance, float("inf"))
+
+
+def _two_choices(
+    candidates: collections.abc.Sequence[Candidate], rng: random.Random
+) -> Candidate:
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = rng.sample(candidates, 2)
+    return first if first.load <= second.load else second
--- /dev/null
+++ b/src/chiveroad/traffic/_guard.py
@@ -0,0 +1,252 @@
+"""The guard: the only way to the upstream beside this daemon.
+
+Filters, in order: is the request for this service, is the daemon draining,
+is there a slot, is the idempotency key free, forward, answer.
+"""
+
+from __future__ import annotations
+
+import base64
+import collections.abc
+import threading
+import time
+import typing
+
+from chiveroad import config
+from chiveroad import control
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import serving
+from chiveroad import settings
+from chiveroad.traffic import _admission
+from chiveroad.traffic import _call
+from chiveroad.traffic import _claims
+from chiveroad.traffic import _exchange
+from chiveroad.traffic import _pool
+
+DRAIN_RETRY_AFTER_MS: typing.Final = 200
+SHED_RETRY_AFTER_MS: typing.Final = 200
+
+_FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
+_NO_LIMITS: typing.Final = _admission.Limits(slots=10_000, queue_length=0)
+_FALLBACK_KIND: typing.Final = config.Kind(1, False, 2_000)
+_log = logs.Logger("guard")
+
+
+class Guard(serving.Handler):
+    """The guard of the upstream beside this daemon."""
+
+    def __init__(
+        self,
+        options: settings.Settings,
+        applied: control.Applied,
+        claims: _claims.Claims,
+    ) -> None:
+        self._service = options.service
+        self._limited = options.traffic.limits
+        self._applied = applied
+        self._claims = claims
+        self._pool = _pool.Pool(options.upstream.address)
+        self._lock = threading.Lock()
+        self._admission = _admission.Admission(_FALLBACK_LIMITS)
+        self.draining = False
+
+    def handle(self, request: serving.Request) -> None:
+        """Serve a request that another daemon's entry sent here."""
+        extra = [(_call.REQUEST, request.header(_call.REQUEST))]
+        try:
+            self.serve(request, self._read_call(request), extra)
+        except errors.Refusal as refusal:
+            if request.begun:
+                raise
+            retry_ms = str(refusal.retry_after_ms)
+            extra += [self.load(), (_call.RETRY_AFTER_MS, retry_ms)]
+            request.refuse(refusal, extra)
+
+    def serve(
+        self,
+        request: serving.Request,
+        call: _call.Call,
+        extra: collections.abc.Sequence[serving.Header] = (),
+    ) -> None:
+        """Run a request on the upstream and answer it.
+
+        :param extra: headers for an entry that is another daemon; without
+            them the load isn't told either.
+        :raises errors.Refusal: when nothing was answered.
+        """
+        if call.service != self._service:
+            raise errors.WrongGuard(f"this guards {self._service!r}")
+        if self.draining:
+            raise errors.Draining("the upstream leaves", DRAIN_RETRY_AFTER_MS)
+        ticket = self._admit(call)
+        started_s = time.monotonic()
+        try:
+            if call.key and not call.kind.idempotent:
+                self._run_once(request, call, extra)
+            else:
+                answer = self._forward(request, call)
+                self._pass_on(answer, request, extra)
+        finally:
+            self._finish(ticket, started_s)
+
+    def load(self) -> serving.Header:
+        """Return the header that tells an entry the load and the slots."""
+        admission = self._admission
+        return (_call.LOAD, f"{admission.load} {admission.limits.slots}")
+
+    def idle(self) -> bool:
+        """Tell whether nothing runs or waits."""
+        return self._admission.load == 0
+
+    def tick(self) -> None:
+        """Refuse waiting requests that are too late, retire connections."""
+        with self._lock:
+            self._admission.advance(time.monotonic())
+        self._pool.retire()
+
+    def _read_call(self, request: serving.Request) -> _call.Call:
+        name = request.header(_call.KIND)
+        service = request.header(_call.SERVICE)
+        timeout_ms = _call.number(request.header(_call.TIMEOUT_MS), 0)
+        if not name or not service or not timeout_ms:
+            raise errors.BadRequest("a guard takes requests from entries only")
+        return _call.Call(
+            id=request.header(_call.REQUEST),
+            service=service,
+            kind_name=name,
+            kind=self._kind(name),
+            team=request.header(_call.TEAM),
+            deadline_s=request.received_s + timeout_ms / 1000,
+            depth=_call.number(request.header(_call.DEPTH), 0),
+            key=request.header(_call.IDEMPOTENCY_KEY),
+            method=request.method,
+            target=request.target,
+            headers=_call.end_to_end(request.headers()),
+            body=_call.Body(request),
+        )
+
+    def _kind(self, name: str) -> config.Kind:
+        service = self._applied.config.services.get(self._service)
+        kinds = service.kinds if service else {}
+        return kinds.get(name, _FALLBACK_KIND)
+
+    def _limits(self) -> _admission.Limits:
+        if not self._limited:
+            return _NO_LIMITS
+        service = self._applied.config.services.get(self._service)
+        if service is None:
+            return _FALLBACK_LIMITS
+        slots = min(service.slots, service.connections)
+        return _admission.Limits(slots, service.queue_length)
+
+    def _admit(self, call: _call.Call) -> _admission.Ticket:
+        now_s = time.monotonic()
+        ticket = _admission.Ticket(
+            call.team, call.kind_name, call.kind.weight, call.deadline_s, now_s
+        )
+        with self._lock:
+            self._admission.limits = self._limits()
+            self._admission.offer(ticket, now_s)
+        if not ticket.decided.is_set():
+            self._wait(ticket)
+        if ticket.refusal is not None:
+            reason = ticket.refusal.reason
+            _log.info("Request {} refused: {}.", call.id, reason)
+            raise errors.Overloaded(reason, ticket.refusal.retry_after_ms)
+        _log.info(
+            "Request {} admitted as {}, load {} of {}.",
+            call.id,
+            call.kind_name,
+            self._admission.load,
+            self._admission.limits.slots,
+        )
+        return ticket
+
+    def _wait(self, ticket: _admission.Ticket) -> None:
+        ticket.decided.wait(max(0.0, ticket.deadline_s - time.monotonic()))
+        with self._lock:
+            if not self._admission.withdraw(ticket):
+                return
+            retry_ms = int(
+                self._admission.wait_ms(len(self._admission.waiting))
+            )
+        raise errors.DeadlineExceeded("waited for a slot too long", retry_ms)
+
+    def _finish(self, ticket: _admission.Ticket, started_s: float) -> None:
+        now_s = time.monotonic()
+        with self._lock:
+            took_ms = (now_s - started_s) * 1000
+            self._admission.served(ticket.kind, took_ms)
+            self._admission.finish(ticket, now_s)
+
+    def _forward(
+        self, request: serving.Request, call: _call.Call
+    ) -> _exchange.Answer:
+        answer = _exchange.ask(
+            self._pool, call, call.onward_headers(), request.socket
+        )
+        if answer.header(serving.RAN_HEADER) == "no":
+            answer.close()
+            retry_ms = 1000 * _call.number(answer.header("Retry-After"), 0)
+            raise errors.UpstreamRefused(
+                "the upstream shed the request",
+                retry_ms or SHED_RETRY_AFTER_MS,
+            )
+        return answer
+
+    def _pass_on(
+        self,
+        answer: _exchange.Answer,
+        request: serving.Request,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> None:
+        told = [*extra, self.load()] if extra else []
+        _exchange.pass_on(answer, request, told)
+
+    def _run_once(
+        self,
+        request: serving.Request,
+        call: _call.Call,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> None:
+        """Run a request whose key must not run twice."""
+        held = self._claims.begin(call)
+        if isinstance(held, _claims.KeptAnswer):
+            _log.info("Request {} gets the answer its key had.", call.id)
+            self._replay(held, request, extra)
+            return
+        try:
+            answer = self._forward(request, call)
+        except errors.Refusal as refusal:
+            if refusal.ran == "no":
+                self._claims.release(held)
+            raise
+        self._answer_and_keep(answer, held, request, extra)
+
+    def _answer_and_keep(
+        self,
+        answer: _exchange.Answer,
+        held: _claims.Held,
+        request: serving.Request,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> None:
+        length = answer.length
+        if length is None or length > _claims.MAX_KEPT_ANSWER_BYTES:
+            self._pass_on(answer, request, extra)
+            self._claims.finish(held, None)
+            return
+        headers = _call.end_to_end(answer.headers)
+        body = answer.read()
+        self._claims.finish(held, _claims.keep(answer.status, headers, body))
+        request.answer(answer.status, [*headers, *extra], body)
+
+    def _replay(
+        self,
+        kept: _claims.KeptAnswer,
+        request: serving.Request,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> None:
+        body = base64.b64decode(kept.body)
+        headers = [*kept.headers, ("Idempotency-Replayed", "true"), *extra]
+        request.answer(kept.status, headers, body)
--- /dev/null
+++ b/src/chiveroad/traffic/_pages.py
@@ -0,0 +1,47 @@
+"""Pages about traffic that a daemon serves on its control address."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from chiveroad import serving
+from chiveroad.traffic import _balancer
+from chiveroad.traffic import _entry
+
+UPSTREAMS_PATH: typing.Final = "/control/v1/upstreams"
+
+_JSON: typing.Final = (("Content-Type", "application/json"),)
+
+
+class UpstreamView(msgspec.Struct):
+    """An upstream as one entry sees it."""
+
+    instance: str
+    distance: str
+    load: float
+    why: str
+
+
+def upstreams_page(entry: _entry.Entry, request: serving.Request) -> None:
+    """Tell how the entry sees the upstreams of the service in the query."""
+    service = request.target.partition("?")[2]
+    views = [_view(found) for found in entry.candidates(service)]
+    views.sort(key=lambda view: (view.distance, view.load, view.instance))
+    request.answer(200, _JSON, msgspec.json.encode(views))
+
+
+def _view(found: _balancer.Candidate) -> UpstreamView:
+    why = {
+        _balancer.Distance.DOMAIN: "first choice",
+        _balancer.Distance.REGION: "when its own domain is loaded",
+        _balancer.Distance.REMOTE: "when its own region is full",
+    }[found.distance]
+    if found.blocked:
+        why = "not now: it has just refused"
+    if found.ejected:
+        why = "not now: ejected after failures"
+    return UpstreamView(
+        found.instance, found.distance.name.lower(), found.load, why
+    )
--- /dev/null
+++ b/standins/object_api.py
@@ -0,0 +1,247 @@
+"""The stand-in for the platform's object API, as one process.
+
+Besides the contract of ``docs/PLATFORM.md`` it answers ``/faults`` (POST
+sets an outage, a delay and how many write answers to lose after their
+effect), ``/calls`` (GET counts calls by kind of call) and ``/compact``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import http
+import http.server
+import socketserver
+import threading
+import time
+import typing
+import urllib.parse
+
+import msgspec
+
+from chiveroad import errors
+from chiveroad import store
+from standins import memory_store
+
+PREFIX: typing.Final = "/apis/chiveroad/v1/"
+
+_STATUS: typing.Final = {
+    errors.StoreNotFound: http.HTTPStatus.NOT_FOUND,
+    errors.StoreConflict: http.HTTPStatus.CONFLICT,
+    errors.StoreExpired: http.HTTPStatus.GONE,
+    errors.StoreTooLarge: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+}
+
+
+class Faults(msgspec.Struct):
+    """What goes wrong at present.
+
+    ``lose_answers`` counts down with each write whose answer is lost after
+    the write took effect; ``lose_kind`` limits that to one kind of object.
+    """
+
+    outage: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    lose_kind: str = ""
+
+
+class ObjectApi:
+    """The state behind the server: objects, faults, and the call counter."""
+
+    def __init__(self) -> None:
+        self.store = memory_store.MemoryStore()
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.lock = threading.Lock()
+
+    def count(self, call: str) -> None:
+        """Count a call."""
+        with self.lock:
+            self.calls[call] += 1
+
+    def loses_answer(self, kind: str) -> bool:
+        """Tell whether this write's answer is to be lost."""
+        with self.lock:
+            if not self.faults.lose_answers:
+                return False
+            if self.faults.lose_kind not in ("", kind):
+                return False
+            self.faults.lose_answers -= 1
+            return True
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """One connection of a client."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = 64 * 1024
+    api: ObjectApi
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Stay silent."""
+
+    def do_GET(self) -> None:
+        """Get, list, watch, or count."""
+        if self.path == "/calls":
+            self._answer(http.HTTPStatus.OK, dict(self.api.calls))
+            return
+        self._guarded(self._read)
+
+    def do_PUT(self) -> None:
+        """Write conditionally."""
+        self._guarded(self._write)
+
+    def do_DELETE(self) -> None:
+        """Delete conditionally."""
+        self._guarded(self._delete)
+
+    def do_POST(self) -> None:
+        """Set the faults, or compact the history."""
+        body = self._body()
+        if self.path == "/faults":
+            self.api.faults = msgspec.json.decode(body, type=Faults)
+        elif self.path == "/compact":
+            self.api.store.compact()
+        self._answer(http.HTTPStatus.OK, {})
+
+    def _guarded(self, work: "collections.abc.Callable[..., None]") -> None:
+        body = self._body()
+        url = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        kind_text, _, name = url.path.removeprefix(PREFIX).partition("/")
+        if self.api.faults.delay_ms:
+            time.sleep(self.api.faults.delay_ms / 1000)
+        if self.api.faults.outage:
+            self.api.count("refused")
+            self._answer(http.HTTPStatus.SERVICE_UNAVAILABLE, {})
+            return
+        try:
+            kind = store.Kind(kind_text)
+            work(kind, urllib.parse.unquote(name), query, body)
+        except ValueError:
+            self._answer(http.HTTPStatus.BAD_REQUEST, {})
+        except errors.StoreError as exc:
+            self._answer(_STATUS[type(exc)], {"message": str(exc)})
+
+    def _read(
+        self, kind: store.Kind, name: str, query: dict[str, str], _: bytes
+    ) -> None:
+        if name:
+            self.api.count(f"get {kind.value}")
+            found = self.api.store.get(kind, name)
+            self._answer(http.HTTPStatus.OK, _object(found))
+            return
+        if "watch" in query:
+            self.api.count(f"watch {kind.value}")
+            self._watch(
+                kind,
+                int(query["resourceVersion"]),
+                float(query.get("timeoutSeconds", "30")),
+            )
+            return
+        self.api.count(f"list {kind.value}")
+        listing = self.api.store.list(kind, query.get("prefix", ""))
+        answer = {
+            "metadata": {"resourceVersion": str(listing.version)},
+            "items": [_object(item) for item in listing.objects],
+        }
+        self._answer(http.HTTPStatus.OK, answer)
+
+    def _write(
+        self, kind: store.Kind, name: str, query: dict[str, str], body: bytes
+    ) -> None:
+        self.api.count(f"put {kind.value}")
+        sent = msgspec.json.decode(body)
+        version = int(sent["metadata"]["resourceVersion"])
+        written = self.api.store.put(kind, name, sent["spec"], version)
+        if self.api.loses_answer(kind.value):
+            self.close_connection = True
+            return
+        metadata = {"name": name, "resourceVersion": str(written.version)}
+        self._answer(http.HTTPStatus.OK, {"metadata": metadata})
+
+    def _delete(
+        self, kind: store.Kind, name: str, query: dict[str, str], _: bytes
+    ) -> None:
+        self.api.count(f"delete {kind.value}")
+        self.api.store.delete(kind, name, int(query["resourceVersion"]))
+        if self.api.loses_answer(kind.value):
+            self.close_connection = True
+            return
+        self._answer(http.HTTPStatus.OK, {})
+
+    def _watch(self, kind: store.Kind, version: int, timeout_s: float) -> None:
+        end_s = time.monotonic() + timeout_s
+        events = self.api.store.watch(kind, version, 0)
+        first = list(events)
+        self.send_response(http.HTTPStatus.OK)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        self._send_events(first)
+        version = max([version, *(event.version for event in first)])
+        while time.monotonic() < end_s and not self.api.faults.outage:
+            step_s = min(0.5, end_s - time.monotonic())
+            for event in self.api.store.watch(kind, version, step_s):
+                if self.api.faults.outage:
+                    break
+                self._send_events([event])
+                version = event.version
+                break
+        if self.api.faults.outage:
+            self.close_connection = True
+            return
+        self.wfile.write(b"0\r\n\r\n")
+        self.wfile.flush()
+
+    def _send_events(self, events: list[store.Event]) -> None:
+        for event in events:
+            assert event.object is not None
+            line = msgspec.json.encode(
+                {"type": event.type.value, "object": _object(event.object)}
+            )
+            self.wfile.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+        self.wfile.flush()
+
+    def _body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length", "0")))
+
+    def _answer(self, status: int, value: object) -> None:
+        body = msgspec.json.encode(value)
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+
+def _object(item: store.StoredObject) -> dict[str, object]:
+    metadata = {"name": item.name, "resourceVersion": str(item.version)}
+    return {"metadata": metadata, "spec": item.spec}
+
+
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    """A thread for each connection."""
+
+    daemon_threads = True
+    request_queue_size = 512
+
+
+def serve(host: str, port: int) -> Server:
+    """Return a bound server that isn't running yet."""
+    handler = type("BoundHandler", (Handler,), {"api": ObjectApi()})
+    return Server((host, port), handler)
+
+
+def main() -> None:
+    """Run the stand-in until it is ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    serve("127.0.0.1", arguments.port).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
