--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -172,6 +172,7 @@
             planned=self._planned(peers),
             ancestors=answer.ancestors if answer else (),
             peers=[member.control for member in peers],
+            relay=self._relay.acting,
             failed_s=self._failed_s,
             own_address=mine.listen.control,
             now_s=time.monotonic(),
--- a/src/chiveroad/control/_lease.py
+++ b/src/chiveroad/control/_lease.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import enum
 import random
@@ -107,7 +108,9 @@
         name: str,
         me: Record,
         observe_s: float = OBSERVE_S,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._store = platform
         self._name = name
         self._me = me
@@ -122,7 +125,7 @@
     @property
     def held(self) -> bool:
         """Tell whether the lease is ours, by our own clock."""
-        return self.acting and time.monotonic() < self._valid_until_s
+        return self.acting and self._clock() < self._valid_until_s
 
     @property
     def record(self) -> Record | None:
@@ -183,7 +186,7 @@
             self._renew(self._seen.record, self._seen.version)
             return
         self._read()
-        step = decide(self._seen, self._me.holder, time.monotonic())
+        step = decide(self._seen, self._me.holder, self._clock())
         if step is Step.WAIT:
             return
         version = self._seen.version if self._seen else store.ABSENT
@@ -195,12 +198,12 @@
             read = self._store.get(store.Kind.LEASES, self._name)
         except errors.StoreNotFound:
             read = None
-        self._seen = observe(self._seen, read, time.monotonic())
+        self._seen = observe(self._seen, read, self._clock())
 
     def _renew(self, record: Record, version: int) -> None:
         # The validity counts from before the call: the write may take
         # effect at any time while it lasts.
-        asked_s = time.monotonic()
+        asked_s = self._clock()
         self._put(record, version)
         self._valid_until_s = asked_s + DURATION_S
         if not self.acting:
@@ -211,7 +214,7 @@
         written = self._store.put(
             store.Kind.LEASES, self._name, record, version
         )
-        self._seen = Observed(record, written.version, time.monotonic())
+        self._seen = Observed(record, written.version, self._clock())
 
     def _settle(self) -> None:
         """Read back after a lost answer; only then is anything assumed."""
--- a/src/chiveroad/control/_plan.py
+++ b/src/chiveroad/control/_plan.py
@@ -18,8 +18,8 @@
 
     ``planned`` is the address that the tree gives, or empty; ``ancestors``
     are those that the last parent named; ``peers`` are the control addresses
-    of the domain in name order, without this daemon; ``failed_s`` says when
-    addresses failed last.
+    of the domain; ``failed_s`` says when addresses failed last; ``relay``
+    says that this daemon is the domain's relay.
     """
 
     planned: str
@@ -28,17 +28,20 @@
     failed_s: dict[str, float]
     own_address: str
     now_s: float
+    relay: bool = False
 
 
 def choose_parent(situation: Situation) -> str:
     """Return the address to ask, or an empty string.
 
-    The planned parent goes first, then its own ancestors, then the first of
-    the peers that stands before this daemon, so that two daemons never wait
-    for each other.
+    The planned parent goes first, then its own ancestors, then the peers
+    that stand before this daemon in the order of addresses.  The relay asks
+    no peer: they ask it, and would all wait for each other.
     """
     options = [situation.planned, *situation.ancestors]
-    options += [p for p in situation.peers if p < situation.own_address]
+    if not situation.relay:
+        own = situation.own_address
+        options += sorted(p for p in situation.peers if p < own)
     for address in options:
         if not address or address == situation.own_address:
             continue
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,76 @@
+"""Small fakes: a clock, a store that loses answers, upstream members."""
+
+from __future__ import annotations
+
+from chiveroad import errors
+from chiveroad import membership
+from chiveroad import store
+from standins import memory_store
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class FaultyStore(memory_store.MemoryStore):
+    """A store whose next calls fail as told.
+
+    ``down`` refuses every call, ``lose`` counts writes whose answer is lost
+    after their effect, and ``drop`` writes that are lost before it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down = False
+        self.lose = 0
+        self.drop = 0
+
+    def get(self, kind: store.Kind, name: str) -> store.StoredObject:
+        self._check()
+        return super().get(kind, name)
+
+    def put(
+        self, kind: store.Kind, name: str, spec: object, version: int
+    ) -> store.StoredObject:
+        self._check()
+        if self.drop:
+            self.drop -= 1
+            raise errors.StoreOutcomeUnknown("dropped")
+        written = super().put(kind, name, spec, version)
+        if self.lose:
+            self.lose -= 1
+            raise errors.StoreOutcomeUnknown("lost")
+        return written
+
+    def _check(self) -> None:
+        if self.down:
+            raise errors.StoreUnavailable("down")
+
+
+def member(
+    instance: str = "glade-1",
+    incarnation: int = 1,
+    sequence: int = 1,
+    state: membership.State = membership.State.READY,
+    domain: str = "sherwood",
+    service: str = "glade",
+) -> membership.Member:
+    """Return a member with addresses made from its name."""
+    return membership.Member(
+        instance,
+        service,
+        domain,
+        "east-mids",
+        incarnation,
+        sequence,
+        state,
+        f"{instance}:entry",
+        f"{instance}:guard",
+        f"{instance}:control",
+    )
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,240 @@
+"""Files, their merge, and what the merge promises."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from chiveroad import config
+from chiveroad import errors
+
+GLADE: typing.Final = """team = "glade"
+[service.glade]
+slots = 12
+[service.glade.kind.browse]
+idempotent = true
+[route.sessions]
+path = "/sessions"
+service = "glade"
+kind = "browse"
+"""
+SCHOOLS: typing.Final = """team = "schools"
+[route.schools]
+path = "/schools"
+service = "glade"
+kind = "browse"
+"""
+
+
+def source(name: str, text: str, revision: int = 1) -> config.Source:
+    """Return a file as the folder holds it."""
+    return config.Source(name, revision, text)
+
+
+BASE: typing.Final = (
+    source("10-glade.toml", GLADE),
+    source("40-s.toml", SCHOOLS),
+)
+
+
+@pytest.mark.parametrize(
+    ("name", "text", "error", "line"),
+    [
+        ("a.toml", 'team = "a"\nx =', errors.FileSyntax, 2),
+        ("a.toml", 'team = "a"\nslots = 1\n', errors.FileShape, 2),
+        ("a.toml", 'team = "A!"\n', errors.FileShape, 1),
+        ("a.toml", "", errors.FileShape, 0),
+        ("a.toml", GLADE.replace("12", "0"), errors.FileShape, 3),
+        ("a.toml", GLADE.replace("12", '"12"'), errors.FileShape, 3),
+        ("a.toml", GLADE.replace("/sessions", "s"), errors.FileShape, 7),
+        ("a.toml", GLADE.replace("true", "1"), errors.FileShape, 5),
+        ("a.toml", GLADE.replace("kind =", "sort ="), errors.FileShape, 9),
+        ("A.toml", GLADE, errors.FileName, 0),
+        ("../a.toml", GLADE, errors.FileName, 0),
+        ("a.toml", "#" * 300_000, errors.FileTooLarge, 0),
+    ],
+)
+def test_a_bad_file_is_refused_with_its_line(
+    name: str, text: str, error: type[errors.FileError], line: int
+) -> None:
+    with pytest.raises(error) as caught:
+        config.parse(name, text)
+    assert caught.value.file == name
+    assert caught.value.line == line
+
+
+RIVAL: typing.Final = 'team = "rival"\n'
+ROUTE: typing.Final = (
+    '[route.{name}]\npath = "{path}"\nservice = "{service}"\nkind = "{kind}"\n'
+)
+
+
+def route(
+    name: str = "r",
+    path: str = "/r",
+    service: str = "glade",
+    kind: str = "browse",
+) -> str:
+    """Return a rival's file with one route."""
+    return RIVAL + ROUTE.format(
+        name=name, path=path, service=service, kind=kind
+    )
+
+
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        (GLADE.replace('"glade"', '"rival"', 1), errors.ServiceOwned.code),
+        (route(name="sessions"), errors.RouteOwned.code),
+        (route(service="hollow"), errors.DanglingRoute.code),
+        (route(kind="book"), errors.UnknownKind.code),
+        (route(path="/sessions"), errors.RouteConflict.code),
+        ("team = ", errors.FileSyntax.code),
+    ],
+)
+@pytest.mark.parametrize("name", ["05-rival.toml", "50-rival.toml"])
+def test_a_rivals_bad_file_changes_nothing(
+    name: str, text: str, code: int
+) -> None:
+    before = config.merge(BASE)
+    after = config.merge([*BASE, source(name, text)], before.sources)
+    assert after.items == before.items
+    [verdict] = [v for v in after.verdicts if v.code]
+    assert (verdict.file, verdict.code) == (name, code)
+    assert verdict.accepted_revision == 0
+
+
+def test_a_bad_change_falls_back_while_a_good_one_is_taken() -> None:
+    before = config.merge(BASE)
+    changed = [
+        source("10-glade.toml", GLADE.replace("12", "0"), 2),
+        source("40-s.toml", SCHOOLS.replace("/schools", "/pupils"), 3),
+    ]
+    after = config.merge(changed, before.sources)
+    assert after.items["service/glade"] == before.items["service/glade"]
+    assert "/pupils" in after.items["route/schools"]
+    verdicts = {v.file: v for v in after.verdicts}
+    assert verdicts["10-glade.toml"].accepted_revision == 1
+    assert verdicts["40-s.toml"].accepted_revision == 3
+
+
+def test_a_removal_that_leaves_a_route_dangling_is_not_taken() -> None:
+    before = config.merge(BASE)
+    after = config.merge(BASE[1:], before.sources)
+    assert after.items == before.items
+    [verdict] = [v for v in after.verdicts if v.code]
+    assert verdict.file == "10-glade.toml"
+    assert verdict.code == errors.DanglingRoute.code
+    assert verdict.revision == 0
+
+
+def test_closing_a_service_to_its_users_blames_the_owner() -> None:
+    before = config.merge(BASE)
+    closed = GLADE.replace("slots = 12", "slots = 12\nopen_to = []")
+    after = config.merge(
+        [source("10-glade.toml", closed, 2), BASE[1]], before.sources
+    )
+    [verdict] = [v for v in after.verdicts if v.code]
+    assert verdict.file == "10-glade.toml"
+    assert verdict.code == errors.ServiceClosed.code
+
+
+def test_a_name_given_up_by_its_owner_can_be_taken() -> None:
+    before = config.merge(BASE[:1])
+    taken = GLADE.replace('"glade"', '"rival"', 1)
+    after = config.merge([source("20-rival.toml", taken)], before.sources)
+    assert not [v for v in after.verdicts if v.code]
+    assert '"team":"rival"' in after.items["service/glade"]
+
+
+def test_later_files_of_a_team_go_before_earlier_ones() -> None:
+    more = GLADE.replace("12", "30")
+    merged = config.merge([*BASE, source("11-glade.toml", more)])
+    assert '"slots":30' in merged.items["service/glade"]
+
+
+TEXTS: typing.Final = [
+    GLADE,
+    GLADE.replace("12", "13"),
+    GLADE.replace("12", "0"),
+    GLADE.replace('"glade"', '"rival"', 1),
+    SCHOOLS,
+    SCHOOLS.replace("glade", "hollow"),
+    SCHOOLS.replace("/schools", "/sessions"),
+    GLADE.replace("browse", "book"),
+    GLADE.replace("slots", "open_to = []\nslots"),
+    route(),
+    "nonsense",
+]
+NAMES: typing.Final = ["10-a.toml", "20-b.toml", "30-c.toml", "40-d.toml"]
+folders = st.dictionaries(st.sampled_from(NAMES), st.sampled_from(TEXTS))
+
+
+@hypothesis.given(st.lists(folders, min_size=1, max_size=4))
+@hypothesis.settings(max_examples=200, deadline=None)
+def test_every_merge_is_whole_closed_and_the_same_in_any_order(
+    history: list[dict[str, str]],
+) -> None:
+    accepted: tuple[config.Source, ...] = ()
+    for revision, folder in enumerate(history, 1):
+        sources = [source(n, t, revision) for n, t in folder.items()]
+        results = [
+            config.merge(order, accepted)
+            for order in itertools.islice(itertools.permutations(sources), 3)
+        ]
+        assert all(result == results[0] for result in results)
+        merged = results[0]
+        held = config.Config(merged.items)
+        assert not held.dangling()
+        for entry in held.routes.values():
+            assert held.services[entry.service].admits(entry.team)
+        again = config.merge(merged.sources, merged.sources)
+        assert again.items == merged.items
+        accepted = merged.sources
+
+
+@hypothesis.given(
+    st.dictionaries(st.text(max_size=8), st.text(max_size=8)),
+    st.dictionaries(st.text(max_size=8), st.text(max_size=8)),
+)
+def test_a_delta_leads_exactly_from_old_to_new(
+    old: dict[str, str], new: dict[str, str]
+) -> None:
+    delta = config.unpack_delta(config.pack_delta(config.diff(old, new)))
+    assert config.patch(old, delta) == new
+    assert config.unpack(config.pack(new), config.digest(new)) == new
+    if old != new:
+        other = {**old, "another key": "value"}
+        with pytest.raises(errors.DigestMismatch):
+            config.patch(other, delta)
+
+
+@pytest.mark.parametrize("cut", [0, 1, 10])
+def test_a_cut_snapshot_is_never_taken_in_part(cut: int) -> None:
+    items = config.merge(BASE).items
+    packed = config.pack(items)[:cut]
+    with pytest.raises(errors.DigestMismatch):
+        config.unpack(packed, config.digest(items))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "found"),
+    [
+        ("GET", "/sessions", "sessions"),
+        ("GET", "/sessions/17/days", "sessions"),
+        ("GET", "/sessions/", "sessions"),
+        ("GET", "/sessionsX", None),
+        ("POST", "/sessions", None),
+        ("GET", "/", None),
+    ],
+)
+def test_a_route_matches_whole_segments(
+    method: str, path: str, found: str | None
+) -> None:
+    held = config.Config(config.merge(BASE).items)
+    matched = held.match(method, path)
+    assert (matched.name if matched else None) == found
--- /dev/null
+++ b/tests/test_store_contract.py
@@ -0,0 +1,173 @@
+"""The contract of the object API, against every implementation of it.
+
+Any other implementation can be added to ``platform`` below.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from chiveroad import errors
+from chiveroad import store
+from standins import memory_store
+from standins import object_api
+
+FILES = store.Kind.FILES
+
+
+@pytest.fixture(params=["memory", "http"])
+def platform(request: pytest.FixtureRequest) -> Iterator[store.Store]:
+    """Yield an empty object API."""
+    if request.param == "memory":
+        yield memory_store.MemoryStore(history_length=50)
+        return
+    server = object_api.serve("127.0.0.1", 0)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield store.HttpStore(f"127.0.0.1:{server.server_address[1]}")
+    server.shutdown()
+    server.server_close()
+
+
+def test_create_read_update_delete(platform: store.Store) -> None:
+    created = platform.put(FILES, "a.toml", {"text": "ü"}, store.ABSENT)
+    read = platform.get(FILES, "a.toml")
+    assert read.version == created.version
+    assert bytes(read.spec).decode() == '{"text":"ü"}'
+    updated = platform.put(FILES, "a.toml", {"text": "2"}, read.version)
+    assert updated.version > created.version
+    platform.delete(FILES, "a.toml", updated.version)
+    with pytest.raises(errors.StoreNotFound):
+        platform.get(FILES, "a.toml")
+
+
+@pytest.mark.parametrize("version", [store.ABSENT, 77])
+def test_a_write_against_another_version_conflicts(
+    platform: store.Store, version: int
+) -> None:
+    platform.put(FILES, "a.toml", 1, store.ABSENT)
+    with pytest.raises(errors.StoreConflict):
+        platform.put(FILES, "a.toml", 2, version)
+    with pytest.raises(errors.StoreConflict):
+        platform.delete(FILES, "a.toml", 77)
+    assert bytes(platform.get(FILES, "a.toml").spec) == b"1"
+
+
+def test_an_absent_object_cannot_be_updated_or_deleted(
+    platform: store.Store,
+) -> None:
+    with pytest.raises(errors.StoreConflict):
+        platform.put(FILES, "a.toml", 1, 5)
+    with pytest.raises(errors.StoreNotFound):
+        platform.delete(FILES, "a.toml", 5)
+
+
+def test_one_of_many_racing_writers_wins(platform: store.Store) -> None:
+    won = []
+
+    def race(number: int) -> None:
+        try:
+            platform.put(FILES, "a.toml", number, store.ABSENT)
+            won.append(number)
+        except errors.StoreConflict:
+            return
+
+    threads = [threading.Thread(target=race, args=(n,)) for n in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(won) == 1
+    assert bytes(platform.get(FILES, "a.toml").spec) == b"%d" % won[0]
+
+
+def test_a_list_holds_a_prefix_and_a_version(platform: store.Store) -> None:
+    for name in ("a-1", "a-2", "b-1"):
+        last = platform.put(store.Kind.CLAIMS, name, 1, store.ABSENT)
+    listing = platform.list(store.Kind.CLAIMS, "a-")
+    assert [item.name for item in listing.objects] == ["a-1", "a-2"]
+    assert listing.version == last.version
+    assert platform.list(FILES).objects == ()
+
+
+def test_a_watch_from_a_version_misses_nothing(platform: store.Store) -> None:
+    first = platform.put(FILES, "a.toml", 1, store.ABSENT)
+    second = platform.put(FILES, "a.toml", 2, first.version)
+    platform.put(store.Kind.LEASES, "other kind", 1, store.ABSENT)
+    timer = threading.Timer(
+        0.1, platform.delete, (FILES, "a.toml", second.version)
+    )
+    timer.start()
+    events = list(platform.watch(FILES, first.version, 0.6))
+    timer.join()
+    assert [event.type for event in events] == [
+        store.EventType.MODIFIED,
+        store.EventType.DELETED,
+    ]
+    assert events[0].version == second.version
+
+
+def test_a_watch_from_a_forgotten_version_is_told(
+    platform: store.Store,
+) -> None:
+    first = platform.put(FILES, "a.toml", 0, store.ABSENT)
+    version = first.version
+    for number in range(2_100):
+        version = platform.put(FILES, "a.toml", number, version).version
+    with pytest.raises(errors.StoreExpired):
+        list(platform.watch(FILES, first.version, 0.1))
+    listing = platform.list(FILES)
+    assert list(platform.watch(FILES, listing.version, 0.05)) == []
+
+
+def test_values_up_to_a_megabyte(platform: store.Store) -> None:
+    platform.put(FILES, "a", "x" * 999_990, store.ABSENT)
+    with pytest.raises(errors.StoreTooLarge):
+        platform.put(FILES, "b", "x" * 1_000_000, store.ABSENT)
+
+
+@pytest.fixture
+def api() -> Iterator[tuple[store.HttpStore, object_api.ObjectApi]]:
+    """Yield a client with a short timeout, and the faults behind it."""
+    server = object_api.serve("127.0.0.1", 0)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    address = f"127.0.0.1:{server.server_address[1]}"
+    handler: type[object_api.Handler] = server.RequestHandlerClass  # type: ignore[assignment]
+    yield store.HttpStore(address, timeout_s=0.2), handler.api
+    server.shutdown()
+    server.server_close()
+
+
+@pytest.mark.parametrize(
+    ("faults", "error", "took_effect"),
+    [
+        ({"outage": True}, errors.StoreUnavailable, False),
+        ({"lose_answers": 1}, errors.StoreOutcomeUnknown, True),
+        ({"delay_ms": 400}, errors.StoreOutcomeUnknown, True),
+    ],
+)
+def test_what_a_failed_write_says(
+    api: tuple[store.HttpStore, object_api.ObjectApi],
+    faults: dict[str, int],
+    error: type[errors.StoreError],
+    took_effect: bool,
+) -> None:
+    client, behind = api
+    behind.faults = object_api.Faults(**faults)  # type: ignore[arg-type]
+    with pytest.raises(errors.StoreUnavailable) as caught:
+        client.put(FILES, "a.toml", 1, store.ABSENT)
+    assert type(caught.value) is error
+    behind.faults = object_api.Faults()
+    deadline = threading.Event()
+    deadline.wait(0.5)
+    found = [item.name for item in client.list(FILES).objects]
+    assert found == (["a.toml"] if took_effect else [])
+
+
+def test_a_store_that_is_gone_is_unavailable() -> None:
+    client = store.HttpStore("127.0.0.1:9", timeout_s=0.2)
+    with pytest.raises(errors.StoreUnavailable) as caught:
+        client.put(FILES, "a.toml", 1, store.ABSENT)
+    assert type(caught.value) is errors.StoreUnavailable
