Cheaper headers and log lines on the way of a request

Cause: a sampling profile of an entry under 250 calls/s shows, of the active time, log formatting first (53 of 394 samples), then header checks by pattern, then parsing of response heads.

Change: headers that our own server has read are written without the two pattern checks; log lines are formatted by hand.

Ruled out: thread hand-over in the server (workers keep busy connections); a bare echo on the same server costs 0.69 ms at 250 calls/s and 0.41 ms at 1,000, so that much of a hop is waking up and the library itself.

--- a/src/chiveroad/logs.py
+++ b/src/chiveroad/logs.py
@@ -12,11 +12,6 @@
 FORMATS: typing.Final = ("text", "json")
 LEVELS: typing.Final = ("debug", "info", "warning", "error")
 
-_TEXT: typing.Final = (
-    "{record.time:%H:%M:%S.%f} {record.level_name} "
-    "[{record.channel}] {record.message}"
-)
-
 
 class Logger(logbook.Logger):  # type: ignore[misc]
     """A channel; its name stands before every line of the part.
@@ -41,6 +36,24 @@
         return msgspec.json.encode(value).decode()
 
 
+class TextHandler(logbook.StreamHandler):  # type: ignore[misc]
+    """Writes each record as one line of text.
+
+    The library's own formatter takes about three times as long, which a
+    line for each request makes worth avoiding.
+    """
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Return the record as a line."""
+        time = record.time.isoformat(sep=" ", timespec="microseconds")[11:26]
+        line = (
+            f"{time} {record.level_name} [{record.channel}] {record.message}"
+        )
+        if record.exc_info:
+            return f"{line}\n{record.formatted_exception}"
+        return line
+
+
 def set_up(
     level: str, format_: str, stream: typing.TextIO = sys.stderr
 ) -> None:
@@ -49,10 +62,5 @@
         lambda: datetime.datetime.now(datetime.timezone.utc)
     )
     number = logbook.lookup_level(level.upper())
-    if format_ == "json":
-        handler = JsonHandler(stream, level=number)
-    else:
-        handler = logbook.StreamHandler(
-            stream, level=number, format_string=_TEXT
-        )
-    handler.push_application()
+    kind = JsonHandler if format_ == "json" else TextHandler
+    kind(stream, level=number).push_application()
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -37,6 +37,17 @@
         if held:
             self.send(b"".join(held))
 
+    def putheader(  # type: ignore[override]
+        self, header: str, *values: str
+    ) -> None:
+        """Add a header that has been read by a server, and so is sound.
+
+        The library would check name and value by two patterns each time.
+        """
+        self._output(  # type: ignore[attr-defined]
+            f"{header}: {values[0]}".encode("latin-1")
+        )
+
     def send(self, data: object) -> None:
         """Send data, or gather it while held."""
         if self._held is not None and isinstance(data, bytes):
