--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -60,7 +60,10 @@
 
 
 class DaemonStatus(msgspec.Struct, frozen=True):
-    """What a daemon says of itself."""
+    """What a daemon says of itself.
+
+    ``control_bytes`` counts the bodies of its messages with its parents.
+    """
 
     instance: str
     incarnation: int
@@ -73,6 +76,7 @@
     parent: str
     members: int
     behind: list[str]
+    control_bytes: int = 0
 
 
 class DomainStatus(msgspec.Struct, frozen=True):
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -39,6 +39,7 @@
         self.applied = _applied.Applied(self.news)
         self.view = membership.View(self.news)
         self.children: dict[str, Child] = {}
+        self.control_bytes = 0
         self._member = member
         self._upward: dict[str, membership.Member] = {}
         self.view.merge([member])
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -182,6 +182,7 @@
             parent=self._agent.parent,
             members=len(node.view.all()),
             behind=node.behind(),
+            control_bytes=node.control_bytes,
         )
         request.answer(http.HTTPStatus.OK, _JSON, msgspec.json.encode(status))
 
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -212,4 +212,5 @@
             raise errors.PeerUnavailable(f"{address}: {exc}") from exc
         if response.status != 200:
             raise errors.PeerUnavailable(f"{address}: {response.status}")
+        self._node.control_bytes += len(body) + len(response.data)
         return response.data
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import itertools
 import pathlib
 import signal
 import socket
@@ -15,6 +16,7 @@
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
+from chiveroad import metrics
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad import store
@@ -28,6 +30,9 @@
 ENTRY_TICK_S: typing.Final = 1.0
 CLAIM_TIMEOUT_S: typing.Final = 1.0
 SETTLE_S: typing.Final = 2.0
+COLLECT_S: typing.Final = 5.0
+CLAIM_SHARDS: typing.Final = 256
+METRICS_PATH: typing.Final = "/metrics"
 
 _log = logs.Logger("daemon")
 
@@ -38,23 +43,32 @@
     def __init__(self, options: settings.Settings) -> None:
         self._options = options
         self._node = control.Node(_first_word(options))
-        platform = store.HttpStore(
+        self._platform = store.HttpStore(
             options.platform.address, options.platform.timeout_ms / 1000
         )
-        self._agent = control.Agent(options, platform, self._node)
+        self._agent = control.Agent(options, self._platform, self._node)
         self._claims = traffic.Claims(
             store.HttpStore(options.platform.address, CLAIM_TIMEOUT_S),
             options.instance,
         )
-        self._guard = traffic.Guard(options, self._node.applied, self._claims)
+        self._recorder = metrics.Recorder()
+        self._exporter = metrics.Exporter(self._recorder, self._gauges)
+        self._guard = traffic.Guard(
+            options, self._node.applied, self._claims, self._recorder
+        )
         self._entry = traffic.Entry(
-            options, self._node.applied, self._node.view, self._guard
+            options,
+            self._node.applied,
+            self._node.view,
+            self._guard,
+            self._recorder,
         )
         self._control = control.ControlHandler(self._node, self._agent)
         self._control.add_page(
             traffic.UPSTREAMS_PATH,
             functools.partial(traffic.upstreams_page, self._entry),
         )
+        self._control.add_page(METRICS_PATH, self._exporter.page)
         threads = options.traffic.threads
         listen = options.listen
         self._servers = [
@@ -75,7 +89,13 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop.set())
         self._agent.start()
-        threading.Thread(target=self._probe, name="probe", daemon=True).start()
+        push = self._options.metrics
+        if push.push_address:
+            self._exporter.push(push.push_address, push.push_interval_ms)
+        for work in (self._probe, self._collect):
+            threading.Thread(
+                target=work, name=work.__name__, daemon=True
+            ).start()
         _log.info("Daemon {} started.", self._options.instance)
         self._tick_until_stopped()
         self._drain()
@@ -88,6 +108,15 @@
                 entry_due_s = time.monotonic() + ENTRY_TICK_S
                 self._entry.tick()
 
+    def _gauges(self) -> dict[str, float]:
+        load, _, _ = self._guard.load()[1].partition(" ")
+        return {
+            "chiveroad.config.version": self._node.applied.current.number,
+            "chiveroad.config.ready": float(self._node.applied.ready),
+            "chiveroad.members": len(self._node.view.all()),
+            "chiveroad.guard.load": float(load),
+        }
+
     def _probe(self) -> None:
         """Announce the upstream once it takes connections."""
         while not self._stop.is_set():
@@ -98,6 +127,18 @@
                 return
             time.sleep(PROBE_S)
 
+    def _collect(self) -> None:
+        """Delete expired claims, a share of them at a time, as merger."""
+        shards = itertools.cycle(f"{n:02x}" for n in range(CLAIM_SHARDS))
+        while not self._stop.wait(COLLECT_S):
+            if "merger" not in self._agent.roles():
+                continue
+            now_ms = time.time_ns() // 1_000_000
+            try:
+                traffic.collect(self._platform, next(shards), now_ms)
+            except errors.StoreError as exc:
+                _log.debug("Claims are collected later: {}.", exc)
+
     def _drain(self) -> None:
         """Stop without cutting a request.
 
--- /dev/null
+++ b/src/chiveroad/metrics/__init__.py
@@ -0,0 +1,6 @@
+"""Counters and latencies, served and pushed through OpenTelemetry."""
+
+from chiveroad.metrics._export import Exporter
+from chiveroad.metrics._record import Recorder
+
+__all__ = ["Exporter", "Recorder"]
--- a/src/chiveroad/traffic/__init__.py
+++ b/src/chiveroad/traffic/__init__.py
@@ -2,7 +2,7 @@
 
 from chiveroad.traffic._claims import Claim
 from chiveroad.traffic._claims import Claims
-from chiveroad.traffic._claims import expired
+from chiveroad.traffic._claims import collect
 from chiveroad.traffic._entry import Entry
 from chiveroad.traffic._guard import Guard
 from chiveroad.traffic._pages import upstreams_page
@@ -16,6 +16,6 @@
     "Guard",
     "UPSTREAMS_PATH",
     "UpstreamView",
-    "expired",
+    "collect",
     "upstreams_page",
 ]
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
+import abc
 import collections.abc
 import dataclasses
 import enum
+import itertools
 import random
 import typing
 
@@ -91,6 +93,7 @@
     load: float
     ejected: bool = False
     blocked: bool = False
+    reported: int = 0
 
 
 def candidate(
@@ -103,6 +106,7 @@
         track.load(now_s),
         track.ejected_until_s > now_s,
         track.blocked_until_s > now_s,
+        track.reported,
     )
 
 
@@ -152,3 +156,53 @@
         return candidates[0]
     first, second = rng.sample(candidates, 2)
     return first if first.load <= second.load else second
+
+
+class Picker(abc.ABC):
+    """A way to choose among the upstreams that can be asked."""
+
+    @abc.abstractmethod
+    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+        """Return the chosen one, or None where there is none at all."""
+
+
+class TwoChoices(Picker):
+    """The way in use: see ``pick``."""
+
+    def __init__(self) -> None:
+        self._rng = random.Random()
+
+    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+        """Choose by load learnt, near before far."""
+        return pick(candidates, self._rng)
+
+
+class RoundRobin(Picker):
+    """A baseline: all in turn, wherever they are."""
+
+    def __init__(self) -> None:
+        self._turn = itertools.count()
+
+    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+        """Choose the next in turn."""
+        if not candidates:
+            return None
+        return candidates[next(self._turn) % len(candidates)]
+
+
+class LeastReported(Picker):
+    """A baseline: whoever reported the least load last."""
+
+    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+        """Choose by the last report, however old."""
+        return min(candidates, key=lambda c: c.reported, default=None)
+
+
+def picker(name: str) -> Picker:
+    """Return a picker by its name in the settings."""
+    kinds: dict[str, type[Picker]] = {
+        "two-choices": TwoChoices,
+        "round-robin": RoundRobin,
+        "least-reported": LeastReported,
+    }
+    return kinds[name]()
--- a/src/chiveroad/traffic/_claims.py
+++ b/src/chiveroad/traffic/_claims.py
@@ -253,6 +253,23 @@
     return now_ms - claim.started_at_ms > KEEP_S * 1000
 
 
+def collect(platform: store.Store, prefix: str, now_ms: int) -> int:
+    """Delete the expired claims whose names begin with a prefix.
+
+    :returns: how many were deleted.
+    """
+    count = 0
+    for stored in platform.list(store.Kind.CLAIMS, prefix).objects:
+        if not expired(_decoder.decode(stored.spec), now_ms):
+            continue
+        try:
+            platform.delete(store.Kind.CLAIMS, stored.name, stored.version)
+        except (errors.StoreConflict, errors.StoreNotFound):
+            continue
+        count += 1
+    return count
+
+
 def _unavailable(exc: errors.StoreError) -> errors.ClaimsUnavailable:
     return errors.ClaimsUnavailable(
         f"the key can't be recorded: {exc}", RETRY_AFTER_MS
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import itertools
-import random
 import threading
 import time
 import typing
@@ -19,6 +18,7 @@
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
+from chiveroad import metrics
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _balancer
@@ -47,7 +47,9 @@
         applied: control.Applied,
         view: membership.View,
         guard: _guard.Guard,
+        recorder: metrics.Recorder,
     ) -> None:
+        self._recorder = recorder
         self._options = options
         self._applied = applied
         self._view = view
@@ -56,12 +58,25 @@
         self._tracks: dict[str, _balancer.Track] = {}
         self._pools: dict[str, _pool.Pool] = {}
         self._lock = threading.Lock()
-        self._rng = random.Random()
+        self._picker = _balancer.picker(options.traffic.balancing)
         self._ids = itertools.count(1)
         self._id_prefix = f"{options.instance}-{uuid.uuid4().hex[:8]}"
 
     def handle(self, request: serving.Request) -> None:
         """Carry a request to an upstream and its answer back."""
+        outcome = "cut"
+        try:
+            self._carry(request)
+            outcome = "served"
+        except errors.Refusal as refusal:
+            outcome = str(refusal.code)
+            raise
+        finally:
+            self._recorder.count("chiveroad.entry.requests", outcome)
+            took_s = time.monotonic() - request.received_s
+            self._recorder.took("entry", took_s)
+
+    def _carry(self, request: serving.Request) -> None:
         call, route = self._read_call(request)
         tried: list[str] = []
         worst: errors.Refusal | None = None
@@ -144,6 +159,10 @@
         member = self._view.get(chosen.instance)
         assert member is not None, "report this: picked an unknown member"
         tried.append(chosen.instance)
+        if len(tried) > 1:
+            self._recorder.count("chiveroad.entry.retries")
+        distance = chosen.distance.name.lower()
+        self._recorder.count("chiveroad.entry.picks", distance)
         _log.info(
             "Request {} by route {} goes to {}, try {}, load {:.2f}, {}.",
             call.id,
@@ -167,7 +186,7 @@
     def _pick(self, service: str, tried: list[str]) -> _balancer.Candidate:
         found = self.candidates(service)
         left = [entry for entry in found if entry.instance not in tried]
-        chosen = _balancer.pick(left, self._rng)
+        chosen = self._picker.pick(left)
         if chosen is None:
             raise errors.NoUpstream(
                 f"no upstream of {service!r} can be asked",
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -16,6 +16,7 @@
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import logs
+from chiveroad import metrics
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _admission
@@ -41,7 +42,9 @@
         options: settings.Settings,
         applied: control.Applied,
         claims: _claims.Claims,
+        recorder: metrics.Recorder,
     ) -> None:
+        self._recorder = recorder
         self._service = options.service
         self._limited = options.traffic.limits
         self._applied = applied
@@ -153,6 +156,7 @@
         if ticket.refusal is not None:
             reason = ticket.refusal.reason
             _log.info("Request {} refused: {}.", call.id, reason)
+            self._recorder.count("chiveroad.guard.requests", "refused")
             raise errors.Overloaded(reason, ticket.refusal.retry_after_ms)
         _log.info(
             "Request {} admitted as {}, load {} of {}.",
@@ -175,6 +179,8 @@
 
     def _finish(self, ticket: _admission.Ticket, started_s: float) -> None:
         now_s = time.monotonic()
+        self._recorder.count("chiveroad.guard.requests", "run")
+        self._recorder.took("upstream", now_s - started_s)
         with self._lock:
             took_ms = (now_s - started_s) * 1000
             self._admission.served(ticket.kind, took_ms)
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -34,6 +34,8 @@
 EXAMPLES: typing.Final = ROOT / "examples"
 WAIT_S: typing.Final = 40.0
 
+CALL_ERRORS: typing.Final = (urllib3.exceptions.HTTPError,)
+
 _FIRST_PORT: typing.Final = 18_000
 _LAST_PORT: typing.Final = 32_000
 _POLL_S: typing.Final = 0.01
--- /dev/null
+++ b/standins/pure.py
@@ -0,0 +1,179 @@
+"""The decisions and codecs alone, up to the size of the capacity page."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import threading
+import time
+import tracemalloc
+import typing
+
+import msgspec
+
+from chiveroad import config
+from chiveroad import control
+from chiveroad import membership
+from chiveroad.traffic import _balancer
+from standins import records
+
+SERVICES: typing.Final = (20, 40, 80, 160)
+UPSTREAMS: typing.Final = (712, 1_425, 2_850, 5_700)
+ROUTES_PER_SERVICE: typing.Final = 4
+
+_REPEATS: typing.Final = 5
+
+
+def measure() -> None:
+    """Measure time and memory at four sizes."""
+    for count in SERVICES:
+        _configuration(count)
+    for count in UPSTREAMS:
+        _membership(count)
+
+
+def folder(services: int) -> list[config.Source]:
+    """Return a folder with a file for each service."""
+    return [
+        config.Source(f"{n:04d}.toml", 1, _file(n)) for n in range(services)
+    ]
+
+
+def _file(number: int) -> str:
+    text = (
+        f'team = "team-{number}"\n[service.s-{number}]\nslots = 12\n'
+        f"[service.s-{number}.kind.read]\nidempotent = true\n"
+        f"[service.s-{number}.kind.write]\nidempotent = false\n"
+    )
+    for route in range(ROUTES_PER_SERVICE):
+        text += (
+            f'[route.r-{number}-{route}]\npath = "/s-{number}/{route}"\n'
+            f'service = "s-{number}"\nkind = "read"\n'
+        )
+    return text
+
+
+def members(count: int) -> list[membership.Member]:
+    """Return members spread over 16 failure domains and 160 services."""
+    return [
+        membership.Member(
+            f"s-{n % 160}-{n}",
+            f"s-{n % 160}",
+            f"domain-{n % 16}",
+            f"region-{n % 5}",
+            1_700_000_000_000 + n,
+            2,
+            membership.State.READY,
+            f"10.0.{n // 250}.{n % 250}:7001",
+            f"10.0.{n // 250}.{n % 250}:7002",
+            f"10.0.{n // 250}.{n % 250}:7003",
+        )
+        for n in range(count)
+    ]
+
+
+def _configuration(count: int) -> None:
+    sources = folder(count)
+    merged = config.merge(sources)
+    changed = [*sources[:-1], _changed(sources[-1])]
+    after = config.merge(changed, merged.sources)
+    delta = config.pack_delta(config.diff(merged.items, after.items))
+    unpacked = config.unpack_delta(delta)
+    work: dict[str, collections.abc.Callable[[], object]] = {
+        "merge_ms": lambda: config.merge(changed, merged.sources),
+        "digest_ms": lambda: config.digest(merged.items),
+        "diff_ms": lambda: config.diff(merged.items, after.items),
+        "patch_ms": lambda: config.patch(merged.items, unpacked),
+        "compile_ms": lambda: config.Config(merged.items),
+        "pack_ms": lambda: config.pack(merged.items),
+    }
+    for figure, step in work.items():
+        _emit(figure, count, _time_ms(step), "ms", "services")
+    _emit("delta_bytes", count, len(delta), "B", "services")
+    packed = config.pack(merged.items)
+    _emit("snapshot_bytes", count, len(packed), "B", "services")
+    held = _memory_mb(lambda: config.Config(dict(merged.items)))
+    _emit("config_mb", count, held, "MB", "services")
+
+
+def _changed(source: config.Source) -> config.Source:
+    text = source.text.replace("slots = 12", "slots = 13")
+    return config.Source(source.name, 2, text)
+
+
+def _membership(count: int) -> None:
+    known = members(count)
+    view = membership.View(threading.Condition())
+    view.merge(known)
+    service = f"s-{count % 160}"
+    rng = random.Random(1)
+    track = _balancer.Track(0.0, slots=12)
+
+    def pick() -> object:
+        found = [
+            _balancer.candidate(
+                m.instance, _balancer.Distance.DOMAIN, track, 9
+            )
+            for m in view.of_service(service)
+        ]
+        return _balancer.pick(found, rng)
+
+    def learn() -> object:
+        changed = membership.declared_dead(known[0])
+        word = msgspec.structs.replace(
+            changed, sequence=changed.sequence + next(step)
+        )
+        return view.merge([word])
+
+    step = iter(range(1, 10**6))
+    domain = control.DomainMembers(known[: count // 16])
+    encoded = msgspec.json.encode(known)
+    _emit("pick_us", count, _time_ms(pick) * 1000, "us", "upstreams")
+    _emit("learn_us", count, _time_ms(learn) * 1000, "us", "upstreams")
+    _emit(
+        "first_view_ms",
+        count,
+        _time_ms(
+            lambda: msgspec.json.decode(encoded, type=list[membership.Member])
+        ),
+        "ms",
+        "upstreams",
+    )
+    _emit("view_bytes", count, len(encoded), "B", "upstreams")
+    _emit(
+        "domain_object_bytes",
+        count,
+        len(msgspec.json.encode(domain)),
+        "B",
+        "upstreams",
+    )
+    held = _memory_mb(lambda: _view_of(encoded))
+    _emit("view_mb", count, held, "MB", "upstreams")
+
+
+def _view_of(encoded: bytes) -> membership.View:
+    view = membership.View(threading.Condition())
+    view.merge(msgspec.json.decode(encoded, type=list[membership.Member]))
+    return view
+
+
+def _emit(figure: str, count: int, value: float, unit: str, of: str) -> None:
+    records.emit(figure, "pure", count, value, unit, None, of)
+
+
+def _time_ms(step: collections.abc.Callable[[], object]) -> float:
+    times = []
+    for _ in range(_REPEATS):
+        started_s = time.perf_counter()
+        step()
+        times.append((time.perf_counter() - started_s) * 1000)
+    return sorted(times)[_REPEATS // 2]
+
+
+def _memory_mb(make: collections.abc.Callable[[], object]) -> float:
+    tracemalloc.start()
+    held = make()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held is not None
+    return used / 1024 / 1024
--- a/standins/records.py
+++ b/standins/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import typing
 
 import msgspec
 
@@ -36,8 +37,20 @@
     line = Figure(
         figure, deployment, daemons, round(value, 4), unit, target, note
     )
-    sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
-    sys.stdout.flush()
+    text = msgspec.json.encode(line).decode() + "\n"
+    for sink in _sinks:
+        sink.write(text)
+        sink.flush()
+
+
+_sinks: list[typing.TextIO] = [sys.stdout]
+
+
+def record_to(path: str, commit: str) -> None:
+    """Write the figures to a file as well, after naming the commit."""
+    file = open(path, "w", encoding="utf-8")
+    file.write(msgspec.json.encode({"commit": commit}).decode() + "\n")
+    _sinks.append(file)
 
 
 def quantile(values: list[float], share: float) -> float:
