Weigh a bounded number of upstreams for a pick

Cause: a pick weighed every upstream of the service; at 36 upstreams (5,700 in 160 services) it took 168 us, at 18 it took 89 us.

Change: at most eight of each distance, drawn at random, are weighed, and the upstreams of a service are sorted by distance once for each view.

Ruled out: the random draw itself (a few us).

--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -25,6 +25,10 @@
 EJECT_AFTER_FAILURES: typing.Final = 3
 EJECT_S: typing.Final = 5.0
 MAX_EJECTED_SHARE: typing.Final = 0.5
+MAX_WEIGHED: typing.Final = 8
+
+
+_T = typing.TypeVar("_T")
 
 
 class Distance(enum.IntEnum):
@@ -110,6 +114,19 @@
     )
 
 
+def to_weigh(
+    near: collections.abc.Sequence[_T], rng: random.Random
+) -> collections.abc.Sequence[_T]:
+    """Return those of one distance that are worth weighing.
+
+    Weighing costs time for each; a random few of many serve two random
+    choices as well as all of them.
+    """
+    if len(near) <= MAX_WEIGHED:
+        return near
+    return rng.sample(near, MAX_WEIGHED)
+
+
 def pick(
     candidates: collections.abc.Sequence[Candidate], rng: random.Random
 ) -> Candidate | None:
@@ -162,7 +179,9 @@
     """A way to choose among the upstreams that can be asked."""
 
     @abc.abstractmethod
-    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+    def pick(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate | None:
         """Return the chosen one, or None where there is none at all."""
 
 
@@ -172,7 +191,9 @@
     def __init__(self) -> None:
         self._rng = random.Random()
 
-    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+    def pick(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate | None:
         """Choose by load learnt, near before far."""
         return pick(candidates, self._rng)
 
@@ -183,7 +204,9 @@
     def __init__(self) -> None:
         self._turn = itertools.count()
 
-    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+    def pick(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate | None:
         """Choose the next in turn."""
         if not candidates:
             return None
@@ -193,7 +216,9 @@
 class LeastReported(Picker):
     """A baseline: whoever reported the least load last."""
 
-    def pick(self, candidates: Sequence[Candidate]) -> Candidate | None:
+    def pick(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate | None:
         """Choose by the last report, however old."""
         return min(candidates, key=lambda c: c.reported, default=None)
 
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 import threading
 import time
 import typing
@@ -35,6 +36,12 @@
 _log = logs.Logger("entry")
 
 
+_Distances = tuple[
+    tuple[membership.Member, ...],
+    dict[_balancer.Distance, list[membership.Member]],
+]
+
+
 class Entry(serving.Handler):
     """The entry of one daemon.
 
@@ -58,6 +65,8 @@
         self._tracks: dict[str, _balancer.Track] = {}
         self._pools: dict[str, _pool.Pool] = {}
         self._lock = threading.Lock()
+        self._rng = random.Random()
+        self._distances: dict[str, _Distances] = {}
         self._picker = _balancer.picker(options.traffic.balancing)
         self._ids = itertools.count(1)
         self._id_prefix = f"{options.instance}-{uuid.uuid4().hex[:8]}"
@@ -96,14 +105,25 @@
         now_s = time.monotonic()
         return [
             _balancer.candidate(
-                member.instance,
-                self._distance(member),
-                self._track(member, now_s),
-                now_s,
+                member.instance, distance, self._track(member, now_s), now_s
             )
-            for member in self._view.of_service(service)
+            for distance, members in self._by_distance(service).items()
+            for member in _balancer.to_weigh(members, self._rng)
         ]
 
+    def _by_distance(
+        self, service: str
+    ) -> dict[_balancer.Distance, list[membership.Member]]:
+        members = self._view.of_service(service)
+        known = self._distances.get(service)
+        if known is not None and known[0] is members:
+            return known[1]
+        found: dict[_balancer.Distance, list[membership.Member]] = {}
+        for member in members:
+            found.setdefault(self._distance(member), []).append(member)
+        self._distances[service] = (members, found)
+        return found
+
     def tick(self) -> None:
         """Retire idle connections, and forget upstreams that are gone."""
         for pool in list(self._pools.values()):
--- a/standins/pure.py
+++ b/standins/pure.py
@@ -114,7 +114,7 @@
             _balancer.candidate(
                 m.instance, _balancer.Distance.DOMAIN, track, 9
             )
-            for m in view.of_service(service)
+            for m in _balancer.to_weigh(view.of_service(service), rng)
         ]
         return _balancer.pick(found, rng)
 
