Bounded waiting at every server, slower reads of leases, product tests

Cause, found by reading: a server's queue of connections had no bound, so requests could wait unseen; every daemon without a parent read its lease twice a second, 11,400 reads a second for 5,700 daemons that start together, against two thousand; the parts of the tree and of the view were computed anew each half second, quadratic in a domain's size; a guard admitted to a free slot what it knew it couldn't finish in time; a daemon whose address was taken didn't end.

Change: as many connections wait as there are workers, the next is refused at once with a code; reads of a lease spread over start_spread_ms; view and children are found once for each epoch; an upstream that has become too slow is tried by one request at a time; the servers that were opened are stopped.

Ruled out by table and machine: a slot left idle by the new admission rule.

--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -66,7 +66,7 @@
         self._judge = _publisher.Judge(node, self._relay)
         self._failed_s: dict[str, float] = {}
         self._lost_since_s: float | None = None
-        self._looked_s = 0.0
+        self._look_due_s = 0.0
         self._planned_address = ""
         self.stopped = False
 
@@ -222,10 +222,14 @@
         While its holder doesn't answer, contend for it.
         """
         now_s = time.monotonic()
-        if now_s - self._looked_s < LOOK_EVERY_S:
+        if now_s < self._look_due_s:
             time.sleep(_IDLE_S)
             return
-        self._looked_s = now_s
+        # Daemons that start or lose a parent together spread their reads of
+        # the store over the time that the settings give for it.
+        spread_s = self._options.control.start_spread_ms / 1000
+        pause_s = max(LOOK_EVERY_S, spread_s) * random.uniform(1, 2)
+        self._look_due_s = now_s + pause_s
         keeper = self._leader if self._relay.acting else self._relay
         try:
             record = keeper.look()
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -141,12 +141,7 @@
         mine = self._node.member
         living = self._node.view.of_domain(mine.failure_domain)
         names = [member.instance for member in living]
-        expected = {
-            name
-            for name in names
-            if name != mine.instance
-            and membership.parent(name, relay, names) == mine.instance
-        }
+        expected = set(membership.children(mine.instance, relay, names))
         for name in expected - set(self._node.children):
             self._node.heard(name)
         for name in set(self._node.children) - expected:
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -84,8 +84,7 @@
         :raises errors.AddressInUse: when an address can't be listened on.
         """
         sys.setswitchinterval(SWITCH_INTERVAL_S)
-        for server in self._servers:
-            server.open()
+        self._open_servers()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop.set())
         self._agent.start()
@@ -100,6 +99,17 @@
         self._tick_until_stopped()
         self._drain()
 
+    def _open_servers(self) -> None:
+        opened: list[serving.Server] = []
+        try:
+            for server in self._servers:
+                server.open()
+                opened.append(server)
+        except errors.AddressInUse:
+            for server in opened:
+                server.stop()
+            raise
+
     def _tick_until_stopped(self) -> None:
         entry_due_s = 0.0
         while not self._stop.wait(GUARD_TICK_S):
--- a/src/chiveroad/membership/__init__.py
+++ b/src/chiveroad/membership/__init__.py
@@ -8,6 +8,7 @@
 from chiveroad.membership._member import Member
 from chiveroad.membership._member import newer
 from chiveroad.membership._member import State
+from chiveroad.membership._tree import children
 from chiveroad.membership._tree import depth
 from chiveroad.membership._tree import FAN_OUT
 from chiveroad.membership._tree import parent
@@ -23,6 +24,7 @@
     "Member",
     "State",
     "View",
+    "children",
     "declared_dead",
     "depth",
     "judge",
--- a/src/chiveroad/membership/_tree.py
+++ b/src/chiveroad/membership/_tree.py
@@ -34,6 +34,26 @@
     return relay if above == 0 else others[above - 1]
 
 
+def children(
+    instance: str,
+    relay: str,
+    members: collections.abc.Sequence[str],
+    fan_out: int = FAN_OUT,
+) -> list[str]:
+    """Return who asks an instance for news.
+
+    >>> children("b", "b", ["a", "b", "c"])
+    ['a', 'c']
+    """
+    others = sorted(set(members) - {relay})
+    if instance == relay:
+        return others[:fan_out]
+    if instance not in others:
+        return []
+    position = others.index(instance) + 1
+    return others[position * fan_out : (position + 1) * fan_out]
+
+
 def depth(count: int, fan_out: int = FAN_OUT) -> int:
     """Return how many steps lie between the root and the last of a domain."""
     steps, reached, level = 0, 1, 1
--- a/src/chiveroad/membership/_view.py
+++ b/src/chiveroad/membership/_view.py
@@ -8,6 +8,8 @@
 
 from chiveroad.membership import _member
 
+_Members = tuple[_member.Member, ...]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
@@ -30,7 +32,7 @@
         self._news = news
         self._members: dict[str, _member.Member] = {}
         self._changed_at: dict[str, int] = {}
-        self._by_service: dict[str, tuple[_member.Member, ...]] = {}
+        self._kept: dict[str, _Members] = {}
         self.epoch = 0
 
     def merge(
@@ -45,7 +47,7 @@
             self._members.update(fresh)
             for instance in fresh:
                 self._changed_at[instance] = self.epoch
-            self._by_service = {}
+            self._kept = {}
             self._news.notify_all()
             return tuple(fresh.values())
 
@@ -63,38 +65,47 @@
         """Return a member by its name."""
         return self._members.get(instance)
 
-    def all(self) -> tuple[_member.Member, ...]:
+    def all(self) -> _Members:
         """Return all members, by name."""
-        with self._news:
-            return tuple(self._members[name] for name in sorted(self._members))
+        return self._found("all", lambda _: True)
 
-    def of_service(self, service: str) -> tuple[_member.Member, ...]:
+    def of_service(self, service: str) -> _Members:
         """Return the members that take new work for a service, by name."""
-        found = self._by_service.get(service)
+        return self._found(
+            f"service {service}",
+            lambda member: member.service == service
+            and member.state is _member.State.READY,
+        )
+
+    def of_domain(self, domain: str) -> _Members:
+        """Return the living members of a failure domain, by name."""
+        return self._found(
+            f"domain {domain}",
+            lambda member: member.failure_domain == domain and member.alive,
+        )
+
+    def _found(
+        self,
+        name: str,
+        wanted: collections.abc.Callable[[_member.Member], bool],
+    ) -> _Members:
+        """Return the members wanted, found once for each epoch."""
+        found = self._kept.get(name)
         if found is not None:
             return found
         with self._news:
-            ready = [
+            found = tuple(
                 member
-                for member in self.all()
-                if member.service == service
-                and member.state is _member.State.READY
-            ]
-            found = self._by_service[service] = tuple(ready)
+                for _, member in sorted(self._members.items())
+                if wanted(member)
+            )
+            self._kept[name] = found
         return found
 
-    def of_domain(self, domain: str) -> tuple[_member.Member, ...]:
-        """Return the living members of a failure domain, by name."""
-        return tuple(
-            member
-            for member in self.all()
-            if member.failure_domain == domain and member.alive
-        )
-
     def forget(self, instances: collections.abc.Iterable[str]) -> None:
         """Drop members that have been gone for long."""
         with self._news:
             for instance in instances:
                 self._members.pop(instance, None)
                 self._changed_at.pop(instance, None)
-            self._by_service = {}
+            self._kept = {}
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import http
+import math
 import re
 import select
 import socket
@@ -117,22 +118,12 @@
         """Answer a request that can't be used, with a code, and close."""
         self.close_connection = True
         number = int(str(status)[:3])
-        too_large = str(number) in _TOO_LARGE
         error: type[errors.Refusal] = errors.BadRequest
-        if too_large:
+        if str(number) in _TOO_LARGE:
             error = errors.RequestTooLarge
-        body = refusal_body(error(msg or str(status)))
-        phrase = http.HTTPStatus(number).phrase
-        head = (
-            f"HTTP/1.1 {number} {phrase}\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            "Content-Type: application/json\r\n"
-            f"{CODE_HEADER}: {error.code}\r\n"
-            f"{RAN_HEADER}: {error.ran}\r\n"
-            "Connection: close\r\n\r\n"
-        )
+        answer = whole_refusal(number, error(msg or str(status)))
         try:
-            self.conn.wfile.write(head.encode("latin-1") + body)
+            self.conn.wfile.write(answer)
         except OSError:
             return
 
@@ -160,6 +151,21 @@
                 return True
         return False
 
+    def refuse_unread(self, refusal: errors.Refusal) -> None:
+        """Answer without reading the request, and close.
+
+        What has arrived is thrown away first: closing over unread data would
+        reset the connection and take the answer with it.
+        """
+        try:
+            self.socket.settimeout(0)
+            self.socket.recv(_stream.READ_BUFFER_BYTES)
+            self.socket.send(whole_refusal(refusal.status, refusal))
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self._open:
@@ -178,6 +184,24 @@
         return bool(poll.poll(timeout_ms))
 
 
+def whole_refusal(status: int, refusal: errors.Refusal) -> bytes:
+    """Return a whole answer that refuses a request and ends a connection."""
+    body = refusal_body(refusal)
+    retry = ""
+    if refusal.retry_after_ms:
+        retry = f"Retry-After: {math.ceil(refusal.retry_after_ms / 1000)}\r\n"
+    head = (
+        f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Content-Type: application/json\r\n"
+        f"{CODE_HEADER}: {refusal.code}\r\n"
+        f"{RAN_HEADER}: {refusal.ran}\r\n"
+        f"{retry}"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode("latin-1") + body
+
+
 class _RefusalBody(msgspec.Struct):
     code: int
     message: str
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -8,12 +8,14 @@
 import errno
 import http
 import math
+import queue
 import socket
 import threading
 import time
 import typing
 
-from cheroot import server as cheroot_server
+import cheroot.server as cheroot_server
+import cheroot.workers.threadpool as threadpool
 
 from chiveroad import errors
 from chiveroad import logs
@@ -23,6 +25,8 @@
 """How long a kept connection may be idle; answers tell it to the peer."""
 
 LISTEN_GRACE_S: typing.Final = 0.5
+QUEUE_TIMEOUT_S: typing.Final = 0.001
+FULL_RETRY_MS: typing.Final = 1_000
 BODY_CHUNK_BYTES: typing.Final = 64 * 1024
 
 _BACKLOG: typing.Final = 512
@@ -228,6 +232,12 @@
     def __init__(self, address: str, handler: Handler, threads: int) -> None:
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), _Gateway, minthreads=threads)
+        self.requests = threadpool.ThreadPool(
+            self,
+            min=threads,
+            accepted_queue_size=threads,
+            accepted_queue_timeout=QUEUE_TIMEOUT_S,  # type: ignore[arg-type]
+        )
         self.handler = handler
         self.keeps_connections = True
         self._address = address
@@ -247,6 +257,14 @@
             target=self.serve, name=f"serve {self._address}", daemon=True
         ).start()
 
+    def process_conn(self, conn: _http.HttpConnection) -> None:
+        """Hand a connection to a worker, or refuse it when all are taken."""
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            full = errors.Overloaded("all workers are taken", FULL_RETRY_MS)
+            conn.refuse_unread(full)
+
     def may_linger(self) -> bool:
         """Tell whether a worker may wait on its own connection."""
         occupied = self._busy + self._lingering
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -72,7 +72,10 @@
 
     def offer(self, ticket: Ticket, now_s: float) -> None:
         """Admit, queue or refuse a request."""
-        if self.running < self.limits.slots and not self.waiting:
+        free = self.running < self.limits.slots and not self.waiting
+        if free and (self._fits(ticket, now_s) or not self.running):
+            # One at a time may try an upstream that has become too slow;
+            # only so can it be seen to have become fast again.
             self._admit(ticket)
             return
         refusal = self._refusal(ticket, now_s)
@@ -95,7 +98,7 @@
     def advance(self, now_s: float) -> None:
         """Refuse what is too late and admit what there are slots for."""
         for ticket in list(self.waiting):
-            if now_s + self.service_ms(ticket.kind) / 1000 > ticket.deadline_s:
+            if not self._fits(ticket, now_s):
                 self._drop(ticket, "no time left to run it", now_s)
         while self.waiting and self.running < self.limits.slots:
             chosen = min(self.waiting, key=self._rank)
@@ -124,6 +127,10 @@
         typical_ms = sum(times) / len(times)
         return (ahead + 1) * typical_ms / self.limits.slots
 
+    def _fits(self, ticket: Ticket, now_s: float) -> bool:
+        needed_s = self.service_ms(ticket.kind) / 1000
+        return now_s + needed_s <= ticket.deadline_s
+
     def _refusal(self, ticket: Ticket, now_s: float) -> Refused | None:
         ahead = sum(1 for t in self.waiting if t.weight >= ticket.weight)
         if self.running < self.limits.slots:
--- /dev/null
+++ b/standins/capacity.py
@@ -0,0 +1,399 @@
+"""The capacity page's tables and plots, made from the committed record."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import pathlib
+import statistics
+import typing
+
+import msgspec
+
+from standins import mesh
+from standins import records
+
+RECORD: typing.Final = mesh.ROOT / "docs" / "capacity" / "record.jsonl"
+
+UPSTREAMS: typing.Final = 5_700
+SERVICES: typing.Final = 160
+DOMAINS: typing.Final = 16
+REGIONS: typing.Final = 5
+CHANGES_PER_DAY: typing.Final = 6_900
+DAY_S: typing.Final = 86_400
+CALLS_PER_S: typing.Final = 330_000
+RESTARTS_PER_DAY: typing.Final = 460
+WORDS_PER_RESTART: typing.Final = 4
+LINK_BYTES_PER_S: typing.Final = 30_000_000 / 8
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """The figures of one run of the measures, and the commit they are of."""
+
+    commit: str
+    figures: collections.abc.Sequence[records.Figure]
+
+    def series(self, figure: str, note: str) -> list[tuple[float, float]]:
+        """Return size and value, by size, of one deployment's figure."""
+        return sorted(
+            (float(f.daemons), f.value)
+            for f in self.figures
+            if f.figure == figure
+            and f.note == note
+            and f.deployment != "aspen-coulee"
+        )
+
+    def one(self, figure: str, note: str, daemons: int = 0) -> float:
+        """Return one value; without a size that of the largest."""
+        found = self.series(figure, note)
+        for size, value in found:
+            if size == daemons:
+                return value
+        return found[-1][1]
+
+
+@dataclasses.dataclass(frozen=True)
+class Fit:
+    """A straight line through a series, and the largest distance from it."""
+
+    slope: float
+    constant: float
+    spread: float
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size."""
+        return self.constant + self.slope * size
+
+
+def read(path: pathlib.Path = RECORD) -> Record:
+    """Read a record."""
+    first, *lines = path.read_text(encoding="utf-8").splitlines()
+    commit = msgspec.json.decode(first)["commit"]
+    decoder = msgspec.json.Decoder(records.Figure)
+    return Record(commit, [decoder.decode(line) for line in lines])
+
+
+def fit(series: collections.abc.Sequence[tuple[float, float]]) -> Fit:
+    """Fit a line by least squares."""
+    xs, ys = zip(*series, strict=True)
+    if len(series) < 2:
+        return Fit(0.0, ys[0], 0.0)
+    slope, constant = statistics.linear_regression(xs, ys)
+    spread = max(abs(y - (constant + slope * x)) for x, y in series)
+    return Fit(slope, constant, spread)
+
+
+def tables() -> list[str]:
+    """Return the made part of the page."""
+    record = read()
+    return [
+        f"All figures are from the record of commit `{record.commit}`, "
+        "`docs/capacity/record.jsonl`, one run on one shared machine.",
+        "",
+        *_targets(record),
+        "",
+        *_slopes(record),
+        "",
+        *_roles(record),
+        "",
+        *_store(record),
+        "",
+        *_service(record),
+    ]
+
+
+def _targets(record: Record) -> collections.abc.Iterator[str]:
+    yield "## The letter's targets"
+    yield ""
+    yield "| target | measured | where | reached |"
+    yield "| --- | --- | --- | --- |"
+    view_mb = record.one("view_mb", "upstreams", UPSTREAMS)
+    config_mb = record.one("config_mb", "services", SERVICES)
+    rss_mb = record.one("rss_mb", "tree", 13)
+    added = record.one("added_latency_p99_ms", _hops(250, "two hops"))
+    added_slow = record.one("added_latency_p99_ms", _hops(60, "two hops"))
+    far = fit(record.series("convergence_p99_ms", "tree"))
+    largest = record.series("convergence_p99_ms", "tree")[-1]
+    cpu = record.one("control_cpu_percent", "tree", 13)
+    busiest = record.one("control_cpu_percent_busiest", "tree", 13)
+    churn = record.one("control_bytes_per_daemon_per_s_churn", "tree", 104)
+    rows = [
+        (
+            "0.94 ms added for 99 in 100",
+            f"{added:.2f} ms at 250 calls/s, {added_slow:.2f} ms at 60",
+            "two hops, decision log on",
+            max(added, added_slow) <= 0.94,
+        ),
+        (
+            "in force everywhere within 13 s",
+            f"{largest[1]:.0f} ms for 99 in 100 at {largest[0]:.0f} daemons; "
+            f"the line gives {far.at(UPSTREAMS) / 1000:.1f} s",
+            "one machine carries all daemons, so the line is its processor's",
+            None,
+        ),
+        (
+            "32 MB a daemon",
+            f"{rss_mb:.1f} MB, and {view_mb + config_mb:.1f} MB more for the "
+            "view and the configuration at full size",
+            "13 daemons; view and configuration alone",
+            rss_mb + view_mb + config_mb <= 32,
+        ),
+        (
+            "1.5% of a core for control",
+            f"{cpu:.2f}% median, {busiest:.2f}% busiest",
+            "13 daemons, calm",
+            busiest <= 1.5,
+        ),
+        (
+            "9 KB/s a daemon for control",
+            f"{churn:.0f} B/s of message bodies",
+            "104 daemons, a change about every half second",
+            churn <= 9_000,
+        ),
+    ]
+    for target, value, where, reached in rows:
+        word = {True: "yes", False: "no", None: "not proved"}[reached]
+        yield f"| {target} | {value} | {where} | {word} |"
+
+
+def _hops(rate: int, hops: str) -> str:
+    return f"{rate} calls/s, {hops}, decision log on"
+
+
+SLOPES: typing.Final = (
+    ("cold_start_ms", "tree", "daemons", UPSTREAMS),
+    ("convergence_p50_ms", "tree", "daemons", UPSTREAMS),
+    ("convergence_p99_ms", "tree", "daemons", UPSTREAMS),
+    ("store_calls_per_s", "tree", "daemons", UPSTREAMS),
+    ("store_calls_per_change", "tree", "daemons", UPSTREAMS),
+    ("control_bytes_per_daemon_per_s", "tree", "daemons", UPSTREAMS),
+    ("control_bytes_per_daemon_per_s_churn", "tree", "daemons", UPSTREAMS),
+    ("control_bytes_per_change_cross_region", "tree", "daemons", UPSTREAMS),
+    ("control_cpu_percent", "tree", "daemons", UPSTREAMS),
+    ("rss_mb", "tree", "daemons", UPSTREAMS),
+    ("recovery_ms_relay", "tree", "daemons", UPSTREAMS),
+    ("recovery_ms_merger", "tree", "daemons", UPSTREAMS),
+    ("recovery_ms_outage", "tree", "daemons", UPSTREAMS),
+    ("merge_ms", "services", "services", SERVICES),
+    ("compile_ms", "services", "services", SERVICES),
+    ("digest_ms", "services", "services", SERVICES),
+    ("diff_ms", "services", "services", SERVICES),
+    ("patch_ms", "services", "services", SERVICES),
+    ("pack_ms", "services", "services", SERVICES),
+    ("snapshot_bytes", "services", "services", SERVICES),
+    ("delta_bytes", "services", "services", SERVICES),
+    ("config_mb", "services", "services", SERVICES),
+    ("pick_us", "upstreams", "upstreams", UPSTREAMS),
+    ("learn_us", "upstreams", "upstreams", UPSTREAMS),
+    ("first_view_ms", "upstreams", "upstreams", UPSTREAMS),
+    ("view_bytes", "upstreams", "upstreams", UPSTREAMS),
+    ("view_mb", "upstreams", "upstreams", UPSTREAMS),
+    ("domain_object_bytes", "upstreams", "upstreams", UPSTREAMS),
+)
+
+
+def _slopes(record: Record) -> collections.abc.Iterator[str]:
+    yield "## Slopes"
+    yield ""
+    yield (
+        "A line through all sizes, value = constant + slope × size; spread is "
+        "the largest distance of a measured value from it."
+    )
+    yield ""
+    yield "| figure | sizes | values | slope | constant | spread | at |"
+    yield "| --- | --- | --- | --- | --- | --- | --- |"
+    for figure, note, of, size in SLOPES:
+        series = record.series(figure, note)
+        line = fit(series)
+        sizes = ", ".join(f"{x:.0f}" for x, _ in series)
+        values = ", ".join(f"{y:.4g}" for _, y in series)
+        yield (
+            f"| {figure} | {sizes} {of} | {values} | {line.slope:.3g} "
+            f"| {line.constant:.3g} | {line.spread:.3g} "
+            f"| {size}: {line.at(size):.4g} |"
+        )
+
+
+def _roles(record: Record) -> collections.abc.Iterator[str]:
+    view_mb = record.one("view_mb", "upstreams", UPSTREAMS)
+    config_mb = record.one("config_mb", "services", SERVICES)
+    view_bytes = record.one("view_bytes", "upstreams", UPSTREAMS)
+    pick_us = record.one("pick_us", "upstreams", UPSTREAMS)
+    domain_bytes = record.one("domain_object_bytes", "upstreams", UPSTREAMS)
+    merge_ms = record.one("merge_ms", "services", SERVICES)
+    snapshot = record.one("snapshot_bytes", "services", SERVICES)
+    change_bytes = record.one(
+        "control_bytes_per_change_cross_region", "tree", 13
+    )
+    per_s = CALLS_PER_S / UPSTREAMS
+    words_per_s = RESTARTS_PER_DAY * WORDS_PER_RESTART / DAY_S
+    changes_per_s = CHANGES_PER_DAY / DAY_S
+    yield "## Roles at the letter's size"
+    yield ""
+    yield "| role | state | messages | time | mechanism |"
+    yield "| --- | --- | --- | --- | --- |"
+    rows = [
+        (
+            "daemon as entry",
+            f"configuration {config_mb:.2f} MB, view {view_mb:.2f} MB",
+            f"{per_s:.0f} calls/s",
+            f"{pick_us:.0f} us a pick",
+            "two choices among at most eight of each distance",
+        ),
+        (
+            "daemon as guard",
+            "slots and queue of one upstream",
+            f"{per_s:.0f} calls/s; claims apart",
+            "see added latency",
+            "exact count, short queue",
+        ),
+        (
+            "daemon as member",
+            f"view {view_bytes / 1e6:.2f} MB once as JSON",
+            f"0.67 heartbeats/s, {words_per_s:.3f} words on members/s, "
+            f"{changes_per_s:.3f} changes/s",
+            "see processor time above",
+            "long poll of 1.5 s to one parent",
+        ),
+        (
+            "relay or inner node of a domain",
+            "as a member",
+            "at most 16 children, 10.7 heartbeats/s",
+            "see processor time above",
+            "tree of fan-out 16, three steps for 357 daemons",
+        ),
+        (
+            "relay as publisher",
+            f"one object of {domain_bytes / 1e3:.0f} KB",
+            f"{words_per_s / DOMAINS:.4f} writes/s and 1 renewal/s",
+            "",
+            "one object a domain",
+        ),
+        (
+            "leader, over the region link",
+            "as a member",
+            f"{change_bytes * changes_per_s:.0f} B/s for changes, "
+            f"{domain_bytes * words_per_s:.0f} B/s for members",
+            "",
+            "one watch of each kind a region; compressed deltas",
+        ),
+        (
+            "merger",
+            f"folder and accepted version, snapshot {snapshot / 1e3:.0f} KB",
+            f"{changes_per_s:.3f} merges/s",
+            f"{merge_ms:.0f} ms a merge",
+            "lease; one conditional update",
+        ),
+    ]
+    for row in rows:
+        yield f"| {' | '.join(row)} |"
+
+
+def _store(record: Record) -> collections.abc.Iterator[str]:
+    calm = record.one("store_calls_per_s", "tree", 13)
+    per_change = record.one("store_calls_per_change", "tree", 13)
+    after = record.one("store_calls_after_outage", "tree")
+    leases_now, leases_then = 4 + 2 + 1, DOMAINS + REGIONS + 1
+    direct = fit(record.series("store_calls_per_s", "direct"))
+    yield "## The store"
+    yield ""
+    yield "| load | calls | how it is reckoned |"
+    yield "| --- | --- | --- |"
+    rows = [
+        (
+            "calm",
+            f"{calm * leases_then / leases_now:.0f}/s",
+            f"{calm:.1f}/s measured for {leases_now} leases, for "
+            f"{leases_then}; daemons don't count",
+        ),
+        (
+            "changes",
+            f"{per_change * CHANGES_PER_DAY / DAY_S:.1f}/s",
+            f"{per_change:.0f} calls a change measured, the calm ones of its "
+            "time among them",
+        ),
+        (
+            "after an outage of 10 s",
+            f"{after:.0f} until the next change was in force",
+            "measured at the largest size",
+        ),
+        (
+            "all daemons restart at once",
+            f"{UPSTREAMS}/`start_spread_ms`",
+            "one read of a lease each; a spread of 5 s keeps it under 1,200/s",
+        ),
+        (
+            "baseline: every daemon watches",
+            f"{direct.at(UPSTREAMS):.0f}/s and {2 * UPSTREAMS} watches",
+            "line through the sizes measured",
+        ),
+    ]
+    for row in rows:
+        yield f"| {' | '.join(row)} |"
+
+
+def _service(record: Record) -> collections.abc.Iterator[str]:
+    yield "## Weighted service, against baselines"
+    yield ""
+    yield "| load | way | weighted service | late | doubled, cut, untrue |"
+    yield "| --- | --- | --- | --- | --- |"
+    found = [f for f in record.figures if f.figure == "service_weighted"]
+    values = {(f.figure, f.note): f.value for f in record.figures}
+    for figure in sorted(found, key=lambda f: f.note.split(", ", 1)[1]):
+        way, _, load = figure.note.rpartition(", ")
+        if "one " in load:
+            way, _, rest = way.rpartition(", ")
+            load = f"{rest}, {load}"
+        late = values["late_share", figure.note]
+        bad = [
+            int(values[name, figure.note])
+            for name in ("doubled", "cut", "untrue_refusals")
+        ]
+        yield (
+            f"| {load} | {way} | {figure.value:.3f} | {late:.3f} "
+            f"| {bad[0]}, {bad[1]}, {bad[2]} |"
+        )
+
+
+PLOTS: typing.Final = {
+    "convergence.svg": ("convergence_p99_ms", "ms"),
+    "bytes.svg": ("control_bytes_per_daemon_per_s", "B/s a daemon"),
+    "store-calls.svg": ("store_calls_per_s", "calls/s"),
+}
+
+
+def plots() -> dict[str, str]:
+    """Return the plots by file name."""
+    record = read()
+    return {
+        name: _plot(figure, unit, record)
+        for name, (figure, unit) in PLOTS.items()
+    }
+
+
+def _plot(figure: str, unit: str, record: Record) -> str:
+    ways = {way: record.series(figure, way) for way in ("tree", "direct")}
+    points = [point for series in ways.values() for point in series]
+    widest = max(x for x, _ in points)
+    highest = max(y for _, y in points) or 1.0
+    parts = [
+        '<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 420 260" '
+        'font-family="sans-serif" font-size="11">',
+        '<path d="M50 20V220H400" fill="none" stroke="black"/>',
+        f'<text x="50" y="14">{figure}, {unit}</text>',
+        f'<text x="400" y="238" text-anchor="end">{widest:.0f} daemons</text>',
+        f'<text x="46" y="28" text-anchor="end">{highest:.0f}</text>',
+        '<text x="46" y="222" text-anchor="end">0</text>',
+    ]
+    for colour, (way, series) in zip(("#1f5fa8", "#b3541e"), ways.items()):
+        placed = [
+            (50 + 350 * x / widest, 220 - 200 * y / highest) for x, y in series
+        ]
+        line = " ".join(f"{x:.1f},{y:.1f}" for x, y in placed)
+        parts.append(
+            f'<polyline points="{line}" fill="none" stroke="{colour}"/>'
+        )
+        x, y = placed[-1]
+        parts.append(f'<text x="{x - 40:.1f}" y="{y - 6:.1f}">{way}</text>')
+    return "\n".join([*parts, "</svg>", ""])
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -234,6 +234,8 @@
             at = membership.parent(at, relay, names, fan_out)
             steps += 1
             assert steps <= membership.depth(count, fan_out)
+        for below in membership.children(name, relay, names, fan_out):
+            assert membership.parent(below, relay, names, fan_out) == name
         if name != relay:
             above = membership.parent(name, relay, names, fan_out)
             children[above] = children.get(above, 0) + 1
--- /dev/null
+++ b/tests/test_product.py
@@ -0,0 +1,232 @@
+"""Command line, settings, logs, pages: what an operator meets first."""
+
+from __future__ import annotations
+
+import collections.abc
+import io
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import threading
+import typing
+
+import logbook
+import msgspec
+import pytest
+
+from chiveroad.cli import _push
+from chiveroad import config
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import settings
+from chiveroad import store
+from standins import capacity
+from standins import mesh
+from standins import object_api
+from standins import pages
+from tests import fakes
+
+PAIR: typing.Final = mesh.Deployment("pair", "r", {"r": ["a"]}, {"glade": 1})
+FOLDER: typing.Final = mesh.EXAMPLES / "woodland-circle" / "folder"
+
+
+def run(*arguments: str, **env: str) -> subprocess.CompletedProcess[str]:
+    """Run the program."""
+    return subprocess.run(
+        [sys.executable, "-m", "chiveroad", *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+        env={**os.environ, "PYTHONPATH": str(mesh.ROOT / "src"), **env},
+    )
+
+
+@pytest.fixture
+def good() -> str:
+    """Return good settings."""
+    return mesh.Mesh(PAIR).settings_of("glade-1")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("[listen]", "[listens]", "listens"),
+        ('region = "r"\n[listen]', "[listen]", "region"),
+        ("[upstream]", "[traffic]\nthreads = 1\n[upstream]", "threads"),
+        ("[upstream]", "[log]\nlevel = 'loud'\n[upstream]", "level"),
+        ("[platform]", "[platform]\ntimeout_s = 3", "timeout_s"),
+        ("[platform]", "[platform]\ntimeout_ms = 0", "timeout_ms"),
+        ("127.0.0.1", "localhost", "address"),
+        ("[upstream]", "[upstream", "line"),
+        ('instance = "glade-1"', 'instance = "Glade 1"', "instance"),
+    ],
+)
+def test_bad_settings_name_what_is_wrong(
+    good: str, old: str, new: str, named: str
+) -> None:
+    settings.parse(good)
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse(good.replace(old, new, 1))
+    message = str(caught.value)
+    assert message.startswith("E1001 ")
+    assert named in message or "listen" in message
+    assert "\n" not in message
+
+
+def test_an_address_given_twice_is_refused(good: str) -> None:
+    entry = good.partition('entry = "')[2].partition('"')[0]
+    guard = good.partition('guard = "')[2].partition('"')[0]
+    with pytest.raises(errors.SettingsError):
+        settings.parse(good.replace(guard, entry))
+
+
+def test_a_taken_address_ends_the_daemon_with_one_line(
+    good: str, tmp_path: pathlib.Path
+) -> None:
+    path = tmp_path / "daemon.toml"
+    path.write_text(good)
+    entry = good.partition('entry = "')[2].partition('"')[0]
+    host, _, port = entry.rpartition(":")
+    with socket.create_server((host, int(port))):
+        ended = run("daemon", str(path))
+    assert ended.returncode == errors.AddressInUse.exit_code
+    lines = [line for line in ended.stderr.splitlines() if "E1002" in line]
+    assert len(lines) == 1
+    assert entry in lines[0]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "shown"),
+    [
+        (["--help"], 0, "explain"),
+        (["push", "--help"], 0, "--yes"),
+        (["version"], 0, "chiveroad 0.1.0"),
+        (["version", "--output", "json"], 0, '"version"'),
+        (["check", str(FOLDER)], 0, "0 refused"),
+        (["check", str(FOLDER), "-o", "json"], 0, '"code": 0'),
+        (["check", "no/such/folder"], 2, "E1003"),
+        (["daemon", "no-such-file.toml"], 2, "E1001"),
+        (["status", "--store", "127.0.0.1:9"], 4, "E3001"),
+        (["explain", "/", "--store", "127.0.0.1:9"], 4, "E3001"),
+    ],
+)
+def test_the_command_line(arguments: list[str], code: int, shown: str) -> None:
+    ended = run(*arguments)
+    assert ended.returncode == code, ended.stderr
+    assert shown in ended.stdout + ended.stderr
+
+
+def test_check_names_file_line_code_and_hint(tmp_path: pathlib.Path) -> None:
+    (tmp_path / "a.toml").write_text('team = "a"\nslots = 1\n')
+    ended = run("check", str(tmp_path), "--output", "json")
+    [verdict] = msgspec.json.decode(ended.stdout)
+    assert ended.returncode == errors.FileError.exit_code
+    assert (verdict["file"], verdict["line"]) == ("a.toml", 2)
+    assert verdict["code"] == errors.FileShape.code
+    assert verdict["hint"]
+
+
+@pytest.fixture
+def api() -> collections.abc.Iterator[str]:
+    """Yield the address of an empty store."""
+    server = object_api.serve("127.0.0.1", 0)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield f"127.0.0.1:{server.server_address[1]}"
+    server.shutdown()
+    server.server_close()
+
+
+def test_push_without_yes_asks_and_writes_nothing(api: str) -> None:
+    ended = run("push", str(FOLDER), CHIVEROAD_STORE=api)
+    assert ended.returncode != 0
+    assert "create" in ended.stdout
+    assert not store.HttpStore(api).list(store.Kind.FILES).objects
+
+
+def test_push_of_an_unreadable_file_writes_nothing(
+    api: str, tmp_path: pathlib.Path
+) -> None:
+    (tmp_path / "a.toml").write_text('team = "a"\n')
+    (tmp_path / "b.toml").write_text("team = ")
+    ended = run("push", str(tmp_path), "--yes", "--store", api)
+    assert ended.returncode == errors.FileError.exit_code
+    assert "b.toml:1" in ended.stderr
+    assert not store.HttpStore(api).list(store.Kind.FILES).objects
+
+
+def changes(platform: store.Store) -> list[_push.Change]:
+    """Return a plan of an update, a creation and a removal."""
+    for name in ("a.toml", "c.toml"):
+        platform.put(store.Kind.FILES, name, {"text": "old"}, store.ABSENT)
+    local = [
+        config.Source("a.toml", 1, "new"),
+        config.Source("b.toml", 1, "new"),
+    ]
+    return _push.plan(local, _push.read_stored(platform))
+
+
+def texts(platform: store.Store) -> dict[str, str]:
+    """Return the stored folder."""
+    found = _push.read_stored(platform)
+    return {name: source.text for name, source in found.items()}
+
+
+@pytest.mark.parametrize("lose", [0, 1, 2])
+@pytest.mark.parametrize("drop", [0, 1])
+def test_push_settles_lost_answers(lose: int, drop: int) -> None:
+    platform = fakes.FaultyStore()
+    planned = changes(platform)
+    assert [change.action.value for change in planned] == [
+        "update",
+        "create",
+        "remove",
+    ]
+    platform.lose, platform.drop = lose, drop
+    _push.apply(platform, planned, lambda _: None)
+    assert texts(platform) == {"a.toml": "new", "b.toml": "new"}
+
+
+def test_push_stops_where_another_operator_moved_first() -> None:
+    platform = fakes.FaultyStore()
+    planned = changes(platform)
+    platform.put(store.Kind.FILES, "b.toml", {"text": "theirs"}, 0)
+    with pytest.raises(errors.StoreConflict) as caught:
+        _push.apply(platform, planned, lambda _: None)
+    assert "1 of 3 changes were made" in str(caught.value)
+    assert texts(platform)["b.toml"] == "theirs"
+    assert texts(platform)["c.toml"] == "old"
+
+
+@pytest.mark.parametrize("form", logs.FORMATS)
+def test_a_log_line_has_its_parts_name(form: str) -> None:
+    stream = io.StringIO()
+    logs.set_up("info", form, stream)
+    logs.Logger("guard").info("Request {} admitted.", "r-1")
+    logs.Logger("guard").debug("Not shown.")
+    handler = logbook.Handler.stack_manager.pop_application()
+    assert handler is not None
+    line = stream.getvalue()
+    assert line.count("\n") == 1
+    assert "Request r-1 admitted." in line
+    if form == "json":
+        assert msgspec.json.decode(line)["part"] == "guard"
+    else:
+        assert " INFO [guard] " in line
+
+
+def test_codes_are_unique() -> None:
+    codes = [error.code for error in errors.tree()]
+    assert len(codes) == len(set(codes))
+
+
+@pytest.mark.parametrize("name", ["ERRORS.md", "CAPACITY.md"])
+def test_made_pages_are_as_the_code_and_the_record_say(name: str) -> None:
+    parts = {
+        "ERRORS.md": pages.error_rows,
+        "CAPACITY.md": capacity.tables,
+    }
+    page = pages.DOCS / name
+    assert page.read_text() == pages.with_part(page, parts[name]())
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -204,6 +204,26 @@
     assert left == [0]
 
 
+def test_more_callers_than_workers_are_refused_at_once(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    address, handler, server = echo
+    clients = []
+    for _ in range(2 * server.requests.min + 4):
+        client = http.client.HTTPConnection(address, timeout=5)
+        client.request("GET", "/slow")
+        clients.append(client)
+        time.sleep(0.01)
+    refused = [c.getresponse() for c in clients[2 * server.requests.min :]]
+    handler.leave.set()
+    served = [c.getresponse() for c in clients[: 2 * server.requests.min]]
+    assert {response.status for response in served} == {200}
+    assert {response.status for response in refused} == {503}
+    for response in refused:
+        assert response.getheader("Chiveroad-Ran") == "no"
+        assert response.getheader("Retry-After") == "1"
+
+
 def test_a_sender_retires_connections_before_the_receiver_closes() -> None:
     assert _pool.RETIRE_IDLE_S * 2 <= serving.IDLE_TIMEOUT_S
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -161,6 +161,22 @@
     assert outcome(late) == "can't be finished in time"
 
 
+def test_an_upstream_too_slow_is_tried_by_one_request_at_a_time() -> None:
+    admission = _admission.Admission(_admission.Limits(4, 4))
+    admission.served("k", 900.0)
+    first, second = ticket(deadline_s=0.5), ticket(deadline_s=0.5)
+    admission.offer(first, 0.0)
+    admission.offer(second, 0.0)
+    assert outcome(first) == "admitted"
+    assert outcome(second) == "can't be finished in time"
+    for _ in range(40):
+        admission.served("k", 10.0)
+    admission.finish(first, 0.0)
+    for entry in (ticket(deadline_s=0.5), ticket(deadline_s=0.5)):
+        admission.offer(entry, 0.0)
+        assert outcome(entry) == "admitted"
+
+
 def test_a_flood_of_one_team_leaves_room_for_another() -> None:
     admission = guard(queue_length=4)
     flood = [ticket("flood", 9) for _ in range(8)]
