Mend what reading found; the upstream stand-in keeps to its slots

Cause, found by reading and by the new product tests: a handler's defect was answered as not run; an object in the folder that is no file stopped all merging; a background thread that met an unreadable value ended unseen; a push gave up after two lost answers to one write; a guard learnt service times from failures, and never that an upstream takes longer than its deadline; an answer that stalled was waited for past the deadline; what was learnt of earlier starts of an upstream was kept for ever.

--- a/src/chiveroad/cli/_push.py
+++ b/src/chiveroad/cli/_push.py
@@ -20,6 +20,7 @@
 
 VERDICT_LIMIT_S: typing.Final = 15.0
 PROGRESS_EVERY: typing.Final = 20
+MAX_WRITES: typing.Final = 4
 
 _POLL_S: typing.Final = 0.1
 
@@ -97,11 +98,14 @@
 
 
 def _write(platform: store.Store, change: Change) -> int:
-    try:
-        return _write_once(platform, change)
-    except errors.StoreOutcomeUnknown:
-        settled = _settle(platform, change)
-    return settled if settled else _write_once(platform, change)
+    for _ in range(MAX_WRITES):
+        try:
+            return _write_once(platform, change)
+        except errors.StoreOutcomeUnknown:
+            settled = _settle(platform, change)
+        if settled:
+            return settled
+    raise errors.StoreUnavailable(f"{change.file} was not written")
 
 
 def _write_once(platform: store.Store, change: Change) -> int:
--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import threading
 import time
 import typing
 
@@ -14,6 +13,7 @@
 from chiveroad.control import _plan
 from chiveroad.control import _publisher
 from chiveroad.control import _source
+from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -77,10 +77,8 @@
         self._feed.start()
         self._merger.start()
         self._publisher.start()
-        for work in (self._ask, self._tick):
-            threading.Thread(
-                target=work, name=work.__name__, daemon=True
-            ).start()
+        _threads.start("asking the parent", self._ask)
+        _threads.start("judging children", self._tick)
 
     @property
     def parent(self) -> str:
--- a/src/chiveroad/control/_feed.py
+++ b/src/chiveroad/control/_feed.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import collections.abc
+import functools
 import random
-import threading
 import time
 import typing
 
@@ -14,6 +14,7 @@
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _source
+from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
@@ -44,12 +45,8 @@
     def start(self) -> None:
         """Begin both watches in the background."""
         for work in (self._configs, self._domains):
-            threading.Thread(
-                target=self._run,
-                args=(work,),
-                name=f"feed {work.__name__}",
-                daemon=True,
-            ).start()
+            name = f"feed {work.__name__}"
+            _threads.start(name, functools.partial(self._run, work))
 
     def _run(self, work: collections.abc.Callable[[], None]) -> None:
         while not self.stopped:
--- a/src/chiveroad/control/_lease.py
+++ b/src/chiveroad/control/_lease.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
@@ -134,9 +135,7 @@
 
     def start(self) -> None:
         """Begin to contend in the background, whenever it is wanted."""
-        threading.Thread(
-            target=self._run, name=f"lease {self._name}", daemon=True
-        ).start()
+        _threads.start(f"lease {self._name}", self._run)
 
     def look(self) -> Record | None:
         """Read the lease once.
--- a/src/chiveroad/control/_merger.py
+++ b/src/chiveroad/control/_merger.py
@@ -17,6 +17,7 @@
 from chiveroad import config
 from chiveroad.control import _accept
 from chiveroad.control import _lease
+from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
@@ -65,9 +66,16 @@
 
 
 def source_of(stored: store.StoredObject) -> config.Source:
-    """Return a stored file as the merge takes it."""
-    value = msgspec.json.decode(stored.spec, type=FolderFile)
-    return config.Source(stored.name, stored.version, value.text)
+    """Return a stored file as the merge takes it.
+
+    An object that isn't a file is returned as one that can't be parsed, so
+    that it gets its verdict like any other and holds nobody up.
+    """
+    try:
+        text = msgspec.json.decode(stored.spec, type=FolderFile).text
+    except msgspec.DecodeError as exc:
+        text = f"not a file: {exc}"
+    return config.Source(stored.name, stored.version, text)
 
 
 def status_of(
@@ -103,7 +111,7 @@
 
     def start(self) -> None:
         """Begin, in the background."""
-        threading.Thread(target=self._run, name="merger", daemon=True).start()
+        _threads.start("merger", self._run)
 
     def _run(self) -> None:
         while not self.stopped:
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 import time
 import typing
 
@@ -11,6 +10,7 @@
 from chiveroad.control import _lease
 from chiveroad.control import _messages
 from chiveroad.control import _node
+from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -43,9 +43,7 @@
 
     def start(self) -> None:
         """Begin, in the background."""
-        threading.Thread(
-            target=self._run, name="publisher", daemon=True
-        ).start()
+        _threads.start("publisher", self._run)
 
     def _run(self) -> None:
         while not self.stopped:
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -313,6 +313,14 @@
     hint = "ask again with the same key when the platform is back"
 
 
+class CallerGoneEarly(Refusal):
+    """The caller hung up before its request was sent on."""
+
+    code = 4012
+    hint = "nothing to do"
+    status = 499
+
+
 class WrongGuard(Refusal):
     """The request reached a daemon that doesn't serve the service."""
 
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -40,7 +40,7 @@
 _LIST_HEADERS: typing.Final = frozenset(
     cheroot_server.comma_separated_headers  # type: ignore[attr-defined]
 )
-_TOO_LARGE: typing.Final = ("413", "414")
+_TOO_LARGE: typing.Final = (413, 414)
 
 CODE_HEADER: typing.Final = "Chiveroad-Code"
 RAN_HEADER: typing.Final = "Chiveroad-Ran"
@@ -119,8 +119,11 @@
         self.close_connection = True
         number = int(str(status)[:3])
         error: type[errors.Refusal] = errors.BadRequest
-        if str(number) in _TOO_LARGE:
+        if number in _TOO_LARGE:
             error = errors.RequestTooLarge
+        if number == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            # A handler failed, and nobody knows how far it had come.
+            error = errors.OutcomeUnknown
         answer = whole_refusal(number, error(msg or str(status)))
         try:
             self.conn.wfile.write(answer)
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -28,6 +28,7 @@
 QUEUE_TIMEOUT_S: typing.Final = 0.001
 FULL_RETRY_MS: typing.Final = 1_000
 BODY_CHUNK_BYTES: typing.Final = 64 * 1024
+DISCARD_BYTES: typing.Final = 1024 * 1024
 
 _BACKLOG: typing.Final = 512
 _KEPT_CONNECTIONS: typing.Final = 4_096
@@ -136,7 +137,9 @@
         """
         raw = self._raw
         self.begun = True
-        if getattr(raw.rfile, "remaining", 0):
+        if getattr(raw.rfile, "remaining", 0) > DISCARD_BYTES:
+            # Less than that the library reads and throws away, so that the
+            # answer isn't lost to a reset.
             raw.close_connection = True
         if not raw.server.keeps_connections:
             raw.close_connection = True
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -15,7 +15,7 @@
 
 DEFAULT_SERVICE_MS: typing.Final = 20.0
 MIN_RETRY_MS: typing.Final = 50
-SMOOTHING: typing.Final = 0.1
+SMOOTHING: typing.Final = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -33,6 +33,11 @@
 NO_UPSTREAM_RETRY_MS: typing.Final = 1_000
 BLOCK_LIMIT_MS: typing.Final = 1_000
 
+_FINAL: typing.Final = (
+    errors.NoUpstream,
+    errors.CallerGone,
+    errors.CallerGoneEarly,
+)
 _log = logs.Logger("entry")
 
 
@@ -126,10 +131,14 @@
 
     def tick(self) -> None:
         """Retire idle connections, and forget upstreams that are gone."""
-        for pool in list(self._pools.values()):
+        members = self._view.all()
+        guards = {member.guard for member in members}
+        for address, pool in list(self._pools.items()):
             pool.retire()
-        known = {member.instance for member in self._view.all()}
-        for name in [n for n in self._tracks if n.split("@")[0] not in known]:
+            if address not in guards:
+                self._pools.pop(address).close()
+        known = {_track_name(member) for member in members}
+        for name in set(self._tracks) - known:
             del self._tracks[name]
 
     def _read_call(
@@ -244,7 +253,7 @@
         tried: list[str],
         refusal: errors.Refusal,
     ) -> bool:
-        if isinstance(refusal, (errors.NoUpstream, errors.CallerGone)):
+        if isinstance(refusal, _FINAL):
             return False
         failure = _retry.Failure(
             ran=refusal.ran,
@@ -263,7 +272,7 @@
         self, track: _balancer.Track, refusal: errors.Refusal
     ) -> None:
         now_s = time.monotonic()
-        if isinstance(refusal, errors.CallerGone):
+        if isinstance(refusal, (errors.CallerGone, errors.CallerGoneEarly)):
             return
         if isinstance(
             refusal, (errors.UpstreamRefused, errors.OutcomeUnknown)
@@ -282,7 +291,7 @@
     def _track(
         self, member: membership.Member, now_s: float
     ) -> _balancer.Track:
-        name = f"{member.instance}@{member.incarnation}"
+        name = _track_name(member)
         track = self._tracks.get(name)
         if track is None:
             track = _balancer.Track(since_s=now_s)
@@ -303,6 +312,11 @@
         return pool
 
 
+def _track_name(member: membership.Member) -> str:
+    """Return the name of what is learnt of one start of an upstream."""
+    return f"{member.instance}@{member.incarnation}"
+
+
 def _path(request: serving.Request) -> str:
     """Return the path to match, decoded and without any way upwards."""
     path = request.path
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -22,6 +22,7 @@
 
 SMALL_ANSWER_BYTES: typing.Final = 64 * 1024
 STALL_S: typing.Final = 10.0
+MIN_STALL_S: typing.Final = 0.05
 
 _CHUNK_BYTES: typing.Final = 64 * 1024
 _BODILESS: typing.Final = (204, 304)
@@ -122,6 +123,8 @@
     """
     if call.left_ms() <= 0:
         raise errors.DeadlineExceeded("the deadline passed before sending")
+    if _hung_up(caller):
+        raise errors.CallerGoneEarly("the caller hung up before sending")
     try:
         connection = pool.take()
     except _FAILURES as exc:
@@ -266,7 +269,8 @@
         left_ms = call.left_ms()
         ready = dict(poll.poll(max(0, left_ms)))
         if connection.sock.fileno() in ready:
-            connection.sock.settimeout(STALL_S)
+            stall_s = max(MIN_STALL_S, min(STALL_S, left_ms / 1000))
+            connection.sock.settimeout(stall_s)
             return
         if not ready and call.left_ms() <= 0:
             raise errors.AnswerTimeout("no answer before the deadline")
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -27,6 +27,7 @@
 
 DRAIN_RETRY_AFTER_MS: typing.Final = 200
 SHED_RETRY_AFTER_MS: typing.Final = 200
+TIMEOUT_FACTOR: typing.Final = 2.0
 
 _FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
 _NO_LIMITS: typing.Final = _admission.Limits(slots=10_000, queue_length=0)
@@ -83,7 +84,6 @@
         if self.draining:
             raise errors.Draining("the upstream leaves", DRAIN_RETRY_AFTER_MS)
         ticket = self._admit(call)
-        started_s = time.monotonic()
         try:
             if call.key and not call.kind.idempotent:
                 self._run_once(request, call, extra)
@@ -91,7 +91,8 @@
                 answer = self._forward(request, call)
                 self._pass_on(answer, request, extra)
         finally:
-            self._finish(ticket, started_s)
+            with self._lock:
+                self._admission.finish(ticket, time.monotonic())
 
     def load(self) -> serving.Header:
         """Return the header that tells an entry the load and the slots."""
@@ -177,21 +178,20 @@
             )
         raise errors.DeadlineExceeded("waited for a slot too long", retry_ms)
 
-    def _finish(self, ticket: _admission.Ticket, started_s: float) -> None:
-        now_s = time.monotonic()
-        self._recorder.count("chiveroad.guard.requests", "run")
-        self._recorder.took("upstream", now_s - started_s)
-        with self._lock:
-            took_ms = (now_s - started_s) * 1000
-            self._admission.served(ticket.kind, took_ms)
-            self._admission.finish(ticket, now_s)
-
     def _forward(
         self, request: serving.Request, call: _call.Call
     ) -> _exchange.Answer:
-        answer = _exchange.ask(
-            self._pool, call, call.onward_headers(), request.socket
-        )
+        self._recorder.count("chiveroad.guard.requests", "run")
+        started_s = time.monotonic()
+        try:
+            answer = _exchange.ask(
+                self._pool, call, call.onward_headers(), request.socket
+            )
+        except errors.AnswerTimeout:
+            # It takes longer than this; how much longer can't be seen.
+            took_s = time.monotonic() - started_s
+            self._learn(call, TIMEOUT_FACTOR * took_s)
+            raise
         if answer.header(serving.RAN_HEADER) == "no":
             answer.close()
             retry_ms = 1000 * _call.number(answer.header("Retry-After"), 0)
@@ -199,8 +199,15 @@
                 "the upstream shed the request",
                 retry_ms or SHED_RETRY_AFTER_MS,
             )
+        self._learn(call, time.monotonic() - started_s)
         return answer
 
+    def _learn(self, call: _call.Call, took_s: float) -> None:
+        """Learn how long the upstream takes for a kind of request."""
+        self._recorder.took("upstream", took_s)
+        with self._lock:
+            self._admission.served(call.kind_name, took_s * 1000)
+
     def _pass_on(
         self,
         answer: _exchange.Answer,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -20,6 +20,7 @@
 import msgspec
 
 SLOTS: typing.Final = 12
+SLOT_POLL_S: typing.Final = 0.05
 
 
 class Mode(msgspec.Struct):
@@ -27,10 +28,11 @@
 
     ``service_ms`` is the time of one request, ``answer_bytes`` the size of
     its answer.  ``fault`` is one of ``close`` (accept and close), ``cut``
-    (half an answer), ``crossed`` (another request's answer), ``late`` (the
-    answer comes ``late_ms`` later), ``extra`` (bytes after the answer),
-    ``unframed`` (no length), ``shed`` (not run, and says so), ``error``.
-    ``cold_s`` is how long after its start it takes ten times as long.
+    (half an answer), ``stall`` (half, then ``late_ms`` of nothing),
+    ``crossed`` (another request's answer), ``late`` (the answer comes
+    ``late_ms`` later), ``extra`` (bytes after the answer), ``unframed`` (no
+    length), ``shed`` (not run, and says so), ``error``.  ``cold_s`` is how
+    long after its start it takes ten times as long.
     """
 
     service_ms: float = 5.0
@@ -38,7 +40,6 @@
     fault: str = ""
     late_ms: float = 0.0
     cold_s: float = 0.0
-    reported_load: int = -1
     chunked: bool = False
 
 
@@ -64,6 +65,9 @@
     over_slots: int = 0
     started_s: float = dataclasses.field(default_factory=time.monotonic)
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+    free: threading.Semaphore = dataclasses.field(
+        default_factory=lambda: threading.Semaphore(SLOTS)
+    )
     previous: collections.deque[str] = dataclasses.field(
         default_factory=lambda: collections.deque(["nobody"], maxlen=2)
     )
@@ -164,9 +168,7 @@
             self._answer(http.HTTPStatus.SERVICE_UNAVAILABLE, b"", headers)
             return
         request = self.headers.get("X-Request-Id", "")
-        upstream.begin(request)
-        cancelled = self._work(upstream.service_s())
-        upstream.end(request, cancelled)
+        cancelled = self._work_in_slot(request)
         if cancelled:
             self.close_connection = True
             return
@@ -185,6 +187,20 @@
         self.rfile.readline()
         return body
 
+    def _work_in_slot(self, request: str) -> bool:
+        """Run a request once a slot is free; True when it was cancelled."""
+        upstream = self.upstream
+        while not upstream.free.acquire(timeout=SLOT_POLL_S):
+            if self._work(0):
+                return True
+        try:
+            upstream.begin(request)
+            cancelled = self._work(upstream.service_s())
+            upstream.end(request, cancelled)
+        finally:
+            upstream.free.release()
+        return cancelled
+
     def _work(self, service_s: float) -> bool:
         """Take the time of the request; True when the peer gave up on it."""
         poll = select.poll()
@@ -212,8 +228,8 @@
         status = http.HTTPStatus.OK
         if mode.fault == "error":
             status = http.HTTPStatus.INTERNAL_SERVER_ERROR
-        if mode.fault == "cut":
-            self._cut(answer)
+        if mode.fault in ("cut", "stall"):
+            self._cut(answer, mode.late_ms / 1000)
             return
         if mode.fault == "unframed":
             self._unframed(answer)
@@ -226,12 +242,13 @@
             self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             self.wfile.flush()
 
-    def _cut(self, answer: bytes) -> None:
+    def _cut(self, answer: bytes, stall_s: float) -> None:
         self.send_response(http.HTTPStatus.OK)
         self.send_header("Content-Length", str(len(answer)))
         self.end_headers()
         self.wfile.write(answer[: len(answer) // 2])
         self.wfile.flush()
+        time.sleep(stall_s)
         self.close_connection = True
 
     def _unframed(self, answer: bytes) -> None:
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -15,6 +15,7 @@
       | a daemon is frozen past the deadlines |
       | an upstream accepts and closes        |
       | an upstream cuts its answers          |
+      | an upstream stalls in its answers     |
       | an upstream's answers are crossed     |
       | an upstream's answers come late       |
       | an upstream says too much             |
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,6 +8,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import msgspec
 import pytest
 
 from chiveroad import config
@@ -17,6 +18,7 @@
 from chiveroad.control import _node
 from chiveroad.control import _plan
 from chiveroad.control import _source
+from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import membership
 from chiveroad import store
@@ -147,6 +149,41 @@
     assert node.applied.config.services["x"].slots == 2
 
 
+def test_an_object_that_is_no_file_gets_a_verdict_like_any_other() -> None:
+    platform = fakes.FaultyStore()
+    _put_file(platform, 'team = "a"\n')
+    platform.put(store.Kind.FILES, "odd.toml", [1, 2], store.ABSENT)
+    platform.put(store.Kind.FILES, "Odd name", {"text": ""}, store.ABSENT)
+    _merger.Session(platform).merge()
+    status = msgspec.json.decode(
+        platform.get(store.Kind.STATUSES, "files").spec,
+        type=_merger.FolderStatus,
+    )
+    codes = {file.file: file.code for file in status.files}
+    assert codes == {
+        "a.toml": 0,
+        "odd.toml": errors.FileSyntax.code,
+        "Odd name": errors.FileName.code,
+    }
+
+
+def test_a_background_thread_outlives_an_unexpected_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_threads, "PAUSE_S", 0.0)
+    done = threading.Event()
+    calls = iter([ValueError("odd"), None])
+
+    def work() -> None:
+        error = next(calls)
+        if error is not None:
+            raise error
+        done.set()
+
+    _threads.start("odd work", work)
+    assert done.wait(5)
+
+
 def _put_file(platform: store.Store, text: str) -> None:
     try:
         known = platform.get(store.Kind.FILES, "a.toml").version
--- a/tests/test_request_scenarios.py
+++ b/tests/test_request_scenarios.py
@@ -153,6 +153,7 @@
     "a daemon is frozen past the deadlines": freeze,
     "an upstream accepts and closes": faulty("close"),
     "an upstream cuts its answers": faulty("cut"),
+    "an upstream stalls in its answers": faulty("stall", late_ms=5_500.0),
     "an upstream's answers are crossed": faulty("crossed"),
     "an upstream's answers come late": faulty("late", late_ms=5_500.0),
     "an upstream says too much": faulty("extra"),
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -31,6 +31,8 @@
         """Answer one request."""
         if request.path == "/refuse":
             raise errors.Overloaded("full", 1_200)
+        if request.path == "/fail":
+            raise RuntimeError("a defect")
         if request.path == "/slow":
             self.entered.set()
             self.leave.wait(10)
@@ -175,6 +177,24 @@
     assert told["retry_after_ms"] == 1_200
 
 
+def test_a_defect_is_answered_as_unknown(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    received = exchange(echo[0], b"GET /fail HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert b"Chiveroad-Ran: unknown" in received
+
+
+def test_a_refusal_reaches_a_caller_whose_body_was_not_read(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    client = http.client.HTTPConnection(echo[0], timeout=5)
+    client.request("POST", "/refuse", b"x" * 500_000)
+    response = client.getresponse()
+    assert response.status == 503
+    assert response.read()
+
+
 def test_a_cut_answer_is_cut_to_the_caller(
     echo: tuple[str, Echo, serving.Server],
 ) -> None:
