A silent caller isn't waited for before its request is sent

Change: the socket is asked whether it can be read first. A table over a silent, a talking and a closed caller holds it.

Besides: verdicts are one class from merge to status, and writing an object whatever it holds is one function.

Ruled out: the admission rule (requests were admitted at once).

--- a/src/chiveroad/cli/_check.py
+++ b/src/chiveroad/cli/_check.py
@@ -39,7 +39,7 @@
         f"{services} services, {len(merged.items) - services} routes."
     ]
     return _output.Report(
-        value=[verdict_value(verdict) for verdict in merged.verdicts],
+        value=merged.verdicts,
         title=f"Folder {folder}",
         columns=("file", "line", "verdict", "message", "hint"),
         rows=verdict_rows(merged.verdicts),
@@ -48,17 +48,6 @@
     )
 
 
-def verdict_value(verdict: config.Verdict) -> dict[str, object]:
-    """Return a verdict for JSON output."""
-    return {
-        "file": verdict.file,
-        "line": verdict.line,
-        "code": verdict.code,
-        "message": verdict.message,
-        "hint": verdict.hint,
-    }
-
-
 def verdict_rows(
     verdicts: collections.abc.Sequence[config.Verdict],
 ) -> list[list[str]]:
--- a/src/chiveroad/cli/_push.py
+++ b/src/chiveroad/cli/_push.py
@@ -210,10 +210,7 @@
         )
     names = {change.file for change in changes}
     refused = [f for f in status.files if f.code and f.file in names]
-    rows = [
-        [f.file, str(f.line or ""), f"E{f.code}", f.message, f.hint]
-        for f in refused
-    ]
+    rows = _check.verdict_rows(refused)
     return _output.Report(
         value={
             "written": len(changes),
@@ -222,7 +219,7 @@
             "refused": refused,
         },
         title=f"Version {status.version}",
-        columns=("refused file", "line", "code", "message", "hint"),
+        columns=("refused file", "line", "verdict", "message", "hint"),
         rows=rows,
         notes=[f"{len(changes)} files written, {len(refused)} refused."],
         exit_code=errors.FileError.exit_code if refused else 0,
--- a/src/chiveroad/control/__init__.py
+++ b/src/chiveroad/control/__init__.py
@@ -8,7 +8,6 @@
 from chiveroad.control._agent import Agent
 from chiveroad.control._applied import Applied
 from chiveroad.control._merger import FILES_STATUS
-from chiveroad.control._merger import FileStatus
 from chiveroad.control._merger import FolderFile
 from chiveroad.control._merger import FolderStatus
 from chiveroad.control._merger import source_of
@@ -29,7 +28,6 @@
     "DomainMembers",
     "DomainStatus",
     "FILES_STATUS",
-    "FileStatus",
     "FolderFile",
     "FolderStatus",
     "Node",
--- a/src/chiveroad/control/_merger.py
+++ b/src/chiveroad/control/_merger.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import queue
 import threading
 import time
@@ -28,24 +29,13 @@
 RETRY_S: typing.Final = 0.5
 COMPACT_EVERY: typing.Final = 16
 MAX_VERDICTS: typing.Final = 2_000
+MAX_MESSAGE_LENGTH: typing.Final = 300
 
 _CHECK_S: typing.Final = 0.2
 _Going = collections.abc.Callable[[], bool]
 _log = logs.Logger("merger")
 
 
-class FileStatus(msgspec.Struct, frozen=True):
-    """What operators are told of one file."""
-
-    file: str
-    revision: int
-    accepted_revision: int
-    code: int = 0
-    line: int = 0
-    message: str = ""
-    hint: str = ""
-
-
 class FolderStatus(msgspec.Struct, frozen=True):
     """What operators are told of the folder.
 
@@ -55,7 +45,7 @@
 
     version: int
     folder_version: int
-    files: list[FileStatus]
+    files: list[config.Verdict]
     omitted: int = 0
 
 
@@ -86,14 +76,8 @@
     """Return the status of a folder, refused files first."""
     ordered = sorted(verdicts, key=lambda verdict: verdict.code == 0)
     files = [
-        FileStatus(
-            verdict.file,
-            verdict.revision,
-            verdict.accepted_revision,
-            verdict.code,
-            verdict.line,
-            verdict.message[:300],
-            verdict.hint,
+        dataclasses.replace(
+            verdict, message=verdict.message[:MAX_MESSAGE_LENGTH]
         )
         for verdict in ordered[:MAX_VERDICTS]
     ]
@@ -224,11 +208,7 @@
                     file.line,
                     file.message,
                 )
-        try:
-            known = self._store.get(store.Kind.STATUSES, FILES_STATUS).version
-        except errors.StoreNotFound:
-            known = store.ABSENT
-        self._store.put(store.Kind.STATUSES, FILES_STATUS, status, known)
+        store.overwrite(self._store, store.Kind.STATUSES, FILES_STATUS, status)
         self._status = status
 
 
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -100,11 +100,7 @@
         if status == self._status:
             return
         name = f"domain-{domain}"
-        try:
-            known = self._store.get(store.Kind.STATUSES, name).version
-        except errors.StoreNotFound:
-            known = store.ABSENT
-        self._store.put(store.Kind.STATUSES, name, status, known)
+        store.overwrite(self._store, store.Kind.STATUSES, name, status)
         self._status = status
         self._status_s = now_s
 
--- a/src/chiveroad/store/__init__.py
+++ b/src/chiveroad/store/__init__.py
@@ -6,6 +6,7 @@
 from chiveroad.store._base import Kind
 from chiveroad.store._base import Listing
 from chiveroad.store._base import MAX_VALUE_BYTES
+from chiveroad.store._base import overwrite
 from chiveroad.store._base import Store
 from chiveroad.store._base import StoredObject
 from chiveroad.store._http import HttpStore
@@ -20,4 +21,5 @@
     "MAX_VALUE_BYTES",
     "Store",
     "StoredObject",
+    "overwrite",
 ]
--- a/src/chiveroad/store/_base.py
+++ b/src/chiveroad/store/_base.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from chiveroad import errors
+
 ABSENT: typing.Final = 0
 """The version to give for an object that must not exist yet."""
 
@@ -113,3 +115,17 @@
         :raises errors.StoreExpired: when the version is older than the
             store keeps; the caller lists again.
         """
+
+
+def overwrite(
+    platform: Store, kind: Kind, name: str, spec: object
+) -> StoredObject:
+    """Write an object whatever it holds now.
+
+    :raises errors.StoreConflict: when somebody else writes it meanwhile.
+    """
+    try:
+        known = platform.get(kind, name).version
+    except errors.StoreNotFound:
+        known = ABSENT
+    return platform.put(kind, name, spec, known)
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -282,6 +282,9 @@
 
 
 def _hung_up(caller: socket.socket) -> bool:
+    # With a timeout set, the socket would wait for data whatever the flags.
+    if not _readable(caller):
+        return False
     try:
         return caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
     except BlockingIOError:
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -99,10 +99,6 @@
         admission = self._admission
         return (_call.LOAD, f"{admission.load} {admission.limits.slots}")
 
-    def idle(self) -> bool:
-        """Tell whether nothing runs or waits."""
-        return self._admission.load == 0
-
     def tick(self) -> None:
         """Refuse waiting requests that are too late, retire connections."""
         with self._lock:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -271,12 +271,9 @@
 
     def push_file(self, name: str, text: str) -> int:
         """Write one file into the folder, and return its revision."""
-        try:
-            known = self.store.get(store.Kind.FILES, name).version
-        except errors.StoreNotFound:
-            known = store.ABSENT
         value = control.FolderFile(text)
-        return self.store.put(store.Kind.FILES, name, value, known).version
+        kind = store.Kind.FILES
+        return store.overwrite(self.store, kind, name, value).version
 
     def push_example(self) -> None:
         """Write all files of the deployment's example."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -185,11 +185,7 @@
 
 
 def _put_file(platform: store.Store, text: str) -> None:
-    try:
-        known = platform.get(store.Kind.FILES, "a.toml").version
-    except errors.StoreNotFound:
-        known = store.ABSENT
-    platform.put(store.Kind.FILES, "a.toml", {"text": text}, known)
+    store.overwrite(platform, store.Kind.FILES, "a.toml", {"text": text})
 
 
 words = st.builds(
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -14,6 +14,7 @@
 
 from chiveroad import errors
 from chiveroad import serving
+from chiveroad.traffic import _exchange
 from chiveroad.traffic import _pool
 from standins import mesh
 
@@ -244,6 +245,25 @@
         assert response.getheader("Retry-After") == "1"
 
 
+@pytest.mark.parametrize(
+    ("sent", "closed", "gone"),
+    [(b"", False, False), (b"more", False, False), (b"", True, True)],
+)
+def test_only_a_caller_that_hung_up_is_gone(
+    sent: bytes, closed: bool, gone: bool
+) -> None:
+    ours, theirs = socket.socketpair()
+    ours.settimeout(5)
+    theirs.sendall(sent)
+    if closed:
+        theirs.close()
+    started_s = time.monotonic()
+    assert _exchange._hung_up(ours) is gone
+    assert time.monotonic() - started_s < 4
+    theirs.close()
+    ours.close()
+
+
 def test_a_sender_retires_connections_before_the_receiver_closes() -> None:
     assert _pool.RETIRE_IDLE_S * 2 <= serving.IDLE_TIMEOUT_S
 
