The merger stays near the store; a relay's status names no version

Change: a far contender takes the merger lease six seconds after it could. A relay's status, which was written for each change, names no version.

--- a/src/chiveroad/cli/_status.py
+++ b/src/chiveroad/cli/_status.py
@@ -73,7 +73,7 @@
         behind = ", ".join(domain.behind) or "nobody"
         notes.append(
             f"{domain.failure_domain}: {domain.daemons} daemons, "
-            f"version {domain.version}, relay {domain.relay}, "
+            f"relay {domain.relay}, "
             f"behind: {behind}."
         )
     return _output.Report(
--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -22,6 +22,7 @@
 
 MERGER: typing.Final = "merger"
 FAR_OBSERVE_S: typing.Final = 3.0
+FAR_PATIENCE_S: typing.Final = 6.0
 LOOK_EVERY_S: typing.Final = 0.5
 STOPGAP_HOLD_MS: typing.Final = 300
 
@@ -54,10 +55,13 @@
         )
         near = options.region == options.platform.region
         observe_s = _lease.OBSERVE_S if near else FAR_OBSERVE_S
+        patience_s = 0.0 if near else FAR_PATIENCE_S
         domain = f"domain-{options.failure_domain}"
         self._relay = _lease.Keeper(platform, domain, me)
         self._leader = _lease.Keeper(platform, f"region-{options.region}", me)
-        self._merge = _lease.Keeper(platform, MERGER, me, observe_s)
+        self._merge = _lease.Keeper(
+            platform, MERGER, me, observe_s, patience_s
+        )
         self._parent = _source.ParentSource(node)
         self._store = _source.StoreSource(platform, node)
         self._feed = _feed.Feed(platform, node, self._store, self._feeds)
--- a/src/chiveroad/control/_lease.py
+++ b/src/chiveroad/control/_lease.py
@@ -98,9 +98,9 @@
 class Keeper:
     """Contends for one lease, renews it, and says who holds it.
 
-    ``wanted`` makes it contend.  ``held`` is true while the lease is surely
-    ours; ``acting`` stays true while the store can't be asked and nobody
-    else is known to have taken over.
+    ``wanted`` makes it contend, ``patience_s`` later than others.  ``held``
+    is true while the lease is surely ours; ``acting`` stays true while the
+    store can't be asked and nobody else is known to have taken over.
     """
 
     def __init__(
@@ -109,9 +109,12 @@
         name: str,
         me: Record,
         observe_s: float = OBSERVE_S,
+        patience_s: float = 0.0,
         clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self._clock = clock
+        self._patience_s = patience_s
+        self._takeable_s: float | None = None
         self._store = platform
         self._name = name
         self._me = me
@@ -185,13 +188,25 @@
             self._renew(self._seen.record, self._seen.version)
             return
         self._read()
-        step = decide(self._seen, self._me.holder, self._clock())
+        now_s = self._clock()
+        step = decide(self._seen, self._me.holder, now_s)
         if step is Step.WAIT:
+            self._takeable_s = None
+            return
+        if not self._patient(step, now_s):
             return
         version = self._seen.version if self._seen else store.ABSENT
         term = self._seen.record.term if self._seen else 0
         self._renew(msgspec.structs.replace(self._me, term=term + 1), version)
 
+    def _patient(self, step: Step, now_s: float) -> bool:
+        """Tell whether others have had their time to take the lease first."""
+        if step is Step.KEEP:
+            return True
+        if self._takeable_s is None:
+            self._takeable_s = now_s
+        return now_s - self._takeable_s >= self._patience_s
+
     def _read(self) -> None:
         try:
             read = self._store.get(store.Kind.LEASES, self._name)
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -80,11 +80,13 @@
 
 
 class DomainStatus(msgspec.Struct, frozen=True):
-    """What a relay publishes about its failure domain's versions."""
+    """What a relay publishes of its failure domain.
+
+    It names no version: a write for each change would cross the link.
+    """
 
     failure_domain: str
     relay: str
-    version: int
     daemons: int
     behind: list[str]
 
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -18,7 +18,7 @@
 
 GATHER_S: typing.Final = 0.05
 TICK_S: typing.Final = 0.5
-STATUS_S: typing.Final = 2.0
+STATUS_S: typing.Final = 5.0
 RETRY_S: typing.Final = 0.5
 
 _log = logs.Logger("membership")
@@ -93,7 +93,6 @@
         status = _messages.DomainStatus(
             domain,
             node.member.instance,
-            node.applied.current.number,
             len(node.view.of_domain(domain)),
             node.behind(),
         )
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -29,7 +29,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Record:
-    """The figures of one run of the measures, and the commit they are of."""
+    """The figures of a record, and the commits that they are of.
+
+    A line that names a commit stands before the figures taken at it.
+    """
 
     commit: str
     figures: collections.abc.Sequence[records.Figure]
@@ -68,10 +71,15 @@
 
 def read(path: pathlib.Path = RECORD) -> Record:
     """Read a record."""
-    first, *lines = path.read_text(encoding="utf-8").splitlines()
-    commit = msgspec.json.decode(first)["commit"]
     decoder = msgspec.json.Decoder(records.Figure)
-    return Record(commit, [decoder.decode(line) for line in lines])
+    commits = []
+    figures = []
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.startswith('{"commit"'):
+            commits.append(f"`{msgspec.json.decode(line)['commit']}`")
+            continue
+        figures.append(decoder.decode(line))
+    return Record(" and ".join(commits), figures)
 
 
 def fit(series: collections.abc.Sequence[tuple[float, float]]) -> Fit:
@@ -88,8 +96,9 @@
     """Return the made part of the page."""
     record = read()
     return [
-        f"All figures are from the record of commit `{record.commit}`, "
-        "`docs/capacity/record.jsonl`, one run on one shared machine.",
+        f"All figures are from the record of {record.commit}, "
+        "`docs/capacity/record.jsonl`, one run of each part on one shared "
+        "machine: the control plane at the later commit.",
         "",
         *_targets(record),
         "",
@@ -99,6 +108,10 @@
         "",
         *_store(record),
         "",
+        *_links(record),
+        "",
+        *_limits(record),
+        "",
         *_service(record),
     ]
 
@@ -333,6 +346,105 @@
         yield f"| {' | '.join(row)} |"
 
 
+def _links(record: Record) -> collections.abc.Iterator[str]:
+    domain_bytes = record.one("domain_object_bytes", "upstreams", UPSTREAMS)
+    change_bytes = record.one(
+        "control_bytes_per_change_cross_region", "tree", 13
+    )
+    calm = record.one("cross_region_bytes_calm", "tree", 13)
+    snapshot = record.one("snapshot_bytes", "services", SERVICES)
+    changes = change_bytes * CHANGES_PER_DAY / DAY_S
+    words = domain_bytes * RESTARTS_PER_DAY * WORDS_PER_RESTART / DAY_S
+    yield "## A region's link to the store"
+    yield ""
+    yield "| traffic | B/s | mechanism |"
+    yield "| --- | --- | --- |"
+    rows = [
+        ("changes", changes, "one compressed delta a region"),
+        (
+            "members",
+            words,
+            "one object of a domain for each word; deltas of it are the next "
+            "thing to build",
+        ),
+        (
+            "leases and status, calm",
+            calm,
+            "measured for one region of two domains",
+        ),
+        (
+            "all three, of 30 Mbit/s",
+            changes + words + calm,
+            f"{100 * (changes + words + calm) / LINK_BYTES_PER_S:.3f}% of the "
+            "link",
+        ),
+    ]
+    for name, value, mechanism in rows:
+        yield f"| {name} | {value:.0f} | {mechanism} |"
+    view = DOMAINS * domain_bytes + snapshot
+    yield (
+        f"| healed after an hour | {view:.0f} B once | list of all domains "
+        "and one snapshot |"
+    )
+
+
+def _limits(record: Record) -> collections.abc.Iterator[str]:
+    added = record.one("added_latency_p50_ms", _hops(250, "two hops"))
+    after = record.one("recovery_ms_merger", "tree", 104)
+    relay = record.one("recovery_ms_relay", "tree", 104)
+    yield "## What breaks first, and what failures cost"
+    yield ""
+    yield "| what | at which size | mechanism, or the way there |"
+    yield "| --- | --- | --- |"
+    rows = [
+        (
+            "claims of idempotency keys",
+            "two writes each: about 100 a second fill 200 writes/s",
+            "the store; the way: memory of two guards by the key's hash "
+            "(design note 4)",
+        ),
+        (
+            "a call 28 deep",
+            f"{28 * added:.0f} ms added in the middle, at two hops each",
+            "deadlines go all the way down; only the outermost entry tries "
+            "again after an unknown outcome, so tries don't multiply",
+        ),
+        (
+            "herd restart of the fleet",
+            f"{UPSTREAMS / 10:.0f} reads/s with `start_spread_ms = 10000`",
+            "spread of the first read of a lease and of each one after it",
+        ),
+        (
+            "death of a relay",
+            f"{relay:.0f} ms until the next change was in force, 104 daemons",
+            "children turn to their parent's parent; three contend",
+        ),
+        (
+            "death of the merger",
+            f"{after:.0f} ms until the next change was in force, 104 daemons",
+            "its lease lapses after 4 s; other leaders contend",
+        ),
+        (
+            "a rack, a switch, a failure domain",
+            "no more store calls than one lease's",
+            "parents judge; a view that vanishes at once is kept",
+        ),
+        (
+            "two regions lose each other for an hour",
+            "nothing while both reach the store",
+            "regions meet at the store only; one that loses the store serves "
+            "with its last version",
+        ),
+        (
+            "the view in every daemon",
+            "grows with the fleet, see `view_mb`",
+            "the way: only services that the daemon's routes lead to",
+        ),
+    ]
+    for row in rows:
+        yield f"| {' | '.join(row)} |"
+
+
 def _service(record: Record) -> collections.abc.Iterator[str]:
     yield "## Weighted service, against baselines"
     yield ""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -73,6 +73,26 @@
     assert not first.acting
 
 
+def test_a_far_contender_gives_near_ones_their_time() -> None:
+    platform, clock = fakes.FaultyStore(), fakes.Clock()
+    record = _lease.Record("far:1", "far", "far", 0)
+    far = _lease.Keeper(platform, "x", record, patience_s=6.0, clock=clock)
+    far.step()
+    clock.now_s += 5.9
+    far.step()
+    assert not far.acting
+    keeper(platform, clock, "near:1").step()
+    far.step()
+    clock.now_s += _lease.DURATION_S
+    far.step()
+    clock.now_s += 5.9
+    far.step()
+    assert not far.acting
+    clock.now_s += 0.1
+    far.step()
+    assert far.held
+
+
 @pytest.mark.parametrize(("lose", "drop"), [(1, 0), (0, 1)])
 def test_a_lost_answer_is_read_back(lose: int, drop: int) -> None:
     platform, clock = fakes.FaultyStore(), fakes.Clock()
