Relays near the store watch the merger lease; the capacity page and its record

Cause: a new leader began to observe the merger lease only when it came to want it, and waited out its whole duration from then on.

Change: relays in the store's region observe the lease all the time, one read a second each; observing it in advance is no early pre-emption.

Also: the upstream stand-in reports its load late or falsely and keeps to its connection cap; the capacity page's tables are made from the record.

Ruled out: a shorter lease (it would be taken from holders that only pause).

--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -53,9 +53,9 @@
             address=options.listen.control,
             term=0,
         )
-        near = options.region == options.platform.region
-        observe_s = _lease.OBSERVE_S if near else FAR_OBSERVE_S
-        patience_s = 0.0 if near else FAR_PATIENCE_S
+        self._near = options.region == options.platform.region
+        observe_s = _lease.OBSERVE_S if self._near else FAR_OBSERVE_S
+        patience_s = 0.0 if self._near else FAR_PATIENCE_S
         domain = f"domain-{options.failure_domain}"
         self._relay = _lease.Keeper(platform, domain, me)
         self._leader = _lease.Keeper(platform, f"region-{options.region}", me)
@@ -144,6 +144,7 @@
     def _tick(self) -> None:
         while not self.stopped:
             self._merge.wanted = self._leader.acting
+            self._merge.watched = self._near and self._relay.acting
             self._judge.tick(self.relay)
             time.sleep(_TICK_S)
 
--- a/src/chiveroad/control/_lease.py
+++ b/src/chiveroad/control/_lease.py
@@ -101,6 +101,8 @@
     ``wanted`` makes it contend, ``patience_s`` later than others.  ``held``
     is true while the lease is surely ours; ``acting`` stays true while the
     store can't be asked and nobody else is known to have taken over.
+    ``watched`` makes it observe without contending, so that it need not
+    begin to observe when it comes to want the lease.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         self._step_lock = threading.Lock()
         self.acting = False
         self.wanted = False
+        self.watched = False
         self.stopped = False
 
     @property
@@ -177,12 +180,23 @@
     def _run(self) -> None:
         while not self.stopped:
             if not self.wanted and not self.acting:
-                time.sleep(IDLE_S)
+                self._rest()
                 continue
             self.step()
             pause_s = RENEW_S if self.acting else self._observe_s
             time.sleep(pause_s * random.uniform(0.8, 1.2))
 
+    def _rest(self) -> None:
+        """Wait until the lease is wanted, with an eye on it if told so."""
+        if not self.watched:
+            time.sleep(IDLE_S)
+            return
+        try:
+            self.look()
+        except errors.StoreError as exc:
+            _log.debug("Lease {} isn't seen: {}.", self._name, exc)
+        time.sleep(RENEW_S)
+
     def _step(self) -> None:
         if self.acting and self._seen is not None:
             self._renew(self._seen.record, self._seen.version)
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -224,10 +224,20 @@
         yield (
             f"| {figure} | {sizes} {of} | {values} | {line.slope:.3g} "
             f"| {line.constant:.3g} | {line.spread:.3g} "
-            f"| {size}: {line.at(size):.4g} |"
+            f"| {size}: {_at(line, series, size)} |"
         )
 
 
+def _at(
+    line: Fit, series: collections.abc.Sequence[tuple[float, float]], size: int
+) -> str:
+    """Return the line's value, where the figure grows beyond its spread."""
+    reach = series[-1][0] - series[0][0]
+    if line.slope * reach <= line.spread:
+        return "no growth beyond the spread"
+    return f"{line.at(size):.4g}"
+
+
 def _roles(record: Record) -> collections.abc.Iterator[str]:
     view_mb = record.one("view_mb", "upstreams", UPSTREAMS)
     config_mb = record.one("config_mb", "services", SERVICES)
@@ -308,7 +318,6 @@
     per_change = record.one("store_calls_per_change", "tree", 13)
     after = record.one("store_calls_after_outage", "tree")
     leases_now, leases_then = 4 + 2 + 1, DOMAINS + REGIONS + 1
-    direct = fit(record.series("store_calls_per_s", "direct"))
     yield "## The store"
     yield ""
     yield "| load | calls | how it is reckoned |"
@@ -334,12 +343,12 @@
         (
             "all daemons restart at once",
             f"{UPSTREAMS}/`start_spread_ms`",
-            "one read of a lease each; a spread of 5 s keeps it under 1,200/s",
+            "one read of a lease each, spread; see the last table",
         ),
         (
             "baseline: every daemon watches",
-            f"{direct.at(UPSTREAMS):.0f}/s and {2 * UPSTREAMS} watches",
-            "line through the sizes measured",
+            f"{2 * UPSTREAMS} watches waiting",
+            "two for each daemon; each counts as a call",
         ),
     ]
     for row in rows:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,7 +1,8 @@
 """The stand-in for an upstream: slots, a record of what ran, and faults.
 
-It answers every path.  ``/standin/record`` (GET) tells what ran, by the
-caller's ``X-Request-Id``; ``/standin/mode`` (POST) sets how it behaves.
+It answers every path.  ``/load`` reports its load, late.
+``/standin/record`` (GET) tells what ran, by the caller's ``X-Request-Id``;
+``/standin/mode`` (POST) sets how it behaves.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import http
 import http.server
 import select
+import socket
 import socketserver
 import threading
 import time
@@ -20,6 +22,8 @@
 import msgspec
 
 SLOTS: typing.Final = 12
+CONNECTIONS: typing.Final = 120
+LAG_S: typing.Final = 2.0
 SLOT_POLL_S: typing.Final = 0.05
 
 
@@ -32,7 +36,8 @@
     ``crossed`` (another request's answer), ``late`` (the answer comes
     ``late_ms`` later), ``extra`` (bytes after the answer), ``unframed`` (no
     length), ``shed`` (not run, and says so), ``error``.  ``cold_s`` is how
-    long after its start it takes ten times as long.
+    long after its start it takes ten times as long.  ``reported_load`` is
+    what it says of its load, where that is to be a lie.
     """
 
     service_ms: float = 5.0
@@ -41,6 +46,7 @@
     late_ms: float = 0.0
     cold_s: float = 0.0
     chunked: bool = False
+    reported_load: int = -1
 
 
 class Execution(msgspec.Struct):
@@ -62,6 +68,9 @@
     running: int = 0
     peak: int = 0
     connections: int = 0
+    report: int = 0
+    next_report: int = 0
+    report_s: float = 0.0
     over_slots: int = 0
     started_s: float = dataclasses.field(default_factory=time.monotonic)
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
@@ -92,6 +101,16 @@
             execution.cancelled += cancelled
             execution.finished += not cancelled
 
+    def reported(self) -> int:
+        """Return the load as the upstream reports it: old, or a lie."""
+        if self.mode.reported_load >= 0:
+            return self.mode.reported_load
+        with self.lock:
+            if time.monotonic() - self.report_s > LAG_S:
+                self.report_s = time.monotonic()
+                self.report, self.next_report = self.next_report, self.running
+            return self.report
+
     def service_s(self) -> float:
         """Return how long a request takes now."""
         cold = time.monotonic() - self.started_s < self.mode.cold_s
@@ -110,10 +129,13 @@
         """Stay silent."""
 
     def setup(self) -> None:
-        """Count the connection."""
+        """Count the connection, and close what is over the cap."""
         super().setup()
         with self.upstream.lock:
             self.upstream.connections += 1
+            over = self.upstream.connections > CONNECTIONS
+        if over:
+            self.connection.shutdown(socket.SHUT_RDWR)
 
     def finish(self) -> None:
         """Count the connection as gone."""
@@ -126,6 +148,11 @@
         if self.path == "/standin/record":
             self._answer(http.HTTPStatus.OK, self._told())
             return
+        if self.path == "/load":
+            load = self.upstream.reported()
+            body = msgspec.json.encode({"running": load, "slots": SLOTS})
+            self._answer(http.HTTPStatus.OK, body)
+            return
         self._run()
 
     def do_POST(self) -> None:
