Small modules: the request, the judge; an unreadable version is refused

Cause, found by reading as a newcomer: the server's module held the request as well, the publisher's the judging of members; a version with items that this release can't read would have ended in an unexpected error.

Behaviour else as before.

--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -7,6 +7,7 @@
 import typing
 
 from chiveroad.control import _feed
+from chiveroad.control import _judge
 from chiveroad.control import _lease
 from chiveroad.control import _merger
 from chiveroad.control import _node
@@ -67,7 +68,7 @@
         self._feed = _feed.Feed(platform, node, self._store, self._feeds)
         self._merger = _merger.Merger(platform, self._merge)
         self._publisher = _publisher.Publisher(platform, node, self._relay)
-        self._judge = _publisher.Judge(node, self._relay)
+        self._judge = _judge.Judge(node, self._relay)
         self._failed_s: dict[str, float] = {}
         self._lost_since_s: float | None = None
         self._look_due_s = 0.0
--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -16,6 +16,8 @@
 import time
 import typing
 
+import msgspec
+
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import logs
@@ -99,6 +101,8 @@
         """Put a version in force if it is newer.
 
         :raises errors.DigestMismatch: when the items don't have the digest.
+        :raises errors.BadMessage: when an item can't be read, such as one of
+            a later release; the version in force stays.
         """
         verdict = weigh(
             (self.current.number, self.current.digest), (number, digest)
@@ -108,7 +112,10 @@
             return verdict
         if config.digest(items) != digest:
             raise errors.DigestMismatch(f"version {number}")
-        ready_made = config.Config(items)
+        try:
+            ready_made = config.Config(items)
+        except msgspec.DecodeError as exc:
+            raise errors.BadMessage(f"version {number}: {exc}") from exc
         assert not ready_made.dangling(), "report this: a dangling route"
         with self._news:
             current = self.current
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -1,4 +1,4 @@
-"""The relay's part: publishing its failure domain, judging its members."""
+"""The relay's part: publishing its failure domain."""
 
 from __future__ import annotations
 
@@ -102,59 +102,3 @@
         store.overwrite(self._store, store.Kind.STATUSES, name, status)
         self._status = status
         self._status_s = now_s
-
-
-class Judge:
-    """Decides which of those that should report here are dead."""
-
-    def __init__(self, node: _node.Node, keeper: _lease.Keeper) -> None:
-        self._node = node
-        self._keeper = keeper
-        self._gone_s: dict[str, float] = {}
-
-    def tick(self, relay: str) -> None:
-        """Judge once; ``relay`` is the domain's root as far as known."""
-        now_s = time.monotonic()
-        self._expect(relay)
-        children = self._node.children
-        judgement = membership.judge(
-            {name: child.heard_s for name, child in list(children.items())},
-            now_s,
-            connected=self._keeper.held,
-        )
-        if judgement.cut_off:
-            _log.warning("Most members fell silent; the view is kept.")
-        for name in judgement.dead:
-            children.pop(name, None)
-            self._declare(name)
-        self._forget(now_s)
-
-    def _expect(self, relay: str) -> None:
-        """Track exactly those that the tree puts below this daemon."""
-        mine = self._node.member
-        living = self._node.view.of_domain(mine.failure_domain)
-        names = [member.instance for member in living]
-        expected = set(membership.children(mine.instance, relay, names))
-        for name in expected - set(self._node.children):
-            self._node.heard(name)
-        for name in set(self._node.children) - expected:
-            child = self._node.children[name]
-            if time.monotonic() - child.heard_s > membership.DEAD_AFTER_S:
-                del self._node.children[name]
-
-    def _declare(self, name: str) -> None:
-        member = self._node.view.get(name)
-        if member is None or not member.alive:
-            return
-        _log.info("Member {} fell silent and is taken for dead.", name)
-        self._node.take_from_below([membership.declared_dead(member)])
-
-    def _forget(self, now_s: float) -> None:
-        gone = [m.instance for m in self._node.view.all() if not m.alive]
-        for name in gone:
-            self._gone_s.setdefault(name, now_s)
-        for name in set(self._gone_s) - set(gone):
-            del self._gone_s[name]
-        limit_s = now_s - membership.FORGET_AFTER_S
-        old = [n for n, since_s in self._gone_s.items() if since_s < limit_s]
-        self._node.view.forget(old)
--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -2,11 +2,11 @@
 
 from chiveroad.serving._http import CODE_HEADER
 from chiveroad.serving._http import RAN_HEADER
-from chiveroad.serving._server import BodyCut
+from chiveroad.serving._request import BodyCut
+from chiveroad.serving._request import Header
+from chiveroad.serving._request import Request
 from chiveroad.serving._server import Handler
-from chiveroad.serving._server import Header
 from chiveroad.serving._server import IDLE_TIMEOUT_S
-from chiveroad.serving._server import Request
 from chiveroad.serving._server import Server
 
 __all__ = [
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -461,11 +461,8 @@
     yield "| --- | --- | --- | --- | --- |"
     found = [f for f in record.figures if f.figure == "service_weighted"]
     values = {(f.figure, f.note): f.value for f in record.figures}
-    for figure in sorted(found, key=lambda f: f.note.split(", ", 1)[1]):
-        way, _, load = figure.note.rpartition(", ")
-        if "one " in load:
-            way, _, rest = way.rpartition(", ")
-            load = f"{rest}, {load}"
+    for figure in sorted(found, key=lambda f: _way_and_load(f.note)[::-1]):
+        way, load = _way_and_load(figure.note)
         late = values["late_share", figure.note]
         bad = [
             int(values[name, figure.note])
@@ -477,6 +474,14 @@
         )
 
 
+def _way_and_load(note: str) -> tuple[str, str]:
+    way, _, load = note.rpartition(", ")
+    if load.startswith("one "):
+        way, _, share = way.rpartition(", ")
+        load = f"{share}, {load}"
+    return way, load
+
+
 PLOTS: typing.Final = {
     "convergence.svg": ("convergence_p99_ms", "ms"),
     "bytes.svg": ("control_bytes_per_daemon_per_s", "B/s a daemon"),
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -141,6 +141,14 @@
     assert applied.current.number == 0
 
 
+def test_a_version_that_cannot_be_read_leaves_the_one_in_force() -> None:
+    applied = _applied.Applied(threading.Condition())
+    items = {"service/x": '{"made by": "a later release"}'}
+    with pytest.raises(errors.BadMessage):
+        applied.offer(1, config.digest(items), items)
+    assert applied.current.number == 0
+
+
 def test_a_fresh_process_is_ready_only_after_a_later_confirmation() -> None:
     applied = _applied.Applied(threading.Condition())
     applied.offer(5, config.digest({}), {})
