Comments are never to blame; an unreadable claim doesn't end its writer

Cause, found by reading: a change of comments alone makes no version, so the file counted as changed for ever, and was refused in place of the file at fault in a later merge (the new test fails before the change: two files refused, one of them innocent). A claim that can't be read ended the thread that writes claims.

Change: the merger takes the new file revisions as good when no item changed; such a claim is left and logged.

Ruled out: a version for each comment (it would be spread for nothing).

--- a/src/chiveroad/control/_merger.py
+++ b/src/chiveroad/control/_merger.py
@@ -154,6 +154,10 @@
         merged = config.merge(list(self._folder.values()), base.sources)
         if merged.items != base.items:
             self._accept(merged)
+        else:
+            # What changes no item, such as a comment, needs no version; it
+            # must not count as a change when another file is at fault.
+            self._base = dataclasses.replace(base, sources=merged.sources)
         self._tell(self._base.current.accepted.version, merged.verdicts)
 
     def _accept(self, merged: config.Merged) -> None:
--- a/src/chiveroad/traffic/_claims.py
+++ b/src/chiveroad/traffic/_claims.py
@@ -197,6 +197,9 @@
             work.do(self._store)
         except (errors.StoreConflict, errors.StoreNotFound):
             return True
+        except msgspec.DecodeError as exc:
+            _log.warning("A claim that can't be read stays: {}.", exc)
+            return True
         except errors.StoreError as exc:
             _log.debug("A claim is written later: {}.", exc)
             return False
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -177,6 +177,32 @@
     assert node.applied.config.services["x"].slots == 2
 
 
+def test_a_change_of_comments_alone_is_never_to_blame() -> None:
+    platform = fakes.FaultyStore()
+    owner = (
+        'team = "a"\n[service.x]\nslots = 1\n'
+        "[service.x.kind.k]\nidempotent = true\n"
+    )
+    user = 'team = "b"\n[route.r]\npath = "/r"\nservice = "x"\nkind = "k"\n'
+    _put_file(platform, owner)
+    store.overwrite(platform, store.Kind.FILES, "b.toml", {"text": user})
+    session = _merger.Session(platform)
+    session.merge()
+    for name, text in (("b.toml", f"# why\n{user}"), ("a.toml", 'team = "a"')):
+        stored = store.overwrite(
+            platform, store.Kind.FILES, name, {"text": text}
+        )
+        added = store.EventType.MODIFIED
+        session._take(store.Event(added, stored.version, stored))
+        session.merge()
+    status = msgspec.json.decode(
+        platform.get(store.Kind.STATUSES, "files").spec,
+        type=_merger.FolderStatus,
+    )
+    refused = [file.file for file in status.files if file.code]
+    assert refused == ["a.toml"]
+
+
 def test_an_object_that_is_no_file_gets_a_verdict_like_any_other() -> None:
     platform = fakes.FaultyStore()
     _put_file(platform, 'team = "a"\n')
