A removal is blamed before a route's file that changed as well

Cause, found by reading the blame rule: a route's file that changed in the same batch, in a comment say, was refused together with the file that took its service away (the new test fails before the change).

Change: where the route stood as it is in the accepted version, what it leads to is looked at first.

Ruled out: judging each file's change alone (two good halves of one change would be refused).

--- a/src/chiveroad/config/_merge.py
+++ b/src/chiveroad/config/_merge.py
@@ -108,7 +108,7 @@
 
 
 class _Owners:
-    """Who owns each service and route name of the accepted version."""
+    """What the accepted version's files say, and who owns each name."""
 
     def __init__(
         self, documents: collections.abc.Mapping[str, _files.Document]
@@ -116,11 +116,13 @@
         self.services: dict[str, str] = {}
         self.routes: dict[str, str] = {}
         self.matches: dict[tuple[str, str], str] = {}
+        self.accepted_routes: dict[str, _model.Route] = {}
         for _, document in sorted(documents.items()):
             for service in document.services:
                 self.services[service.name] = document.team
             for route in document.routes:
                 self.routes[route.name] = document.team
+                self.accepted_routes[route.name] = route
                 for method in route.methods:
                     self.matches[method, route.path] = route.name
 
@@ -231,7 +233,11 @@
             if error is not None:
                 error.file = document.file
                 error.line = document.line_of("route", route.name)
-                yield _Fault(error, (document.file, f"@{route.service}"))
+                suspects = (document.file, f"@{route.service}")
+                if owners.accepted_routes.get(route.name) == route:
+                    # The route stood before: what it leads to has changed.
+                    suspects = (f"@{route.service}", document.file)
+                yield _Fault(error, suspects)
 
 
 def _route_error(
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -132,6 +132,17 @@
     assert verdict.revision == 0
 
 
+def test_a_removal_is_blamed_before_a_routes_file_that_changed_too() -> None:
+    before = config.merge(BASE)
+    changed = source("40-s.toml", f"# why\n{SCHOOLS}", 2)
+    after = config.merge([changed], before.sources)
+    verdicts = {v.file: (v.code, v.accepted_revision) for v in after.verdicts}
+    assert verdicts == {
+        "10-glade.toml": (errors.DanglingRoute.code, 1),
+        "40-s.toml": (0, 2),
+    }
+
+
 def test_closing_a_service_to_its_users_blames_the_owner() -> None:
     before = config.merge(BASE)
     closed = GLADE.replace("slots = 12", "slots = 12\nopen_to = []")
