--- a/src/chiveroad/__main__.py
+++ b/src/chiveroad/__main__.py
@@ -4,7 +4,7 @@
 would cost it a tenth of its memory; everything else goes through it.
 """
 
-import pathlib
+import os
 import sys
 
 
@@ -14,13 +14,15 @@
     if _is_plain_daemon(arguments):
         from chiveroad import daemon
 
-        sys.exit(daemon.run_file(pathlib.Path(arguments[1])))
+        sys.exit(daemon.run_file(daemon.settings_path(*arguments[1:])))
     from chiveroad import cli
 
     cli.main()
 
 
 def _is_plain_daemon(arguments: list[str]) -> bool:
+    if arguments == ["daemon"]:
+        return "CHIVEROAD_CONFIG" in os.environ
     if len(arguments) != 2 or arguments[0] != "daemon":
         return False
     return not arguments[1].startswith("-")
--- a/src/chiveroad/cli/_app.py
+++ b/src/chiveroad/cli/_app.py
@@ -53,11 +53,14 @@
 @app.command("daemon")
 def run_daemon(
     settings: typing.Annotated[
-        pathlib.Path, typer.Argument(help="The settings file, TOML.")
-    ],
+        typing.Optional[str],
+        typer.Argument(
+            envvar="CHIVEROAD_CONFIG", help="The settings file, TOML."
+        ),
+    ] = None,
 ) -> None:
     """Run the daemon beside an upstream until it is asked to stop."""
-    raise typer.Exit(daemon.run_file(settings))
+    raise typer.Exit(daemon.run_file(daemon.settings_path(settings)))
 
 
 @app.command()
--- /dev/null
+++ b/src/chiveroad/clock.py
@@ -0,0 +1,16 @@
+"""The clock by which the age of what a process believes is counted.
+
+The steady clock stands still while a machine is suspended, so a belief would
+look younger than it is; the time of day may jump.  Neither decides here.
+"""
+
+from __future__ import annotations
+
+import time
+
+_BOOT = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def now_s() -> float:
+    """Return seconds since the machine's start, suspensions included."""
+    return time.clock_gettime(_BOOT)
--- a/src/chiveroad/config/__init__.py
+++ b/src/chiveroad/config/__init__.py
@@ -16,13 +16,18 @@
 from chiveroad.config._merge import Merged
 from chiveroad.config._merge import Source
 from chiveroad.config._merge import Verdict
+from chiveroad.config._model import ANY_METHOD
 from chiveroad.config._model import Config
 from chiveroad.config._model import Items
 from chiveroad.config._model import Kind
 from chiveroad.config._model import Route
+from chiveroad.config._model import route_item
 from chiveroad.config._model import Service
+from chiveroad.config._model import service_item
+from chiveroad.config._model import Share
 
 __all__ = [
+    "ANY_METHOD",
     "Config",
     "Delta",
     "Document",
@@ -32,6 +37,7 @@
     "Merged",
     "Route",
     "Service",
+    "Share",
     "Source",
     "Verdict",
     "check_name",
@@ -42,6 +48,8 @@
     "pack_delta",
     "parse",
     "patch",
+    "route_item",
+    "service_item",
     "unpack",
     "unpack_delta",
 ]
--- a/src/chiveroad/config/_files.py
+++ b/src/chiveroad/config/_files.py
@@ -25,11 +25,15 @@
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
 ]
 Path = typing.Annotated[
-    str, msgspec.Meta(pattern=r"^/([A-Za-z0-9._~-]+(/[A-Za-z0-9._~-]+)*)?$")
+    str, msgspec.Meta(pattern=r"^/([A-Za-z0-9._~-]+(/[A-Za-z0-9._~-]+)*/?)?$")
+]
+Host = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^([a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?)?$")
 ]
 Method = typing.Annotated[
-    str, msgspec.Meta(pattern=f"^({'|'.join(_METHODS)})$")
+    str, msgspec.Meta(pattern=rf"^({'|'.join(_METHODS)}|\*)$")
 ]
+Weight = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Team = typing.Annotated[
     str, msgspec.Meta(pattern=r"^([a-z0-9][a-z0-9-]{0,62}|\*)$")
 ]
@@ -43,6 +47,10 @@
     timeout_ms: typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)] = (
         DEFAULT_TIMEOUT_MS
     )
+    objective_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 0
+    max_attempts: typing.Annotated[int, msgspec.Meta(ge=1, le=10)] = (
+        _model.DEFAULT_MAX_ATTEMPTS
+    )
 
 
 class ServiceTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -59,12 +67,18 @@
     """The table ``[route.NAME]``."""
 
     path: Path
-    service: Name
     kind: Name
+    service: Name = ""
+    split: dict[Name, Weight] = {}
+    host: Host = ""
     methods: typing.Annotated[
         tuple[Method, ...], msgspec.Meta(min_length=1)
     ] = ("GET",)
 
+    def __post_init__(self) -> None:
+        if bool(self.service) == bool(self.split):
+            raise ValueError("a route needs either `service` or `split`")
+
 
 class FileTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A whole file."""
@@ -155,7 +169,13 @@
 
 def _service(name: str, team: str, table: ServiceTable) -> _model.Service:
     kinds = {
-        kind: _model.Kind(entry.weight, entry.idempotent, entry.timeout_ms)
+        kind: _model.Kind(
+            entry.weight,
+            entry.idempotent,
+            entry.timeout_ms,
+            entry.objective_ms,
+            entry.max_attempts,
+        )
         for kind, entry in sorted(table.kind.items())
     }
     return _model.Service(
@@ -170,11 +190,17 @@
 
 
 def _route(name: str, team: str, table: RouteTable) -> _model.Route:
+    split = tuple(
+        _model.Share(service, weight)
+        for service, weight in sorted(table.split.items())
+    )
     return _model.Route(
         name=name,
         team=team,
         path=table.path,
         methods=tuple(sorted(set(table.methods))),
-        service=table.service,
+        service=table.service or split[0].service,
         kind=table.kind,
+        host=table.host,
+        split=split,
     )
--- a/src/chiveroad/config/_merge.py
+++ b/src/chiveroad/config/_merge.py
@@ -107,6 +107,15 @@
     )
 
 
+_Match = tuple[str, str, str]
+"""What a route matches: a method, a path and a host."""
+
+
+def _matches(route: _model.Route) -> collections.abc.Iterator[_Match]:
+    for method in route.methods:
+        yield method, route.path, route.host
+
+
 class _Owners:
     """What the accepted version's files say, and who owns each name."""
 
@@ -115,7 +124,7 @@
     ) -> None:
         self.services: dict[str, str] = {}
         self.routes: dict[str, str] = {}
-        self.matches: dict[tuple[str, str], str] = {}
+        self.matches: dict[_Match, str] = {}
         self.accepted_routes: dict[str, _model.Route] = {}
         for _, document in sorted(documents.items()):
             for service in document.services:
@@ -123,8 +132,8 @@
             for route in document.routes:
                 self.routes[route.name] = document.team
                 self.accepted_routes[route.name] = route
-                for method in route.methods:
-                    self.matches[method, route.path] = route.name
+                for match in _matches(route):
+                    self.matches[match] = route.name
 
 
 def _candidate(
@@ -229,23 +238,25 @@
     services = _services(candidates)
     for document in _documents(candidates):
         for route in document.routes:
-            error = _route_error(route, services.get(route.service))
-            if error is not None:
+            for name in route.services():
+                error = _route_error(route, name, services.get(name))
+                if error is None:
+                    continue
                 error.file = document.file
                 error.line = document.line_of("route", route.name)
-                suspects = (document.file, f"@{route.service}")
+                suspects = (document.file, f"@{name}")
                 if owners.accepted_routes.get(route.name) == route:
                     # The route stood before: what it leads to has changed.
-                    suspects = (f"@{route.service}", document.file)
+                    suspects = (f"@{name}", document.file)
                 yield _Fault(error, suspects)
 
 
 def _route_error(
-    route: _model.Route, service: _model.Service | None
+    route: _model.Route, name: str, service: _model.Service | None
 ) -> errors.FileError | None:
     if service is None:
         return errors.DanglingRoute(
-            f"route {route.name!r} leads to the service {route.service!r}, "
+            f"route {route.name!r} leads to the service {name!r}, "
             "which no file defines"
         )
     if not service.admits(route.team):
@@ -263,19 +274,19 @@
     candidates: collections.abc.Mapping[str, _Candidate], owners: _Owners
 ) -> collections.abc.Iterator[_Fault]:
     final = _routes(candidates)
-    seen: dict[tuple[str, str], str] = {}
+    seen: dict[_Match, str] = {}
     for name in sorted(final):
         route, file = final[name]
-        for method in route.methods:
-            other = seen.setdefault((method, route.path), name)
+        for match in _matches(route):
+            other = seen.setdefault(match, name)
             if other == name:
                 continue
-            keeper = owners.matches.get((method, route.path))
+            keeper = owners.matches.get(match)
             loser = other if keeper == name else name
             lost_route, lost_file = final[loser]
             document = candidates[lost_file].document
             message = (
-                f"route {loser!r} matches {method} {route.path} as "
+                f"route {loser!r} matches {' '.join(match).strip()} as "
                 f"{name if loser == other else other!r} does"
             )
             line = document.line_of("route", lost_route.name)
--- a/src/chiveroad/config/_model.py
+++ b/src/chiveroad/config/_model.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+DEFAULT_MAX_ATTEMPTS: typing.Final = 3
+ANY_METHOD: typing.Final = "*"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
@@ -15,17 +18,24 @@
 
     ``weight`` ranks kinds against each other under overload: the least is
     shed first.  ``idempotent`` says that running a request twice does no
-    harm.  ``timeout_ms`` bounds the whole request.
+    harm.  ``timeout_ms`` bounds the whole request, ``objective_ms`` is the
+    latency that callers expect, or 0 where none is stated, and
+    ``max_attempts`` is how many upstreams one request may be sent to.
     """
 
     weight: int
     idempotent: bool
     timeout_ms: int
+    objective_ms: int = 0
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A service, owned by one team, with its limits for each upstream."""
+    """A service, owned by one team, with its limits for each upstream.
+
+    ``slots`` is 0 where each upstream states its own in its heartbeats.
+    """
 
     name: str
     team: str
@@ -40,9 +50,23 @@
         return team == self.team or "*" in self.open_to or team in self.open_to
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A part of a route's requests that goes to one service."""
+
+    service: str
+    weight: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
-    """A route from a path prefix and methods to a kind of a service."""
+    """A route from a host, a path prefix and methods to a kind of a service.
+
+    An empty ``host`` stands for any, ``ANY_METHOD`` for any method.  A path
+    that ends with a slash matches only what lies below it.  ``split``, where
+    there is one, names all services that take a share of the requests, with
+    ``service`` among them; each has the kind.
+    """
 
     name: str
     team: str
@@ -50,6 +74,14 @@
     methods: tuple[str, ...]
     service: str
     kind: str
+    host: str = ""
+    split: tuple[Share, ...] = ()
+
+    def services(self) -> tuple[str, ...]:
+        """Return the names of all services that the route leads to."""
+        if not self.split:
+            return (self.service,)
+        return tuple(share.service for share in self.split)
 
 
 Items: typing.TypeAlias = collections.abc.Mapping[str, str]
@@ -83,22 +115,22 @@
             else:
                 route = _route_decoder.decode(text)
                 self.routes[route.name] = route
-        self._by_match = {
-            (method, route.path): route
-            for route in self.routes.values()
-            for method in route.methods
-        }
-
-    def match(self, method: str, path: str) -> Route | None:
-        """Return the route for the method and path, or None."""
-        prefix = path.rstrip("/") or "/"
-        while True:
-            route = self._by_match.get((method, prefix))
-            if route is not None:
-                return route
-            if prefix == "/":
-                return None
-            prefix = prefix.rsplit("/", 1)[0] or "/"
+        self._by_host: dict[str, _Paths] = {}
+        for route in self.routes.values():
+            paths = self._by_host.setdefault(route.host, {})
+            for method in route.methods:
+                paths[method, route.path] = route
+
+    def match(self, method: str, path: str, host: str = "") -> Route | None:
+        """Return the route for the method, path and host, or None.
+
+        Routes of the host itself go before those of any host.
+        """
+        for paths in (self._by_host.get(host), self._by_host.get("")):
+            found = _longest(paths, method, path) if paths else None
+            if found is not None:
+                return found
+        return None
 
     def kind_of(self, route: Route) -> Kind:
         """Return the kind that the route leads to."""
@@ -109,11 +141,38 @@
         return [
             route.name
             for route in self.routes.values()
-            if route.service not in self.services
-            or route.kind not in self.services[route.service].kinds
+            for name in route.services()
+            if name not in self.services
+            or route.kind not in self.services[name].kinds
         ]
 
 
+_Paths = dict[tuple[str, str], Route]
+
+
+def _longest(paths: _Paths, method: str, path: str) -> Route | None:
+    for prefix in _prefixes(path):
+        route = paths.get((method, prefix)) or paths.get((ANY_METHOD, prefix))
+        if route is not None:
+            return route
+    return None
+
+
+def _prefixes(path: str) -> collections.abc.Iterator[str]:
+    """Yield a path and its prefixes that end at a separator, longest first.
+
+    >>> list(_prefixes("/a/b"))
+    ['/a/b', '/a/', '/a', '/']
+    """
+    yield path
+    end = len(path)
+    while (cut := path.rfind("/", 0, end)) >= 0:
+        yield path[: cut + 1]
+        if cut:
+            yield path[:cut]
+        end = cut
+
+
 def service_item(service: Service) -> tuple[str, str]:
     """Return the key and canonical text of a service."""
     return f"service/{service.name}", _encoder.encode(service).decode()
--- a/src/chiveroad/control/__init__.py
+++ b/src/chiveroad/control/__init__.py
@@ -7,6 +7,7 @@
 from chiveroad.control._accept import read_items
 from chiveroad.control._agent import Agent
 from chiveroad.control._applied import Applied
+from chiveroad.control._follower import Follower
 from chiveroad.control._merger import FILES_STATUS
 from chiveroad.control._merger import FolderFile
 from chiveroad.control._merger import FolderStatus
@@ -15,6 +16,7 @@
 from chiveroad.control._messages import DomainMembers
 from chiveroad.control._messages import DomainStatus
 from chiveroad.control._node import Node
+from chiveroad.control._plane import Plane
 from chiveroad.control._server import ControlHandler
 from chiveroad.control._server import STATUS_PATH
 
@@ -30,7 +32,9 @@
     "FILES_STATUS",
     "FolderFile",
     "FolderStatus",
+    "Follower",
     "Node",
+    "Plane",
     "STATUS_PATH",
     "read_base",
     "read_current",
--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -6,12 +6,14 @@
 import time
 import typing
 
+from chiveroad import clock
 from chiveroad.control import _feed
 from chiveroad.control import _judge
 from chiveroad.control import _lease
 from chiveroad.control import _merger
 from chiveroad.control import _node
 from chiveroad.control import _plan
+from chiveroad.control import _plane
 from chiveroad.control import _publisher
 from chiveroad.control import _source
 from chiveroad.control import _threads
@@ -32,8 +34,8 @@
 _log = logs.Logger("control")
 
 
-class Agent:
-    """Runs the control plane.
+class Agent(_plane.Plane):
+    """Runs the control plane of a folder that chiveroad merges itself.
 
     Every daemon is a member.  The holder of its failure domain's lease is
     the relay, the holder of its region's lease the leader, who alone watches
@@ -123,8 +125,9 @@
         source = self._store if self._feeds() else self._parent
         source.confirm(at_s)
 
-    def announce(self) -> None:
-        """Tell the parent at once what this daemon says of itself."""
+    def announce(self, state: membership.State) -> None:
+        """Put the daemon into a state, and tell the parent at once."""
+        self._node.say(state)
         if self._leader.acting or not self._parent.address:
             return
         try:
@@ -132,7 +135,11 @@
         except errors.ChiveroadError as exc:
             _log.info("The parent wasn't told: {}.", exc)
 
-    def give_back_leases(self) -> None:
+    def record(self, wait_s: float) -> bool:
+        """Return True: members are told, not recorded."""
+        return True
+
+    def give_back(self) -> None:
         """Give all leases back, the widest first."""
         self._merger.stopped = True
         for keeper in (self._merge, self._leader, self._relay):
@@ -166,7 +173,7 @@
 
     def _confirm_once(self) -> None:
         if not self._node.applied.ready:
-            self._store.confirm(time.monotonic())
+            self._store.confirm(clock.now_s())
 
     def _choose(self) -> str:
         answer = self._parent.answer
--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -4,7 +4,8 @@
 matching digest.  A process that has just started holds what it is told, but
 is not ready before a read of the store, made after its start, has confirmed
 that nothing newer had been accepted: an earlier life of this instance may
-have run a version that its peers haven't seen.
+have run a version that its peers haven't seen.  Where only a fall back
+within one life is ruled out, any version makes it ready.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 import msgspec
 
+from chiveroad import clock
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import logs
@@ -52,12 +54,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Version:
-    """One version as it is held; ``applied_at_ms`` is Unix time."""
+    """One version as it is held.
+
+    ``applied_at_ms`` is Unix time, and ``revision`` the store's revision of
+    the object that it came from, or 0 where that isn't known.
+    """
 
     number: int
     digest: str
     config: config.Config
     applied_at_ms: float
+    revision: int = 0
 
 
 def _nothing() -> Version:
@@ -68,11 +75,16 @@
     """Holder of the version in force.
 
     :param news: notified whenever the version or the confirmation changes.
+    :param confirmed_only: whether a version must be confirmed before it is
+        used.
     """
 
-    def __init__(self, news: threading.Condition) -> None:
+    def __init__(
+        self, news: threading.Condition, confirmed_only: bool = True
+    ) -> None:
         self._news = news
-        self._started_s = time.monotonic()
+        self._confirmed_only = confirmed_only
+        self._started_s = clock.now_s()
         self._confirmed_s: float | None = None
         self._earlier: collections.OrderedDict[str, _Items] = (
             collections.OrderedDict()
@@ -86,7 +98,9 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether the version was confirmed since the start."""
+        """Tell whether the version may be used."""
+        if not self._confirmed_only:
+            return self.current.number > 0
         return (
             self._confirmed_s is not None
             and self._confirmed_s >= self._started_s
@@ -94,10 +108,12 @@
 
     @property
     def confirmed_s(self) -> float | None:
-        """Return the monotonic time that the last confirmation speaks of."""
+        """Return the time, by ``clock``, that the confirmation speaks of."""
         return self._confirmed_s
 
-    def offer(self, number: int, digest: str, items: _Items) -> Offer:
+    def offer(
+        self, number: int, digest: str, items: _Items, revision: int = 0
+    ) -> Offer:
         """Put a version in force if it is newer.
 
         :raises errors.DigestMismatch: when the items don't have the digest.
@@ -124,7 +140,7 @@
                 return verdict
             self._remember(current)
             self.current = Version(
-                number, digest, ready_made, time.time() * 1000
+                number, digest, ready_made, time.time() * 1000, revision
             )
             self._news.notify_all()
         _log.info(
@@ -136,7 +152,7 @@
         return Offer.NEWER
 
     def confirm(self, at_s: float) -> None:
-        """Note that nothing newer had been accepted at a monotonic time."""
+        """Note that nothing newer had been accepted at a time."""
         with self._news:
             if self._confirmed_s is not None and at_s <= self._confirmed_s:
                 return
--- /dev/null
+++ b/src/chiveroad/control/_follower.py
@@ -0,0 +1,363 @@
+"""The control plane where configurations are accepted outside of chiveroad.
+
+The store holds the accepted version and a record of each daemon.  See
+``_freshness`` for who watches it.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+import threading
+import time
+import typing
+
+import msgspec
+
+from chiveroad import clock
+from chiveroad import config
+from chiveroad.control import _freshness
+from chiveroad.control import _messages
+from chiveroad.control import _node
+from chiveroad.control import _plane
+from chiveroad.control import _record
+from chiveroad.control import _source
+from chiveroad.control import _threads
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import membership
+from chiveroad import presence
+from chiveroad import settings
+from chiveroad import store
+from chiveroad import wire
+
+ACCEPTED: typing.Final = "main"
+"""The name of the object that holds the accepted version."""
+
+WATCH_VERSIONS_S: typing.Final = 0.6
+"""How long a watch of versions waits: an answer, though empty, shows that
+the store can be reached, well within ``_freshness.STALE_S``."""
+
+WATCH_MEMBERS_S: typing.Final = 2.0
+HOLD_MS: typing.Final = 400
+CONNECT_TIMEOUT_S: typing.Final = 0.3
+GRACE_S: typing.Final = 0.4
+RETRY_S: typing.Final = 0.15
+TICK_S: typing.Final = 0.1
+PROBE_TIMEOUT_S: typing.Final = 0.5
+
+_log = logs.Logger("control")
+
+
+class Follower(_plane.Plane):
+    """Follows the accepted version and the members' records.
+
+    :param upstream: what is known of the upstream beside the daemon.
+    """
+
+    def __init__(
+        self,
+        options: settings.Settings,
+        platform: store.Store,
+        node: _node.Node,
+        protocol: wire.Protocol,
+        upstream: presence.LocalUpstream,
+    ) -> None:
+        self._store = platform
+        self._node = node
+        self._protocol = protocol
+        self._upstream = upstream
+        self._address = options.platform.address
+        self._distance_ms = 0
+        self._source = _source.ParentSource(node, CONNECT_TIMEOUT_S, GRACE_S)
+        self._failures: dict[str, _freshness.Failure] = {}
+        self._watching = True
+        self._state = membership.State.READY
+        self._wake = threading.Event()
+        self._recorder = _record.Recorder(
+            platform, options.instance, self._compose
+        )
+
+    @property
+    def parent(self) -> str:
+        """Return the address last asked for news, or an empty string."""
+        return "" if self._watching else self._source.address
+
+    @property
+    def relay(self) -> str:
+        """Return an empty string: failure domains have no relay here."""
+        return ""
+
+    def start(self) -> None:
+        """Begin all parts in the background."""
+        self._distance_ms = _distance_ms(self._address)
+        _threads.start("following members", self._follow_members)
+        _threads.start("following versions", self._follow_versions)
+        _threads.start("following a parent", self._follow_parent)
+        self._recorder.start()
+
+    def ancestors(self) -> list[str]:
+        """Return nothing: everyone computes whom to follow."""
+        return []
+
+    def roles(self) -> list[str]:
+        """Return ``watcher`` while this daemon asks the store itself."""
+        return ["watcher"] if self._watching else []
+
+    def confirm(self, at_s: float) -> None:
+        """Do nothing: every daemon sees to its own confirmation."""
+
+    def announce(self, state: membership.State) -> None:
+        """Put the daemon into a state, and have it recorded.
+
+        A daemon that ends beside a living upstream is about to come back;
+        beside one that is gone, its record goes with it.
+        """
+        if state is not membership.State.GONE:
+            self._state = state
+            self._recorder.record(0.0)
+            return
+        self._recorder.stopped = True
+        if self._upstream.known.phase is presence.Phase.GONE:
+            self._recorder.remove()
+
+    def record(self, wait_s: float) -> bool:
+        """Have what is known of the upstream recorded."""
+        return self._recorder.record(wait_s)
+
+    def give_back(self) -> None:
+        """Do nothing: whom to follow is computed, not held."""
+
+    def _compose(self) -> _messages.MemberRecord | None:
+        """Return what this daemon's record should hold."""
+        known = self._upstream.known
+        if known.phase is presence.Phase.UNKNOWN:
+            return None
+        state = _STATES[known.phase]
+        if self._state is not membership.State.READY and state.name == "READY":
+            state = self._state
+        member = msgspec.structs.replace(
+            self._node.member,
+            service=known.service,
+            sequence=0,
+            state=state,
+            upstream_id=known.upstream_id,
+            upstream_started_at_ms=known.started_at_ms,
+            slots=known.slots,
+            store_distance_ms=self._distance_ms,
+        )
+        return _messages.MemberRecord(member, known.phase)
+
+    # Whom to follow.
+
+    def _choose(self) -> membership.Member | None:
+        mine = msgspec.structs.replace(
+            self._node.member, store_distance_ms=self._distance_ms
+        )
+        return _freshness.parent(
+            mine, self._node.view.all(), self._failures, clock.now_s()
+        )
+
+    def _follow_parent(self) -> None:
+        while not self.stopped:
+            chosen = self._choose()
+            if chosen is None:
+                self._watch("no daemon stands before this one")
+                time.sleep(TICK_S)
+                continue
+            if self._ask(chosen):
+                self._judge_freshness()
+
+    def _ask(self, chosen: membership.Member) -> bool:
+        self._source.address = chosen.control
+        try:
+            self._source.sync(chosen.control, HOLD_MS, unconfirmed=False)
+        except errors.ChiveroadError as exc:
+            failed = self._failures.get(chosen.instance)
+            count = failed.count + 1 if failed else 1
+            self._failures[chosen.instance] = _freshness.Failure(
+                clock.now_s(), count
+            )
+            self._watch(f"parent {chosen.instance} failed: {exc}")
+            return False
+        self._failures.pop(chosen.instance, None)
+        return True
+
+    def _judge_freshness(self) -> None:
+        confirmed_s = self._node.applied.confirmed_s
+        if _freshness.stale(confirmed_s, clock.now_s()):
+            self._watch("the version is unconfirmed")
+        elif self._watching:
+            _log.info("Follows {}.", self._source.address)
+            self._watching = False
+
+    def _watch(self, reason: str) -> None:
+        if not self._watching:
+            _log.info("Asks the store itself: {}.", reason)
+        self._watching = True
+        self._wake.set()
+
+    def _wait_until_watching(self) -> None:
+        while not self._watching and not self.stopped:
+            self._wake.clear()
+            confirmed_s = self._node.applied.confirmed_s
+            if _freshness.stale(confirmed_s, clock.now_s()):
+                self._watch("the version is unconfirmed")
+                return
+            self._wake.wait(TICK_S)
+
+    # The accepted version.
+
+    def _follow_versions(self) -> None:
+        revision = 0
+        while not self.stopped:
+            self._wait_until_watching()
+            revision = max(revision, self._node.applied.current.revision)
+            try:
+                if revision:
+                    revision = self._watch_versions(revision)
+                else:
+                    revision = self._read_version()
+            except errors.StoreExpired:
+                revision = self._read_after_gap()
+            except errors.ChiveroadError as exc:
+                _log.debug("No version from the store: {}.", exc)
+                time.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
+    def _read_after_gap(self) -> int:
+        try:
+            return self._read_version()
+        except errors.ChiveroadError as exc:
+            _log.debug("No version from the store: {}.", exc)
+            time.sleep(RETRY_S * random.uniform(0.5, 1.5))
+            return 0
+
+    def _read_version(self) -> int:
+        asked_s = clock.now_s()
+        stored = self._store.get(store.Kind.ACCEPTED, ACCEPTED)
+        self._apply(stored)
+        self._node.applied.confirm(asked_s)
+        return stored.version
+
+    def _watch_versions(self, revision: int) -> int:
+        asked_s = clock.now_s()
+        changed = False
+        for event in self._store.watch(
+            store.Kind.ACCEPTED, revision, WATCH_VERSIONS_S
+        ):
+            revision = max(revision, event.version)
+            if event.object is not None and event.object.name == ACCEPTED:
+                self._apply(event.object)
+                changed = True
+        # An empty answer was given at the end of the wait.
+        waited_s = 0.0 if changed else WATCH_VERSIONS_S
+        now_s = clock.now_s()
+        self._node.applied.confirm(min(now_s, asked_s + waited_s))
+        return revision
+
+    def _apply(self, stored: store.StoredObject) -> None:
+        version = self._protocol.read_version(stored.spec)
+        digest = config.digest(version.items)
+        self._node.applied.offer(
+            version.number, digest, version.items, stored.version
+        )
+
+    # The members.
+
+    def _follow_members(self) -> None:
+        revision = 0
+        while not self.stopped:
+            self._wait_until_watching()
+            try:
+                if revision:
+                    revision = self._watch_members(revision)
+                else:
+                    revision = self._list_members()
+            except errors.StoreExpired:
+                revision = 0
+            except errors.ChiveroadError as exc:
+                _log.debug("No members from the store: {}.", exc)
+                time.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
+    def _list_members(self) -> int:
+        listing = self._store.list(store.Kind.MEMBERS)
+        names = set()
+        own: store.StoredObject | None = None
+        for stored in listing.objects:
+            names.add(stored.name)
+            if stored.name == self._node.member.instance:
+                own = stored
+            self._take(stored)
+        self._recall(own)
+        for member in self._node.view.all():
+            known = member.sequence and member.sequence <= listing.version
+            if known and member.instance not in names:
+                self._take_gone(member.instance, listing.version)
+        return listing.version
+
+    def _watch_members(self, revision: int) -> int:
+        for event in self._store.watch(
+            store.Kind.MEMBERS, revision, WATCH_MEMBERS_S
+        ):
+            revision = max(revision, event.version)
+            if event.object is None:
+                continue
+            if event.type is store.EventType.DELETED:
+                self._take_gone(event.object.name, event.version)
+            else:
+                self._take(event.object)
+        return revision
+
+    def _take(self, stored: store.StoredObject) -> None:
+        record = _record.read(stored)
+        if record is not None:
+            self._node.take([record.member])
+
+    def _take_gone(self, name: str, revision: int) -> None:
+        member = self._node.view.get(name)
+        if member is None or name == self._node.member.instance:
+            return
+        gone = msgspec.structs.replace(
+            member, state=membership.State.GONE, sequence=revision
+        )
+        self._node.take([gone])
+
+    def _recall(self, own: store.StoredObject | None) -> None:
+        """Take over what an earlier life of this daemon has recorded."""
+        if own is None:
+            self._recorder.found(None, store.ABSENT)
+            return
+        record = _record.read(own)
+        self._recorder.found(record, own.version)
+        if record is None or not record.member.upstream_id:
+            return
+        member = record.member
+        self._upstream.assume(
+            presence.Known(
+                upstream_id=member.upstream_id,
+                service=member.service,
+                phase=record.phase,
+                started_at_ms=member.upstream_started_at_ms,
+                slots=member.slots,
+            )
+        )
+        self._recorder.record(0.0)
+
+
+_STATES: typing.Final = {
+    presence.Phase.UNKNOWN: membership.State.STARTING,
+    presence.Phase.READY: membership.State.READY,
+    presence.Phase.DRAINING: membership.State.DRAINING,
+    presence.Phase.GONE: membership.State.GONE,
+}
+
+
+def _distance_ms(address: str) -> int:
+    """Return how long opening a connection to the store takes, in ms."""
+    host, _, port = address.rpartition(":")
+    started_s = time.monotonic()
+    try:
+        socket.create_connection((host, int(port)), PROBE_TIMEOUT_S).close()
+    except OSError:
+        return int(PROBE_TIMEOUT_S * 1000)
+    return int((time.monotonic() - started_s) * 1000)
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chiveroad import membership
+from chiveroad import presence
 
 
 class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -35,7 +36,9 @@
     both are compressed.  ``confirmed_ago_ms`` says how long ago the version
     was known to be the newest accepted, or is negative where it never was.
     ``ancestors`` are control addresses to turn to when the parent fails.
-    ``wants_snapshot`` asks the child for its newer version.
+    ``wants_snapshot`` asks the child for its newer version.  ``held_ms`` is
+    how long the answer was held back, and ``revision`` the store's revision
+    of the version.
     """
 
     source: str
@@ -49,6 +52,8 @@
     delta: bytes = b""
     snapshot: bytes = b""
     wants_snapshot: bool = False
+    held_ms: int = 0
+    revision: int = 0
 
 
 class SnapshotOffer(msgspec.Struct, frozen=True):
@@ -91,6 +96,17 @@
     behind: list[str]
 
 
+class MemberRecord(msgspec.Struct, frozen=True):
+    """What a daemon records of itself and of the upstream beside it.
+
+    ``phase`` is how far the upstream is; ``member.state`` is what others
+    are to do with it, which also depends on the daemon.
+    """
+
+    member: membership.Member
+    phase: presence.Phase
+
+
 class DomainMembers(msgspec.Struct, frozen=True):
     """The value of a failure domain's membership object."""
 
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -32,11 +32,16 @@
     """This daemon in the mesh.
 
     :param member: the daemon's first word on itself.
+    :param recorded: whether members, this one too, are what the store's
+        records say, rather than what they tell each other.
     """
 
-    def __init__(self, member: membership.Member) -> None:
+    def __init__(
+        self, member: membership.Member, recorded: bool = False
+    ) -> None:
         self.news = threading.Condition()
-        self.applied = _applied.Applied(self.news)
+        self._recorded = recorded
+        self.applied = _applied.Applied(self.news, confirmed_only=not recorded)
         self.view = membership.View(self.news)
         self.children: dict[str, Child] = {}
         self.control_bytes = 0
@@ -67,6 +72,8 @@
                 _log.info(
                     "Member {} is {}.", member.instance, member.state.value
                 )
+            elif self._recorded:
+                self._member = member
             elif member.order() > mine.order():
                 self._refute(member)
         return fresh
@@ -76,6 +83,8 @@
     ) -> None:
         """Merge words from below; what is news goes further up."""
         fresh = self.take(heard)
+        if self._recorded:
+            return
         with self.news:
             for member in fresh:
                 self._upward[member.instance] = member
--- /dev/null
+++ b/src/chiveroad/control/_record.py
@@ -0,0 +1,151 @@
+"""Keeping a daemon's own record in the store current."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import threading
+import time
+import typing
+
+import msgspec
+
+from chiveroad.control import _messages
+from chiveroad.control import _threads
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import store
+
+RETRY_S: typing.Final = 0.2
+
+_log = logs.Logger("record")
+_decoder = msgspec.json.Decoder(_messages.MemberRecord)
+
+Compose = collections.abc.Callable[[], "_messages.MemberRecord | None"]
+
+
+class Recorder:
+    """Writes one object whenever what it should hold has changed.
+
+    Each write is conditional on the revision of the one before, so that one
+    whose answer was lost can't undo a later one.
+
+    :param name: the object's name.
+    :param compose: returns what the object should hold, or None for nothing
+        yet.
+    """
+
+    def __init__(
+        self, platform: store.Store, name: str, compose: Compose
+    ) -> None:
+        self._store = platform
+        self._name = name
+        self._compose = compose
+        self._revision = store.ABSENT
+        self._known = False
+        self._held: _messages.MemberRecord | None = None
+        self._changed = threading.Condition()
+        self.stopped = False
+
+    def start(self) -> None:
+        """Begin to write in the background."""
+        _threads.start("recording", self._run)
+
+    def found(
+        self, record: _messages.MemberRecord | None, revision: int
+    ) -> None:
+        """Note what the object holds, as an earlier life left it."""
+        with self._changed:
+            if self._known:
+                return
+            self._known = True
+            self._held = _unnumbered(record) if record else None
+            self._revision = revision
+            self._changed.notify_all()
+
+    def record(self, wait_s: float) -> bool:
+        """Have the present state written; tell whether it is."""
+        end_s = time.monotonic() + wait_s
+        with self._changed:
+            self._changed.notify_all()
+            while not self._current():
+                left_s = end_s - time.monotonic()
+                if left_s <= 0:
+                    return False
+                self._changed.wait(left_s)
+            return True
+
+    def remove(self) -> None:
+        """Delete the object; a failure leaves it."""
+        try:
+            self._store.delete(store.Kind.MEMBERS, self._name, self._revision)
+        except errors.StoreError as exc:
+            _log.info("The record stays: {}.", exc)
+
+    def _current(self) -> bool:
+        wanted = self._compose()
+        return wanted is None or wanted == self._held
+
+    def _run(self) -> None:
+        while not self.stopped:
+            with self._changed:
+                while self._current():
+                    self._changed.wait()
+                    if self.stopped:
+                        return
+                wanted = self._compose()
+            if wanted is not None and not self._write(wanted):
+                time.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
+    def _write(self, wanted: _messages.MemberRecord) -> bool:
+        try:
+            if not self._known:
+                self._read()
+            written = self._store.put(
+                store.Kind.MEMBERS, self._name, wanted, self._revision
+            )
+        except errors.StoreError as exc:
+            _log.info("The record isn't written yet: {}.", exc)
+            # Whoever wrote, or whether this write took effect, is read back.
+            self._known = False
+            return False
+        with self._changed:
+            self._revision = written.version
+            self._held = wanted
+            self._changed.notify_all()
+        _log.info(
+            "Recorded as {}, revision {}.",
+            wanted.member.state.value,
+            written.version,
+        )
+        return True
+
+    def _read(self) -> None:
+        try:
+            stored = self._store.get(store.Kind.MEMBERS, self._name)
+        except errors.StoreNotFound:
+            self.found(None, store.ABSENT)
+            return
+        self.found(read(stored), stored.version)
+
+
+def _unnumbered(
+    record: _messages.MemberRecord,
+) -> _messages.MemberRecord:
+    member = msgspec.structs.replace(record.member, sequence=0)
+    return msgspec.structs.replace(record, member=member)
+
+
+def read(stored: store.StoredObject) -> _messages.MemberRecord | None:
+    """Return a record, or None where it can't be read.
+
+    The member's sequence number is the revision of its record: the store's
+    order of writes is the order of what is known of a member.
+    """
+    try:
+        record = _decoder.decode(stored.spec)
+    except msgspec.DecodeError as exc:
+        _log.warning("The record {} can't be read: {}.", stored.name, exc)
+        return None
+    member = msgspec.structs.replace(record.member, sequence=stored.version)
+    return msgspec.structs.replace(record, member=member)
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
+from chiveroad import clock
 from chiveroad import config
-from chiveroad.control import _agent
 from chiveroad.control import _messages
 from chiveroad.control import _node
+from chiveroad.control import _plane
 from chiveroad.control import _source
 from chiveroad import errors
 from chiveroad import membership
@@ -35,9 +36,9 @@
 class ControlHandler(serving.Handler):
     """Answers children, operators, and whoever scrapes metrics."""
 
-    def __init__(self, node: _node.Node, agent: _agent.Agent) -> None:
+    def __init__(self, node: _node.Node, plane: _plane.Plane) -> None:
         self._node = node
-        self._agent = agent
+        self._plane = plane
         self._source = uuid.uuid4().hex[:12]
         self._packs: collections.OrderedDict[tuple[str, str], bytes] = (
             collections.OrderedDict()
@@ -75,11 +76,12 @@
         child.behind = asked.behind
         node.take_from_below([asked.member, *asked.members])
         if asked.unconfirmed:
-            self._agent.confirm(request.received_s)
+            self._plane.confirm(clock.now_s())
         else:
             self._hold(asked)
         node.heard(asked.member.instance)
-        answer = msgspec.json.encode(self._answer(asked))
+        held_ms = int((time.monotonic() - request.received_s) * 1000)
+        answer = msgspec.json.encode(self._answer(asked, held_ms))
         request.answer(http.HTTPStatus.OK, _JSON, answer)
 
     def _hold(self, asked: _messages.SyncRequest) -> None:
@@ -102,12 +104,14 @@
             return True
         return asked.source != self._source or node.view.epoch > asked.epoch
 
-    def _answer(self, asked: _messages.SyncRequest) -> _messages.SyncAnswer:
+    def _answer(
+        self, asked: _messages.SyncRequest, held_ms: int
+    ) -> _messages.SyncAnswer:
         node = self._node
         confirmed_s = node.applied.confirmed_s
         ago_ms = -1.0
         if confirmed_s is not None:
-            ago_ms = (time.monotonic() - confirmed_s) * 1000
+            ago_ms = (clock.now_s() - confirmed_s) * 1000
         held = node.applied.current
         known = asked.epoch if asked.source == self._source else 0
         changes = node.view.since(known)
@@ -119,13 +123,15 @@
             epoch=changes.epoch,
             version=held.number,
             digest=held.digest,
-            relay=self._agent.relay,
+            relay=self._plane.relay,
             confirmed_ago_ms=ago_ms,
             members=self._members_for(asked.member, changes.members),
-            ancestors=self._agent.ancestors(),
+            ancestors=self._plane.ancestors(),
             delta=delta,
             snapshot=snapshot,
             wants_snapshot=asked.version > held.number,
+            held_ms=held_ms,
+            revision=held.revision,
         )
 
     def _members_for(
@@ -178,8 +184,8 @@
             applied_at_ms=held.applied_at_ms,
             ready=node.applied.ready,
             state=node.member.state,
-            roles=self._agent.roles(),
-            parent=self._agent.parent,
+            roles=self._plane.roles(),
+            parent=self._plane.parent,
             members=len(node.view.all()),
             behind=node.behind(),
             control_bytes=node.control_bytes,
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -4,12 +4,12 @@
 
 import abc
 import threading
-import time
 import typing
 
 import msgspec
 import urllib3
 
+from chiveroad import clock
 from chiveroad import config
 from chiveroad.control import _accept
 from chiveroad.control import _messages
@@ -65,7 +65,7 @@
 
         :returns: the store's version of what was read.
         """
-        asked_s = time.monotonic()
+        asked_s = clock.now_s()
         current = _accept.read_current(self._store)
         self.apply(current.accepted)
         self._node.applied.confirm(asked_s)
@@ -94,10 +94,21 @@
 
 
 class ParentSource(Source):
-    """A parent in the tree, asked over HTTP."""
-
-    def __init__(self, node: _node.Node) -> None:
+    """A parent in the tree, asked over HTTP.
+
+    :param connect_timeout_s: how long opening a connection may take.
+    :param grace_s: how much longer than it is held an answer may take.
+    """
+
+    def __init__(
+        self,
+        node: _node.Node,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        grace_s: float = SYNC_GRACE_S,
+    ) -> None:
         self._node = node
+        self._connect_timeout_s = connect_timeout_s
+        self._grace_s = grace_s
         self._http = urllib3.PoolManager(maxsize=4, retries=False)
         self._lock = threading.Lock()
         self._source = ""
@@ -141,7 +152,7 @@
             members=upward,
             behind=node.behind(),
         )
-        asked_s = time.monotonic()
+        asked_s = clock.now_s()
         answer = self._post(address, request, hold_ms)
         node.told(upward)
         self._told_to = address
@@ -158,10 +169,15 @@
         self.answer = answer
         items = self._items(answer)
         if items is not None:
-            node.applied.offer(answer.version, answer.digest, items)
+            node.applied.offer(
+                answer.version, answer.digest, items, answer.revision
+            )
         held = node.applied.current.number
         if answer.confirmed_ago_ms >= 0 and held >= answer.version:
-            node.applied.confirm(asked_s - answer.confirmed_ago_ms / 1000)
+            # The parent's age counts from its answer, which it gave after
+            # it had held the request.
+            ago_ms = answer.confirmed_ago_ms - answer.held_ms
+            node.applied.confirm(asked_s - ago_ms / 1000)
 
     def _items(self, answer: _messages.SyncAnswer) -> config.Items | None:
         if answer.snapshot:
@@ -188,7 +204,7 @@
         self, address: str, request: _messages.SyncRequest, hold_ms: int
     ) -> _messages.SyncAnswer:
         body = msgspec.json.encode(request)
-        timeout_s = hold_ms / 1000 + SYNC_GRACE_S
+        timeout_s = hold_ms / 1000 + self._grace_s
         data = self._call(address, SYNC_PATH, body, timeout_s)
         try:
             return _answer_decoder.decode(data)
@@ -205,7 +221,7 @@
                 body=body,
                 headers={"Content-Type": "application/json"},
                 timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=timeout_s
+                    connect=self._connect_timeout_s, read=timeout_s
                 ),
             )
         except urllib3.exceptions.HTTPError as exc:
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -4,6 +4,7 @@
 
 import functools
 import itertools
+import os
 import pathlib
 import signal
 import socket
@@ -17,13 +18,20 @@
 from chiveroad import logs
 from chiveroad import membership
 from chiveroad import metrics
+from chiveroad import platform
+from chiveroad import presence
+from chiveroad import readiness
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad import store
 from chiveroad import traffic
+from chiveroad import wire
 
 SWITCH_INTERVAL_S: typing.Final = 0.0005
-CONTROL_THREADS: typing.Final = 24
+CONTROL_THREADS: typing.Final = 48
+FEW_THREADS: typing.Final = 4
+HEARTBEAT_THREADS: typing.Final = 4
+READY_THREADS: typing.Final = 2
 PROBE_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.3
 GUARD_TICK_S: typing.Final = 0.05
@@ -42,19 +50,24 @@
 
     def __init__(self, options: settings.Settings) -> None:
         self._options = options
-        self._node = control.Node(_first_word(options))
-        self._platform = store.HttpStore(
-            options.platform.address, options.platform.timeout_ms / 1000
-        )
-        self._agent = control.Agent(options, self._platform, self._node)
+        accepted = options.control.source == "accepted"
+        self._protocol = _protocol(options)
+        self._platform = _store(options, options.platform.timeout_ms / 1000)
+        self._upstream = presence.LocalUpstream(options.upstream.address)
+        self._node = control.Node(_first_word(options, accepted), accepted)
+        self._plane = self._make_plane(accepted)
         self._claims = traffic.Claims(
-            store.HttpStore(options.platform.address, CLAIM_TIMEOUT_S),
-            options.instance,
+            _store(options, CLAIM_TIMEOUT_S), options.instance
         )
         self._recorder = metrics.Recorder()
         self._exporter = metrics.Exporter(self._recorder, self._gauges)
         self._guard = traffic.Guard(
-            options, self._node.applied, self._claims, self._recorder
+            options,
+            self._node.applied,
+            self._claims,
+            self._recorder,
+            self._protocol,
+            self._upstream,
         )
         self._entry = traffic.Entry(
             options,
@@ -62,21 +75,69 @@
             self._node.view,
             self._guard,
             self._recorder,
+            self._protocol,
         )
-        self._control = control.ControlHandler(self._node, self._agent)
+        self._control = control.ControlHandler(self._node, self._plane)
         self._control.add_page(
             traffic.UPSTREAMS_PATH,
             functools.partial(traffic.upstreams_page, self._entry),
         )
         self._control.add_page(METRICS_PATH, self._exporter.page)
-        threads = options.traffic.threads
-        listen = options.listen
-        self._servers = [
-            serving.Server(listen.control, self._control, CONTROL_THREADS),
-            serving.Server(listen.guard, self._guard, threads),
-            serving.Server(listen.entry, self._entry, threads),
-        ]
         self._stop = threading.Event()
+        self._servers = self._make_servers()
+        self._border_servers = self._make_border_servers()
+
+    def _make_plane(self, accepted: bool) -> control.Plane:
+        if not accepted:
+            return control.Agent(self._options, self._platform, self._node)
+        return control.Follower(
+            self._options,
+            self._platform,
+            self._node,
+            self._protocol,
+            self._upstream,
+        )
+
+    def _make_servers(self) -> list[serving.Server]:
+        """Return the servers of control, guard and entry."""
+        listen = self._options.listen
+        options = self._options.traffic
+        control_server = serving.Server(
+            listen.control, self._control, CONTROL_THREADS, FEW_THREADS
+        )
+        guard_server = serving.Server(
+            listen.guard, self._guard, options.threads, FEW_THREADS
+        )
+        entry_server = serving.Server(
+            listen.entry,
+            self._entry,
+            options.threads,
+            FEW_THREADS,
+            options.idle_timeout_ms // 1000,
+            self._protocol.fractional_retry_after,
+        )
+        return [control_server, guard_server, entry_server]
+
+    def _make_border_servers(self) -> list[serving.Server]:
+        """Return the servers that the platform and the upstream ask."""
+        listen = self._options.listen
+        servers = []
+        if listen.heartbeat:
+            handler = presence.HeartbeatHandler(
+                self._protocol,
+                self._upstream,
+                self._plane.record,
+                self._known_services,
+            )
+            servers.append(
+                serving.Server(listen.heartbeat, handler, HEARTBEAT_THREADS, 1)
+            )
+        if listen.ready:
+            ready = readiness.ReadyHandler(self._takes_requests)
+            servers.append(
+                serving.Server(listen.ready, ready, READY_THREADS, 1)
+            )
+        return servers
 
     def run(self) -> None:
         """Serve until a signal asks for a planned stop.
@@ -87,7 +148,7 @@
         self._open_servers()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop.set())
-        self._agent.start()
+        self._plane.start()
         push = self._options.metrics
         if push.push_address:
             self._exporter.push(push.push_address, push.push_interval_ms)
@@ -99,10 +160,17 @@
         self._tick_until_stopped()
         self._drain()
 
+    def _takes_requests(self) -> bool:
+        return self._node.applied.ready and not self._stop.is_set()
+
+    def _known_services(self) -> set[str]:
+        configured = self._node.applied.config.services
+        return {self._options.service, *configured}
+
     def _open_servers(self) -> None:
         opened: list[serving.Server] = []
         try:
-            for server in self._servers:
+            for server in (*self._servers, *self._border_servers):
                 server.open()
                 opened.append(server)
         except errors.AddressInUse:
@@ -128,11 +196,17 @@
         }
 
     def _probe(self) -> None:
-        """Announce the upstream once it takes connections."""
+        """Announce an upstream without heartbeats once it can be reached."""
+        if self._options.upstream.heartbeats:
+            return
+        self._upstream.assume(
+            presence.Known(
+                service=self._options.service, phase=presence.Phase.READY
+            )
+        )
         while not self._stop.is_set():
             if _connects(self._options.upstream.address):
-                self._node.say(membership.State.READY)
-                self._agent.announce()
+                self._plane.announce(membership.State.READY)
                 _log.info("The upstream takes connections.")
                 return
             time.sleep(PROBE_S)
@@ -141,7 +215,7 @@
         """Delete expired claims, a share of them at a time, as merger."""
         shards = itertools.cycle(f"{n:02x}" for n in range(CLAIM_SHARDS))
         while not self._stop.wait(COLLECT_S):
-            if "merger" not in self._agent.roles():
+            if "merger" not in self._plane.roles():
                 continue
             now_ms = time.time_ns() // 1_000_000
             try:
@@ -155,25 +229,25 @@
         From the first step on the guard takes no new work; the entry serves
         on until its callers have left by themselves.
         """
-        limit_s = self._options.traffic.drain_limit_ms / 1000
-        end_s = time.monotonic() + limit_s
+        traffic_options = self._options.traffic
+        end_s = time.monotonic() + traffic_options.drain_limit_ms / 1000
+        leave_after_s = traffic_options.leave_after_ms / 1000
         _log.info("Draining.")
         self._guard.draining = True
-        self._node.say(membership.State.DRAINING)
-        self._agent.announce()
-        self._agent.give_back_leases()
+        self._plane.announce(membership.State.DRAINING)
+        self._plane.give_back()
         for server in reversed(self._servers[1:]):
-            cut = server.drain(max(0.0, end_s - time.monotonic()))
+            left_s = max(0.0, end_s - time.monotonic())
+            cut = server.drain(left_s, leave_after_s)
             if cut:
                 _log.error("The limit cuts {} requests.", cut)
         self._claims.settle(SETTLE_S)
-        self._node.say(membership.State.GONE)
-        self._agent.announce()
-        self._agent.stopped = True
+        self._plane.announce(membership.State.GONE)
+        self._plane.stopped = True
         self._control.stopped = True
-        for server in reversed(self._servers):
-            server.stop()
         _log.info("Stopped.")
+        for server in (*self._border_servers, *reversed(self._servers)):
+            server.stop()
 
 
 def run_file(path: pathlib.Path) -> int:
@@ -188,14 +262,40 @@
     return 0
 
 
-def _first_word(options: settings.Settings) -> membership.Member:
+def settings_path(argument: str | None = None) -> pathlib.Path:
+    """Return the settings file named by an argument or the environment.
+
+    :raises errors.UsageError: when neither names one.
+    """
+    named = argument or os.environ.get("CHIVEROAD_CONFIG")
+    if not named:
+        raise errors.UsageError("name a settings file, or CHIVEROAD_CONFIG")
+    return pathlib.Path(named)
+
+
+def _protocol(options: settings.Settings) -> wire.Protocol:
+    if options.platform.protocol == "native":
+        return wire.Native()
+    return platform.Protocol()
+
+
+def _store(options: settings.Settings, timeout_s: float) -> store.Store:
+    address = options.platform.address
+    if options.platform.protocol == "native":
+        return store.HttpStore(address, timeout_s)
+    return platform.ObjectStore(address, timeout_s)
+
+
+def _first_word(
+    options: settings.Settings, recorded: bool
+) -> membership.Member:
     return membership.Member(
         instance=options.instance,
         service=options.service,
         failure_domain=options.failure_domain,
         region=options.region,
-        incarnation=time.time_ns() // 1_000_000,
-        sequence=1,
+        incarnation=0 if recorded else time.time_ns() // 1_000_000,
+        sequence=0 if recorded else 1,
         state=membership.State.STARTING,
         entry=options.listen.entry,
         guard=options.listen.guard,
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -224,15 +224,16 @@
     """A request is answered by chiveroad itself.
 
     ``status`` is the HTTP status.  ``ran`` says whether an upstream may have
-    run the request: ``no`` is a promise, ``unknown`` is not.
-    ``retry_after_ms`` says when asking again makes sense; 0 means never with
-    this same request.
+    run the request: ``no`` is a promise, ``unknown`` is not.  ``reached``
+    says whether an upstream saw it, run or not.  ``retry_after_ms`` says
+    when asking again makes sense; 0 means never with this same request.
     """
 
     code = 4000
     hint = "see the code"
     status: typing.ClassVar[int] = 503
     ran: typing.ClassVar[str] = "no"
+    reached: typing.ClassVar[bool] = False
 
     def __init__(self, message: str, retry_after_ms: int = 0) -> None:
         super().__init__(message)
@@ -280,16 +281,22 @@
 
     code = 4006
     hint = "give the request a longer deadline"
-    status = 504
 
 
 class UpstreamRefused(Refusal):
-    """The upstream couldn't be connected to, or shed the request."""
+    """No connection could be opened, so that nothing was sent."""
 
     code = 4007
     hint = "wait as long as Retry-After says"
 
 
+class UpstreamShed(UpstreamRefused):
+    """The upstream states that it didn't run the request."""
+
+    code = 4017
+    reached = True
+
+
 class BadRequest(Refusal):
     """The request's framing or headers can't be used safely."""
 
@@ -306,6 +313,37 @@
     status = 413
 
 
+class HeadTooLarge(Refusal):
+    """The request's headers are over their limit."""
+
+    code = 4013
+    hint = "send fewer or shorter headers"
+    status = 431
+
+
+class BodyTimeout(Refusal):
+    """The caller took too long to send its request."""
+
+    code = 4014
+    hint = "send the request again, faster"
+    status = 408
+
+
+class WrongUpstream(Refusal):
+    """Another upstream than the one expected has the address."""
+
+    code = 4015
+    hint = "nothing to do: another upstream is asked"
+    reached = True
+
+
+class NotRecorded(Refusal):
+    """An upstream's leave isn't recorded yet, so it isn't acknowledged."""
+
+    code = 4016
+    hint = "send the heartbeat again"
+
+
 class ClaimsUnavailable(Refusal):
     """The store can't record the idempotency key now, so nothing was run."""
 
@@ -335,6 +373,7 @@
     hint = "find out whether it ran before asking again without a key"
     status = 502
     ran = "unknown"
+    reached = True
 
 
 class AnswerTimeout(OutcomeUnknown):
@@ -364,6 +403,12 @@
     status = 499
 
 
+class AnswerSpoiled(OutcomeUnknown):
+    """The upstream's answer isn't one that it could have given."""
+
+    code = 4028
+
+
 class KeyInProgress(OutcomeUnknown):
     """A request with the same idempotency key is running."""
 
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -23,11 +23,13 @@
     DEAD = "dead"
 
 
-class Member(msgspec.Struct, frozen=True):
+class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """One daemon with its upstream.
 
     ``incarnation`` grows with each start and ``sequence`` with each word of
-    the same start.  The addresses are ``HOST:PORT``.
+    the same start.  The addresses are ``HOST:PORT``.  ``upstream_id`` and
+    ``upstream_started_at_ms`` name the life of the upstream, where it tells
+    them, and ``store_distance_ms`` is how far the store is from the daemon.
     """
 
     instance: str
@@ -40,6 +42,10 @@
     entry: str
     guard: str
     control: str
+    upstream_id: str = ""
+    upstream_started_at_ms: int = 0
+    slots: int = 0
+    store_distance_ms: int = 0
 
     def order(self) -> tuple[int, int, bool]:
         """Return what decides between two words on the same instance."""
--- /dev/null
+++ b/src/chiveroad/platform/_configuration.py
@@ -0,0 +1,117 @@
+"""The platform's form of an accepted configuration, read into our items."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from chiveroad import config
+from chiveroad import errors
+from chiveroad import wire
+
+TEAM: typing.Final = "platform"
+"""The platform names no teams: all is accepted by its operator."""
+
+MAX_PRIORITY: typing.Final = 99
+DEFAULT_TIMEOUT_S: typing.Final = 30.0
+QUEUE_LENGTH: typing.Final = 64
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct):
+    """``priority`` is a rank: 0 is the most urgent."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    service: str | None = None
+    traffic_split: list[_Share] | None = None
+    timeout_s: float = DEFAULT_TIMEOUT_S
+    target_latency_s: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 100
+
+
+class _Configuration(msgspec.Struct):
+    version: str
+    routes: list[_Route]
+    services: list[_Service]
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+
+def read(spec: msgspec.Raw) -> wire.AcceptedVersion:
+    """Read a configuration.
+
+    :raises errors.BadMessage: when it can't be read.
+    """
+    try:
+        found = _decoder.decode(spec)
+        number = int(found.version.removeprefix("r"))
+    except (msgspec.DecodeError, ValueError) as exc:
+        raise errors.BadMessage(f"unreadable version: {exc}") from exc
+    kinds: dict[str, dict[str, config.Kind]] = {}
+    items: list[tuple[str, str]] = []
+    for route in found.routes:
+        translated, kind = _translate(route)
+        items.append(config.route_item(translated))
+        for name in translated.services():
+            kinds.setdefault(name, {})[translated.kind] = kind
+    for service in found.services:
+        ours = config.Service(
+            name=service.name,
+            team=TEAM,
+            slots=0,
+            connections=service.max_connections,
+            queue_length=QUEUE_LENGTH,
+            open_to=("*",),
+            kinds=dict(sorted(kinds.get(service.name, {}).items())),
+        )
+        items.append(config.service_item(ours))
+    return wire.AcceptedVersion(number, dict(sorted(items)))
+
+
+def _translate(route: _Route) -> tuple[config.Route, config.Kind]:
+    # Downloads may be repeated as well; all other kinds may not.
+    idempotent = route.kind in ("idempotent", "download")
+    kind = config.Kind(
+        weight=1 + MAX_PRIORITY - min(route.priority, MAX_PRIORITY),
+        idempotent=idempotent,
+        timeout_ms=int(route.timeout_s * 1000),
+        objective_ms=int(route.target_latency_s * 1000),
+        max_attempts=route.max_attempts,
+    )
+    # Kinds have no names here; equal ones get the same.
+    name = (
+        f"{route.kind}-{kind.weight}-{kind.timeout_ms}-{kind.objective_ms}"
+        f"-{kind.max_attempts}"
+    )
+    split = tuple(
+        config.Share(share.service, share.weight)
+        for share in sorted(
+            route.traffic_split or (), key=lambda share: share.service
+        )
+    )
+    translated = config.Route(
+        name=route.name,
+        team=TEAM,
+        path=route.path_prefix,
+        methods=(config.ANY_METHOD,),
+        service=route.service or (split[0].service if split else ""),
+        kind=name,
+        host=route.host,
+        split=split,
+    )
+    return translated, kind
--- /dev/null
+++ b/src/chiveroad/platform/_protocol.py
@@ -0,0 +1,157 @@
+"""The platform's headers and heartbeats."""
+
+from __future__ import annotations
+
+import collections.abc
+import http
+import re
+import typing
+import urllib.parse
+
+import msgspec
+
+from chiveroad import errors
+from chiveroad.platform import _configuration
+from chiveroad import serving
+from chiveroad import wire
+
+REQUEST_ID: typing.Final = "X-Request-Id"
+DEADLINE_MS: typing.Final = "X-Deadline-Ms"
+EXPECTED_ID: typing.Final = "X-Expected-Instance"
+CALLER_SERVICE: typing.Final = "X-Caller-Service"
+SIGNATURE: typing.Final = "X-Server-Stamp"
+NOT_EXECUTED: typing.Final = "X-Not-Executed"
+LOAD: typing.Final = "X-Server-Load"
+
+MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
+
+_HEARTBEAT: typing.Final = "instances.heartbeat"
+_LEAVE: typing.Final = "instances.deregister"
+_REPLACED: typing.Final = frozenset(
+    name.lower()
+    for name in (REQUEST_ID, DEADLINE_MS, EXPECTED_ID, CALLER_SERVICE)
+)
+_IDLE_TIMEOUT: typing.Final = re.compile(r"timeout=(\d+)")
+_JSON: typing.Final = ("Content-Type", "application/json")
+
+
+class _Info(msgspec.Struct):
+    service: str
+    slots: int
+
+
+class _Status(msgspec.Struct):
+    """``seq`` counts the heartbeats of one life."""
+
+    state: typing.Literal["ready", "draining"]
+    seq: int
+    cold_remaining_s: float = 0.0
+
+
+class _Heartbeat(msgspec.Struct):
+    """``born`` is the Unix millisecond of the upstream's start."""
+
+    address: str
+    info: _Info
+    status: _Status
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Heartbeat)
+
+
+class Protocol(wire.Protocol):
+    """The names and formats of the platform."""
+
+    fractional_retry_after = True
+
+    def read_request(self, request: serving.Request) -> wire.RequestTerms:
+        """Return what a caller states about its request."""
+        return wire.RequestTerms(
+            request_id=request.header(REQUEST_ID),
+            timeout_ms=_number(request.header(DEADLINE_MS)),
+        )
+
+    def upstream_headers(
+        self, terms: wire.UpstreamTerms
+    ) -> collections.abc.Iterable[serving.Header]:
+        """Return the headers that tell an upstream its terms."""
+        return (
+            (REQUEST_ID, terms.request_id),
+            (DEADLINE_MS, str(terms.left_ms)),
+            (EXPECTED_ID, terms.upstream_id),
+            (CALLER_SERVICE, terms.caller_service),
+        )
+
+    def replaced(self, name: str) -> bool:
+        """Tell whether ``upstream_headers`` replaces a caller's header."""
+        return name in _REPLACED
+
+    def read_answer(
+        self,
+        status: int,
+        header: collections.abc.Callable[[str, str], str],
+    ) -> wire.AnswerTerms:
+        """Return what an upstream states with an answer."""
+        misdirected = status == http.HTTPStatus.MISDIRECTED_REQUEST
+        success = 200 <= status < 300
+        request_id = header(REQUEST_ID, "")
+        signed = bool(header(SIGNATURE, "") and request_id)
+        idle = _IDLE_TIMEOUT.search(header("Keep-Alive", ""))
+        return wire.AnswerTerms(
+            request_id=request_id,
+            ran=not (misdirected or header(NOT_EXECUTED, "")),
+            misdirected=misdirected,
+            genuine=signed or not success,
+            idle_timeout_s=float(idle.group(1)) if idle else 0.0,
+            load=_load(header(LOAD, "")),
+        )
+
+    def read_heartbeat(
+        self, request: serving.Request
+    ) -> wire.Heartbeat | wire.Leave:
+        """Read an upstream's heartbeat."""
+        query = urllib.parse.parse_qs(request.target.partition("?")[2])
+        call = query.get("call", [""])[0]
+        upstream_id = query.get("of", [""])[0]
+        if request.method != "POST" or call not in (_HEARTBEAT, _LEAVE):
+            raise errors.NoRoute("no such call")
+        if not upstream_id:
+            raise errors.BadRequest("a heartbeat without an id")
+        body = request.read_body(MAX_HEARTBEAT_BYTES)
+        if call == _LEAVE:
+            return wire.Leave(upstream_id)
+        try:
+            found = _decoder.decode(body)
+        except msgspec.DecodeError as exc:
+            raise errors.BadRequest(f"unreadable heartbeat: {exc}") from exc
+        return wire.Heartbeat(
+            upstream_id=upstream_id,
+            service=found.info.service,
+            address=found.address,
+            state=wire.UpstreamState(found.status.state),
+            sequence=found.status.seq,
+            started_at_ms=found.born,
+            slots=found.info.slots,
+            cold_ms=int(found.status.cold_remaining_s * 1000),
+        )
+
+    def heartbeat_answer(self) -> tuple[serving.Header, bytes]:
+        """Return the content type and body that acknowledge a heartbeat."""
+        return _JSON, b"{}"
+
+    def read_version(self, spec: msgspec.Raw) -> wire.AcceptedVersion:
+        """Read a configuration that the platform's operator has written."""
+        return _configuration.read(spec)
+
+
+def _load(text: str) -> wire.Load | None:
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return wire.Load(running, waiting, slots)
+
+
+def _number(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
--- /dev/null
+++ b/src/chiveroad/presence/__init__.py
@@ -0,0 +1,17 @@
+"""What a daemon knows of the upstream beside it."""
+
+from chiveroad.presence._handler import HeartbeatHandler
+from chiveroad.presence._local import LocalUpstream
+from chiveroad.presence._state import decide
+from chiveroad.presence._state import Known
+from chiveroad.presence._state import Phase
+from chiveroad.presence._state import Verdict
+
+__all__ = [
+    "HeartbeatHandler",
+    "Known",
+    "LocalUpstream",
+    "Phase",
+    "Verdict",
+    "decide",
+]
--- /dev/null
+++ b/src/chiveroad/presence/_handler.py
@@ -0,0 +1,83 @@
+"""Taking an upstream's heartbeats and acknowledging them."""
+
+from __future__ import annotations
+
+import collections.abc
+import http
+import typing
+
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad.presence import _local
+from chiveroad.presence import _state
+from chiveroad import serving
+from chiveroad import wire
+
+RECORD_RETRY_MS: typing.Final = 200
+RECORD_TIMEOUT_S: typing.Final = 0.8
+"""An upstream waits a second for its acknowledgement."""
+
+_log = logs.Logger("presence")
+
+Record = collections.abc.Callable[[float], bool]
+"""Has what is known recorded, and waits up to some seconds for it."""
+
+
+class HeartbeatHandler(serving.Handler):
+    """Answers the heartbeats of the upstream beside the daemon.
+
+    An acknowledgement of a leave binds all lives of this daemon, so it is
+    given only once the leave is recorded outside of this process.
+
+    :param record: returns whether what is known has been recorded.
+    :param services: returns the names of the services that exist.
+    """
+
+    def __init__(
+        self,
+        protocol: wire.Protocol,
+        upstream: _local.LocalUpstream,
+        record: Record,
+        services: collections.abc.Callable[[], collections.abc.Container[str]],
+    ) -> None:
+        self._protocol = protocol
+        self._upstream = upstream
+        self._record = record
+        self._services = services
+
+    def handle(self, request: serving.Request) -> None:
+        """Answer one heartbeat."""
+        try:
+            heard = self._protocol.read_heartbeat(request)
+        except errors.BadRequest as refusal:
+            _log.warning("A heartbeat can't be read: {}.", refusal)
+            raise
+        if isinstance(heard, wire.Leave):
+            self._leave(heard)
+        else:
+            self._hear(heard)
+        content_type, body = self._protocol.heartbeat_answer()
+        request.answer(http.HTTPStatus.OK, [content_type], body)
+
+    def _hear(self, heartbeat: wire.Heartbeat) -> None:
+        if heartbeat.service not in self._services():
+            _log.warning(
+                "A heartbeat of {} names the unknown service {}.",
+                heartbeat.upstream_id,
+                heartbeat.service,
+            )
+            raise errors.BadRequest("the service isn't known")
+        if self._upstream.hear(heartbeat) is _state.Verdict.FOREIGN:
+            return
+        if self._upstream.known.phase is _state.Phase.READY:
+            self._record(0.0)
+        else:
+            self._record_leave()
+
+    def _leave(self, leave: wire.Leave) -> None:
+        if self._upstream.leave(leave.upstream_id):
+            self._record_leave()
+
+    def _record_leave(self) -> None:
+        if not self._record(RECORD_TIMEOUT_S):
+            raise errors.NotRecorded("not recorded yet", RECORD_RETRY_MS)
--- /dev/null
+++ b/src/chiveroad/presence/_state.py
@@ -0,0 +1,107 @@
+"""Deciding what a heartbeat changes in what is known of an upstream.
+
+Heartbeats may come late, twice, from an upstream that has died, or from
+somebody else.  One life of an upstream is its id and the time of its start;
+a later life overtakes an earlier one, and within a life the greater sequence
+number counts.  A life that has said it leaves never takes work again.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from chiveroad import wire
+
+
+class Phase(enum.Enum):
+    """How far an upstream is, as far as known."""
+
+    UNKNOWN = "unknown"
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Verdict(enum.Enum):
+    """What becomes of a heartbeat."""
+
+    NEW_LIFE = "a new life"
+    CHANGED = "a change of state"
+    FRESH = "nothing but a sign of life"
+    STALE = "older than what is known"
+    FOREIGN = "of an upstream that isn't beside this daemon"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """What is known of the upstream beside the daemon.
+
+    ``heard_s`` is when it was last heard and ``left_s`` when it first said
+    that it leaves, both in monotonic seconds; ``cold_until_s`` is when it
+    will have warmed up.
+    """
+
+    upstream_id: str = ""
+    service: str = ""
+    phase: Phase = Phase.UNKNOWN
+    sequence: int = 0
+    started_at_ms: int = 0
+    slots: int = 0
+    heard_s: float = 0.0
+    left_s: float = 0.0
+    cold_until_s: float = 0.0
+
+    def same_life(self, heartbeat: wire.Heartbeat) -> bool:
+        """Tell whether a heartbeat is of the life that is known."""
+        mine = (self.upstream_id, self.started_at_ms)
+        return mine == (heartbeat.upstream_id, heartbeat.started_at_ms)
+
+
+def decide(
+    known: Known, heartbeat: wire.Heartbeat, address: str, now_s: float
+) -> tuple[Verdict, Known]:
+    """Return what a heartbeat means, and what is known after it.
+
+    :param address: the address of the upstream beside the daemon.
+    """
+    if heartbeat.address != address:
+        return Verdict.FOREIGN, known
+    if not known.same_life(heartbeat):
+        if heartbeat.started_at_ms < known.started_at_ms:
+            return Verdict.STALE, known
+        return Verdict.NEW_LIFE, _first(heartbeat, now_s)
+    if heartbeat.sequence <= known.sequence:
+        return Verdict.STALE, known
+    heard = dataclasses.replace(
+        known,
+        sequence=heartbeat.sequence,
+        heard_s=now_s,
+        slots=heartbeat.slots or known.slots,
+        cold_until_s=now_s + heartbeat.cold_ms / 1000,
+    )
+    leaves = heartbeat.state is wire.UpstreamState.DRAINING
+    if leaves and known.phase is Phase.READY:
+        return Verdict.CHANGED, left(heard, Phase.DRAINING, now_s)
+    return Verdict.FRESH, heard
+
+
+def left(known: Known, phase: Phase, now_s: float) -> Known:
+    """Return what is known once the upstream has said that it leaves."""
+    left_s = known.left_s or now_s
+    return dataclasses.replace(known, phase=phase, left_s=left_s)
+
+
+def _first(heartbeat: wire.Heartbeat, now_s: float) -> Known:
+    leaves = heartbeat.state is wire.UpstreamState.DRAINING
+    return Known(
+        upstream_id=heartbeat.upstream_id,
+        service=heartbeat.service,
+        phase=Phase.DRAINING if leaves else Phase.READY,
+        sequence=heartbeat.sequence,
+        started_at_ms=heartbeat.started_at_ms,
+        slots=heartbeat.slots,
+        heard_s=now_s,
+        left_s=now_s if leaves else 0.0,
+        cold_until_s=now_s + heartbeat.cold_ms / 1000,
+    )
--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -8,6 +8,7 @@
 from chiveroad.serving._server import Handler
 from chiveroad.serving._server import IDLE_TIMEOUT_S
 from chiveroad.serving._server import Server
+from chiveroad.serving._stream import Reader
 
 __all__ = [
     "BodyCut",
@@ -16,6 +17,7 @@
     "Header",
     "IDLE_TIMEOUT_S",
     "RAN_HEADER",
+    "Reader",
     "Request",
     "Server",
 ]
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -41,6 +41,9 @@
 _LIST_HEADERS: typing.Final = frozenset(
     cheroot_server.comma_separated_headers  # type: ignore[attr-defined]
 )
+READ_TIMEOUT_S: typing.Final = 5.0
+"""How long a peer may pause within a request or an answer."""
+
 _TOO_LARGE: typing.Final = (413, 414)
 
 CODE_HEADER: typing.Final = "Chiveroad-Code"
@@ -125,9 +128,18 @@
         """Answer a request that can't be used, with a code, and close."""
         self.close_connection = True
         number = int(str(status)[:3])
+        if number == http.HTTPStatus.REQUEST_TIMEOUT:
+            if not self.started_request:
+                # Nothing was asked, so there is nothing to answer.
+                return
         error: type[errors.Refusal] = errors.BadRequest
-        if number in _TOO_LARGE:
+        if number == http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            # The library limits heads only; bodies are limited when read.
+            error, number = errors.HeadTooLarge, errors.HeadTooLarge.status
+        elif number in _TOO_LARGE:
             error = errors.RequestTooLarge
+        elif number == http.HTTPStatus.REQUEST_TIMEOUT:
+            error = errors.BodyTimeout
         if number == http.HTTPStatus.INTERNAL_SERVER_ERROR:
             # A handler failed, and nobody knows how far it had come.
             error = errors.OutcomeUnknown
@@ -146,6 +158,7 @@
     def __init__(
         self, server: typing.Any, sock: socket.socket, _: typing.Any
     ) -> None:
+        sock.settimeout(READ_TIMEOUT_S)
         super().__init__(server, sock, _stream.make_file)
         self._open = True
         server.opened()
@@ -170,7 +183,10 @@
         try:
             self.socket.settimeout(0)
             self.socket.recv(_stream.READ_BUFFER_BYTES)
-            self.socket.send(whole_refusal(refusal.status, refusal))
+            fractional = self.server.fractional_retry
+            self.socket.send(
+                whole_refusal(refusal.status, refusal, fractional)
+            )
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
             pass
@@ -194,11 +210,13 @@
         return bool(poll.poll(timeout_ms))
 
 
-def whole_refusal(status: int, refusal: errors.Refusal) -> bytes:
+def whole_refusal(
+    status: int, refusal: errors.Refusal, fractional_retry: bool = False
+) -> bytes:
     """Return a whole answer that refuses a request and ends a connection."""
     body = refusal_body(refusal)
     headers = [
-        *refusal_headers(refusal),
+        *refusal_headers(refusal, fractional_retry),
         ("Content-Length", str(len(body))),
         ("Connection", "close"),
     ]
@@ -208,19 +226,30 @@
     return head.encode("latin-1") + body
 
 
-def refusal_headers(refusal: errors.Refusal) -> list[tuple[str, str]]:
-    """Return the headers that tell what a refusal means."""
+def refusal_headers(
+    refusal: errors.Refusal, fractional_retry: bool = False
+) -> list[tuple[str, str]]:
+    """Return the headers that tell what a refusal means.
+
+    :param fractional_retry: whether the caller reads fractions of a second;
+        others get the next whole one, as the standard has it.
+    """
     headers = [
         ("Content-Type", "application/json"),
         (CODE_HEADER, str(refusal.code)),
         (RAN_HEADER, refusal.ran),
     ]
     if refusal.retry_after_ms:
-        seconds = math.ceil(refusal.retry_after_ms / 1000)
-        headers.append(("Retry-After", str(seconds)))
+        seconds = refusal.retry_after_ms / 1000
+        text = f"{seconds:.3f}" if fractional_retry else _ceil(seconds)
+        headers.append(("Retry-After", text))
     return headers
 
 
+def _ceil(seconds: float) -> str:
+    return str(math.ceil(seconds))
+
+
 class _RefusalBody(msgspec.Struct):
     code: int
     message: str
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -158,5 +158,6 @@
         headers: collections.abc.Sequence[Header] = (),
     ) -> None:
         """Answer with a refusal."""
-        sent = [*headers, *_http.refusal_headers(refusal)]
+        fractional = self._raw.server.fractional_retry
+        sent = [*headers, *_http.refusal_headers(refusal, fractional)]
         self.answer(refusal.status, sent, _http.refusal_body(refusal))
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -12,18 +12,17 @@
 import typing
 
 import cheroot.server as cheroot_server
-import cheroot.workers.threadpool as threadpool
 
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad.serving import _http
 from chiveroad.serving import _request
+from chiveroad.serving import _workers
 
 IDLE_TIMEOUT_S: typing.Final = 10
 """How long a kept connection may be idle; answers tell it to the peer."""
 
 LISTEN_GRACE_S: typing.Final = 0.5
-QUEUE_TIMEOUT_S: typing.Final = 0.001
 FULL_RETRY_MS: typing.Final = 1_000
 
 _BACKLOG: typing.Final = 512
@@ -64,6 +63,10 @@
 
     :param address: ``HOST:PORT``.
     :param threads: how many requests can be in hand at once.
+    :param few_threads: how many threads to begin with; all, if 0.
+    :param idle_timeout_s: how long a kept connection may be idle.
+    :param fractional_retry: whether peers read a ``Retry-After`` with
+        fractions of a second.
     :raises errors.AddressInUse: from ``open`` when it can't listen.
     """
 
@@ -74,16 +77,21 @@
     max_request_header_size = _http.MAX_HEAD_BYTES
     _connections: typing.Any
 
-    def __init__(self, address: str, handler: Handler, threads: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        threads: int,
+        few_threads: int = 0,
+        idle_timeout_s: int = IDLE_TIMEOUT_S,
+        fractional_retry: bool = False,
+    ) -> None:
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), _Gateway, minthreads=threads)
-        self.requests = threadpool.ThreadPool(
-            self,
-            min=threads,
-            accepted_queue_size=threads,
-            accepted_queue_timeout=QUEUE_TIMEOUT_S,  # type: ignore[arg-type]
-        )
+        self.requests = _workers.Workers(self, few_threads or threads, threads)
         self.handler = handler
+        self.timeout = idle_timeout_s
+        self.fractional_retry = fractional_retry
         self.keeps_connections = True
         self._address = address
         self._busy = 0
@@ -113,7 +121,7 @@
     def may_linger(self) -> bool:
         """Tell whether a worker may wait on its own connection."""
         occupied = self._busy + self._lingering
-        return self.keeps_connections and occupied < self.requests.min // 2
+        return self.keeps_connections and occupied < self.requests.max // 2
 
     @contextlib.contextmanager
     def lingering(self) -> collections.abc.Iterator[None]:
@@ -146,18 +154,19 @@
         with self._busy_lock:
             self._connected -= 1
 
-    def drain(self, limit_s: float) -> int:
+    def drain(self, limit_s: float, grace_s: float = LISTEN_GRACE_S) -> int:
         """Let callers leave, and wait until the last connection is closed.
 
         Every answer says ``Connection: close`` from now on, and after a
         grace nobody new is let in.  A kept connection that isn't used again
         ends at its idle timeout, as its caller was told.
 
+        :param grace_s: for how long new callers are still let in.
         :returns: how many requests are still in hand at the limit.
         """
         self.keeps_connections = False
         end_s = time.monotonic() + limit_s
-        time.sleep(min(LISTEN_GRACE_S, limit_s))
+        time.sleep(min(grace_s, limit_s))
         self._stop_listening()
         while time.monotonic() < end_s and self._connected:
             time.sleep(0.02)
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -14,6 +14,9 @@
 Name = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
 ]
+Label = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")
+]
 Address = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[0-9a-f.:\[\]]+:[0-9]+$")
 ]
@@ -25,25 +28,47 @@
 
 
 class Listen(_Table, frozen=True):
-    """The addresses that the daemon listens on, ``IP:PORT``."""
+    """The addresses that the daemon listens on, ``IP:PORT``.
+
+    ``heartbeat`` takes the upstream's heartbeats and ``ready`` tells whether
+    the daemon takes requests; without them neither is served.
+    """
 
     entry: Address
     guard: Address
     control: Address
+    heartbeat: Address | None = None
+    ready: Address | None = None
+
+    def addresses(self) -> list[str]:
+        """Return all addresses that are set."""
+        found = (self.entry, self.guard, self.control)
+        more = (self.heartbeat, self.ready)
+        return [*found, *(address for address in more if address)]
 
 
 class Upstream(_Table, frozen=True):
-    """The upstream beside the daemon."""
+    """The upstream beside the daemon.
+
+    With ``heartbeats`` it tells its state itself; without, it counts as
+    ready once it takes connections.
+    """
 
     address: Address
+    heartbeats: bool = False
 
 
 class Platform(_Table, frozen=True):
-    """The platform's object API; ``region`` is where it stands."""
+    """The platform; ``region`` is where its object API stands.
+
+    ``protocol`` is ``native`` for the product's own names, or the name of
+    an adapter that translates the platform's.
+    """
 
     address: Address
-    region: Name
+    region: Name = "anywhere"
     timeout_ms: Milliseconds = 3_000
+    protocol: typing.Literal["native", "platform"] = "native"
 
 
 class Log(_Table, frozen=True):
@@ -56,11 +81,14 @@
 class Control(_Table, frozen=True):
     """The control plane.
 
-    ``distribution`` is ``tree``, or ``direct`` for the baseline in which
-    every daemon watches the store.  ``start_spread_ms`` spreads the first
-    calls of daemons that start together.
+    ``source`` is where configurations come from: the ``folder`` that
+    chiveroad merges and accepts, or the store, where they are ``accepted``
+    already.  ``distribution`` is ``tree``, or ``direct`` for the baseline in
+    which every daemon watches the store.  ``start_spread_ms`` spreads the
+    first calls of daemons that start together.
     """
 
+    source: typing.Literal["folder", "accepted"] = "folder"
     distribution: typing.Literal["tree", "direct"] = "tree"
     start_spread_ms: Milliseconds = 300
 
@@ -70,7 +98,10 @@
 
     ``balancing`` is ``two-choices``, or ``round-robin`` or ``least-reported``
     for the baselines.  ``limits`` switches the guard's slots and queue off,
-    for a baseline only.  ``drain_limit_ms`` bounds a planned stop.
+    for a baseline only.  ``threads`` is how many requests each of the two
+    may have in hand.  ``idle_timeout_ms`` is how long a caller's connection
+    may be idle.  ``drain_limit_ms`` bounds a planned stop, and for
+    ``leave_after_ms`` from its begin new callers are still let in.
     """
 
     balancing: typing.Literal[
@@ -78,7 +109,21 @@
     ] = "two-choices"
     limits: bool = True
     threads: typing.Annotated[int, msgspec.Meta(ge=4, le=512)] = 48
+    idle_timeout_ms: Milliseconds = 10_000
     drain_limit_ms: Milliseconds = 30_000
+    leave_after_ms: Milliseconds = 500
+
+
+class Retries(_Table, frozen=True):
+    """The retry budget that all daemons share.
+
+    In any window, a service may see ``ratio`` of its requests and ``slack``
+    more once again.
+    """
+
+    ratio: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
+    window_s: typing.Annotated[float, msgspec.Meta(gt=0, le=600)] = 10.0
+    slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 100.0
 
 
 class Metrics(_Table, frozen=True):
@@ -91,16 +136,17 @@
 class Settings(_Table, frozen=True):
     """All settings of one daemon."""
 
-    instance: Name
-    service: Name
-    failure_domain: Name
-    region: Name
+    instance: Label
+    service: Label
+    failure_domain: Label
+    region: Label
     listen: Listen
     upstream: Upstream
     platform: Platform
     log: Log = Log()
     control: Control = Control()
     traffic: Traffic = Traffic()
+    retries: Retries = Retries()
     metrics: Metrics = Metrics()
 
 
@@ -123,8 +169,7 @@
         settings = msgspec.convert(table, Settings)
     except (tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
         raise errors.SettingsError(f"{name}: {exc}") from exc
-    listen = settings.listen
-    addresses = [listen.entry, listen.guard, listen.control]
+    addresses = settings.listen.addresses()
     if len(set(addresses)) < len(addresses):
         raise errors.SettingsError(f"{name}: an address is used twice")
     for address in [*addresses, settings.upstream.address]:
--- a/src/chiveroad/store/_base.py
+++ b/src/chiveroad/store/_base.py
@@ -28,6 +28,8 @@
     DOMAINS = "domains"
     STATUSES = "statuses"
     CLAIMS = "claims"
+    ACCEPTED = "accepted"
+    MEMBERS = "members"
 
 
 class EventType(enum.Enum):
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -8,11 +8,18 @@
 import typing
 
 from chiveroad import config
+from chiveroad import errors
 from chiveroad import serving
+from chiveroad import wire
 
 MAX_HELD_BODY_BYTES: typing.Final = 64 * 1024
 MAX_DEPTH: typing.Final = 64
 
+HOP_MARGIN_MS: typing.Final = 10
+"""How much sooner a guard gives up than the entry that asked it, so that the
+guard's answer, which tells whether the request ran, arrives in time.
+"""
+
 PREFIX: typing.Final = "Chiveroad-"
 SERVICE: typing.Final = "Chiveroad-Service"
 KIND: typing.Final = "Chiveroad-Kind"
@@ -20,6 +27,7 @@
 TIMEOUT_MS: typing.Final = "Chiveroad-Timeout-Ms"
 DEPTH: typing.Final = "Chiveroad-Depth"
 REQUEST: typing.Final = "Chiveroad-Request"
+CALLER: typing.Final = "Chiveroad-Caller"
 LOAD: typing.Final = "Chiveroad-Load"
 RETRY_AFTER_MS: typing.Final = "Chiveroad-Retry-After-Ms"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
@@ -44,18 +52,21 @@
 class Body:
     """A request's body: held when small, else streamed once.
 
-    ``replayable`` tells whether it can be sent again.
+    ``replayable`` tells whether it can be sent again.  ``length`` is the
+    body's length in bytes, or None while the end hasn't been seen.
+
+    :raises errors.BadRequest: when the body's framing can't be read.
+    :raises errors.BodyTimeout: when the caller is too slow with it.
     """
 
     def __init__(self, request: serving.Request) -> None:
-        self._request = request
+        self._chunks = request.body()
+        self._begin: list[bytes] = []
         self._started = False
         self.length = request.content_length
-        small = self.length is not None and self.length <= MAX_HELD_BODY_BYTES
         self.held: bytes | None = None
-        if small:
-            limit = MAX_HELD_BODY_BYTES
-            self.held = request.read_body(limit) if self.length else b""
+        if self.length is None or self.length <= MAX_HELD_BODY_BYTES:
+            self._hold(request)
 
     @property
     def replayable(self) -> bool:
@@ -65,7 +76,28 @@
     def stream(self) -> collections.abc.Iterator[bytes]:
         """Yield the body as it arrives; this works once."""
         self._started = True
-        yield from self._request.body()
+        yield from self._begin
+        self._begin.clear()
+        yield from self._chunks
+
+    def _hold(self, request: serving.Request) -> None:
+        total = 0
+        try:
+            for chunk in self._chunks:
+                self._begin.append(chunk)
+                total += len(chunk)
+                if total > MAX_HELD_BODY_BYTES:
+                    return
+        except serving.BodyCut as exc:
+            raise _body_refusal(exc) from exc
+        self.held = b"".join(self._begin)
+        self.length = total
+
+
+def _body_refusal(cut: serving.BodyCut) -> errors.Refusal:
+    if isinstance(cut.__cause__, TimeoutError):
+        return errors.BodyTimeout("the body came too slowly")
+    return errors.BadRequest(f"the body can't be read: {cut}")
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,6 +106,7 @@
 
     ``deadline_s`` is in monotonic seconds.  ``depth`` counts the calls above
     this one.  ``key`` is the caller's idempotency key or empty.
+    ``caller_service`` is the service beside the daemon that took it.
     """
 
     id: str
@@ -88,27 +121,69 @@
     target: str
     headers: list[serving.Header]
     body: Body
+    caller_service: str = ""
 
     def left_ms(self) -> float:
         """Return how much time is left."""
         return (self.deadline_s - time.monotonic()) * 1000
 
-    def onward_headers(self) -> collections.abc.Iterator[serving.Header]:
+    def upstream_headers(
+        self, protocol: wire.Protocol, upstream_id: str
+    ) -> collections.abc.Iterator[serving.Header]:
         """Yield the headers that go with the request to its upstream."""
-        yield from self.headers
-        yield REQUEST, self.id
-        yield TIMEOUT_MS, str(max(1, int(self.left_ms())))
-        yield DEPTH, str(self.depth + 1)
+        for name, value in self.headers:
+            if not protocol.replaced(name.lower()):
+                yield name, value
+        yield from protocol.upstream_headers(
+            wire.UpstreamTerms(
+                request_id=self.id,
+                left_ms=max(1, int(self.left_ms())),
+                depth=self.depth + 1,
+                upstream_id=upstream_id,
+                caller_service=self.caller_service,
+            )
+        )
 
     def guard_headers(self) -> collections.abc.Iterator[serving.Header]:
         """Yield the headers that go with the request to a guard."""
+        left_ms = int(self.left_ms()) - HOP_MARGIN_MS
         yield from self.headers
         yield REQUEST, self.id
-        yield TIMEOUT_MS, str(max(1, int(self.left_ms())))
+        yield TIMEOUT_MS, str(max(1, left_ms))
         yield DEPTH, str(self.depth)
         yield SERVICE, self.service
-        yield KIND, self.kind_name
+        yield KIND, write_kind(self.kind_name, self.kind)
         yield TEAM, self.team
+        yield CALLER, self.caller_service
+
+
+def write_kind(name: str, kind: config.Kind) -> str:
+    """Return a kind as a header's value.
+
+    >>> write_kind("read", config.Kind(2, True, 900, 300, 2))
+    'read 2 1 900 300 2'
+    """
+    return (
+        f"{name} {kind.weight} {int(kind.idempotent)} {kind.timeout_ms} "
+        f"{kind.objective_ms} {kind.max_attempts}"
+    )
+
+
+def read_kind(text: str) -> tuple[str, config.Kind]:
+    """Return a kind and its name from a header's value.
+
+    :raises errors.BadRequest: when it can't be read.
+    """
+    name, _, figures = text.partition(" ")
+    try:
+        weight, idempotent, *others = (int(part) for part in figures.split())
+        timeout_ms, objective_ms, max_attempts = others
+    except ValueError as exc:
+        raise errors.BadRequest("a guard takes requests of entries") from exc
+    kind = config.Kind(
+        weight, bool(idempotent), timeout_ms, objective_ms, max_attempts
+    )
+    return name, kind
 
 
 def end_to_end(
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -9,6 +9,7 @@
 
 import collections.abc
 import http.client
+import itertools
 import select
 import socket
 import typing
@@ -19,10 +20,13 @@
 from chiveroad import serving
 from chiveroad.traffic import _call
 from chiveroad.traffic import _pool
+from chiveroad import wire
 
 SMALL_ANSWER_BYTES: typing.Final = 64 * 1024
 STALL_S: typing.Final = 10.0
 MIN_STALL_S: typing.Final = 0.05
+MAX_CROSSED: typing.Final = 3
+"""How many answers to other requests are passed over on one connection."""
 
 _CHUNK_BYTES: typing.Final = 64 * 1024
 _BODILESS: typing.Final = (204, 304)
@@ -30,11 +34,20 @@
     OSError,
     http.client.HTTPException,
     urllib3.exceptions.HTTPError,
+    ValueError,
 )
 
+ReadTerms = collections.abc.Callable[
+    [int, collections.abc.Callable[[str, str], str]], wire.AnswerTerms
+]
+
 
 class Answer:
-    """A peer's answer, its head read and its body still to come."""
+    """A peer's answer, its head read and its body still to come.
+
+    An answer without a length ends with its connection; it is whole unless
+    the connection is reset.
+    """
 
     def __init__(
         self,
@@ -42,6 +55,7 @@
         connection: _pool.Connection,
         response: http.client.HTTPResponse,
         method: str,
+        read_terms: ReadTerms,
     ) -> None:
         self._pool = pool
         self._connection = connection
@@ -49,9 +63,7 @@
         self.status = response.status
         self.headers: list[serving.Header] = list(response.headers.items())
         self.bodiless = method == "HEAD" or response.status in _BODILESS
-        if not self.bodiless and not self._framed():
-            self.close()
-            raise errors.AnswerCut("the answer's end can't be known")
+        self.terms = read_terms(response.status, self.header)
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header."""
@@ -59,7 +71,7 @@
 
     @property
     def length(self) -> int | None:
-        """Return the body's length in bytes, or None where it is chunked."""
+        """Return the body's length in bytes, or None where it isn't told."""
         return None if self._response.chunked else self._response.length
 
     def read(self) -> bytes:
@@ -67,15 +79,9 @@
 
         :raises errors.AnswerCut: when it ends early.
         """
-        try:
-            body = self._response.read()
-        except _FAILURES as exc:
-            self.close()
-            raise errors.AnswerCut(f"the answer was cut: {exc}") from exc
-        self._release()
-        return body
+        return b"".join(self.chunks())
 
-    def chunks(self) -> collections.abc.Iterable[bytes]:
+    def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield the body, and give the connection back after its end.
 
         :raises errors.AnswerCut: when it ends early.
@@ -91,20 +97,32 @@
             raise errors.AnswerCut("the answer is shorter than said")
         self._release()
 
+    def discard(self) -> None:
+        """Drop the body, and keep the connection where that is cheap."""
+        length = self.length
+        if length is None or length > SMALL_ANSWER_BYTES:
+            self.close()
+            return
+        try:
+            self.read()
+        except errors.AnswerCut:
+            self.close()
+
     def close(self) -> None:
         """Close the connection: it can't be used again."""
         self._response.close()
         self._connection.close()
 
-    def _framed(self) -> bool:
-        # A response that ends with its connection can't be told from a cut.
-        return self._response.chunked or self._response.length is not None
-
     def _release(self) -> None:
-        if self._response.will_close:
+        framed = self._response.chunked or self._response.length is not None
+        if self._response.will_close or not (framed or self.bodiless):
             self.close()
             return
         self._response.close()
+        if self.terms.idle_timeout_s:
+            self._connection.idle_limit_s = min(
+                _pool.RETIRE_IDLE_S, self.terms.idle_timeout_s / 2
+            )
         self._pool.give_back(self._connection)
 
 
@@ -113,6 +131,7 @@
     call: _call.Call,
     headers: collections.abc.Iterable[serving.Header],
     caller: socket.socket,
+    read_terms: ReadTerms,
 ) -> Answer:
     """Send a request and wait for the head of the answer.
 
@@ -130,36 +149,53 @@
     except _FAILURES as exc:
         raise errors.UpstreamRefused(f"no connection: {exc}", 200) from exc
     try:
-        _send_or_hear(connection, call, headers)
-        _await_answer(connection, caller, call)
-        response = http.client.HTTPConnection.getresponse(connection)
+        _send(connection, call, headers)
+        return _await_own_answer(pool, connection, call, caller, read_terms)
     except errors.Refusal:
         connection.close()
         raise
     except _FAILURES as exc:
         connection.close()
         raise errors.OutcomeUnknown(f"no answer: {exc!r}") from exc
-    answer = Answer(pool, connection, response, call.method)
-    echoed = answer.header(_call.REQUEST)
-    if echoed and echoed != call.id:
-        answer.close()
-        raise errors.AnswerCrossed(f"the answer is to {echoed}")
-    return answer
+
+
+def _await_own_answer(
+    pool: _pool.Pool,
+    connection: _pool.Connection,
+    call: _call.Call,
+    caller: socket.socket,
+    read_terms: ReadTerms,
+) -> Answer:
+    """Return the answer to this request, past late ones to other requests."""
+    echoed = ""
+    for _ in range(MAX_CROSSED + 1):
+        _await_answer(connection, caller, call)
+        response = connection.read_head(call.method)
+        answer = Answer(pool, connection, response, call.method, read_terms)
+        echoed = answer.terms.request_id
+        if not echoed or echoed == call.id:
+            return answer
+        if answer.length is None and not response.chunked:
+            break
+        response.read()
+    raise errors.AnswerCrossed(f"the answer is to {echoed}")
 
 
 def pass_on(
     answer: Answer,
     request: serving.Request,
     extra: collections.abc.Iterable[serving.Header] = (),
+    hold_bytes: int = SMALL_ANSWER_BYTES,
 ) -> int:
     """Pass an answer on to the caller, whole or visibly cut.
 
+    :param hold_bytes: up to this size nothing is passed on before all has
+        arrived, so that a cut answer can still be replaced.
     :returns: the body's bytes.
     :raises errors.AnswerCut: when the answer ended early; where
         nothing had been passed on yet, the caller still gets a refusal.
     """
     headers = [*_call.end_to_end(answer.headers), *extra]
-    length = answer.length
     if answer.bodiless:
         answer.read()
         stated = answer.header("Content-Length")
@@ -168,15 +204,39 @@
         request.start(answer.status, headers)
         request.finish()
         return 0
-    if length is not None and length <= SMALL_ANSWER_BYTES:
-        body = answer.read()
+    length = answer.length
+    chunks = answer.chunks()
+    if length is not None and length > hold_bytes:
+        return _stream(answer, chunks, request, headers, length)
+    begin = _hold(chunks, hold_bytes)
+    if begin.whole:
+        body = b"".join(begin.chunks)
         request.answer(answer.status, headers, body)
         return len(body)
-    return _stream(answer, request, headers, length)
+    rest = itertools.chain(begin.chunks, chunks)
+    return _stream(answer, rest, request, headers, length)
+
+
+class _Begin(typing.NamedTuple):
+    chunks: list[bytes]
+    whole: bool
+
+
+def _hold(chunks: collections.abc.Iterator[bytes], hold_bytes: int) -> _Begin:
+    """Take chunks until the end, or until they are over a size."""
+    held: list[bytes] = []
+    total = 0
+    for chunk in chunks:
+        held.append(chunk)
+        total += len(chunk)
+        if total > hold_bytes:
+            return _Begin(held, whole=False)
+    return _Begin(held, whole=True)
 
 
 def _stream(
     answer: Answer,
+    chunks: collections.abc.Iterable[bytes],
     request: serving.Request,
     headers: list[serving.Header],
     length: int | None,
@@ -185,7 +245,7 @@
         headers.append(("Content-Length", str(length)))
     request.start(answer.status, headers)
     try:
-        for chunk in answer.chunks():
+        for chunk in chunks:
             request.send(chunk)
     except BaseException:
         answer.close()
@@ -195,83 +255,102 @@
     return request.bytes_sent
 
 
-def _send_or_hear(
-    connection: _pool.Connection,
-    call: _call.Call,
-    headers: collections.abc.Iterable[serving.Header],
-) -> None:
-    """Send a request, unless the peer answers before it has all of it."""
-    try:
-        _send(connection, call, headers)
-    except OSError:
-        if connection.sock is None or not _readable(connection.sock):
-            raise
-
-
-def _readable(sock: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _send(
     connection: _pool.Connection,
     call: _call.Call,
     headers: collections.abc.Iterable[serving.Header],
 ) -> None:
+    """Send a request, unless the peer answers before it has all of it."""
     assert connection.sock is not None, "report this: unopened connection"
     connection.sock.settimeout(max(0.001, call.left_ms() / 1000))
-    connection.hold()
-    connection.putrequest(
-        call.method, call.target, skip_host=True, skip_accept_encoding=True
-    )
-    for name, value in headers:
-        connection.putheader(name, value)
     body = call.body
+    framing: tuple[serving.Header, ...] = ()
+    if body.held is None:
+        framing = (("Transfer-Encoding", "chunked"),)
+        if body.length is not None:
+            framing = (("Content-Length", str(body.length)),)
+    elif body.held or call.method in ("POST", "PUT", "PATCH"):
+        framing = (("Content-Length", str(len(body.held))),)
+    head = _head(call, (*headers, *framing))
     if body.held is not None:
-        if body.held or call.method in ("POST", "PUT", "PATCH"):
-            connection.putheader("Content-Length", str(len(body.held)))
-        connection.endheaders()
-        connection.send(body.held)
-        connection.release()
+        _transmit(connection, head + body.held, call)
         return
-    _send_stream(connection, body)
+    if _transmit(connection, head, call):
+        _send_stream(connection, call)
 
 
-def _send_stream(connection: _pool.Connection, body: _call.Body) -> None:
-    chunked = body.length is None
-    if chunked:
-        connection.putheader("Transfer-Encoding", "chunked")
-    else:
-        connection.putheader("Content-Length", str(body.length))
-    connection.endheaders()
-    connection.release()
+def _head(
+    call: _call.Call, headers: collections.abc.Iterable[serving.Header]
+) -> bytes:
+    # Names and values have been read by our own server, and so are sound.
+    lines = [f"{call.method} {call.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
+def _send_stream(connection: _pool.Connection, call: _call.Call) -> None:
+    chunked = call.body.length is None
     try:
-        for chunk in body.stream():
+        for chunk in call.body.stream():
             if chunked:
                 chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
-            connection.send(chunk)
+            if not _transmit(connection, chunk, call):
+                return
     except serving.BodyCut as exc:
         raise errors.OutcomeUnknown(f"the caller's body ended: {exc}") from exc
     if chunked:
-        connection.send(b"0\r\n\r\n")
+        _transmit(connection, b"0\r\n\r\n", call)
+
+
+def _transmit(
+    connection: _pool.Connection, data: bytes, call: _call.Call
+) -> bool:
+    """Send bytes; False when the peer answers before it has them all.
+
+    The connection then isn't used again: the peer would take the next
+    request's bytes for the rest of this one.
+    """
+    sock = connection.sock
+    assert sock is not None, "report this: unopened connection"
+    view = memoryview(data)
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | select.POLLOUT)
+    while True:
+        try:
+            view = view[sock.send(view, socket.MSG_DONTWAIT) :]
+        except BlockingIOError:
+            pass
+        except OSError:
+            connection.reusable = False
+            if connection.readable():
+                return False
+            raise
+        if not view:
+            return True
+        ready = poll.poll(max(0, call.left_ms()))
+        if not ready:
+            raise errors.AnswerTimeout("the peer doesn't take the request")
+        if ready[0][1] & select.POLLIN:
+            connection.reusable = False
+            return False
 
 
 def _await_answer(
     connection: _pool.Connection, caller: socket.socket, call: _call.Call
 ) -> None:
     """Wait until the peer answers, the caller hangs up, or time is over."""
-    assert connection.sock is not None, "report this: unopened connection"
+    sock = connection.sock
+    assert sock is not None, "report this: unopened connection"
     poll = select.poll()
-    poll.register(connection.sock, select.POLLIN)
+    poll.register(sock, select.POLLIN)
     poll.register(caller, select.POLLIN | select.POLLRDHUP)
     while True:
         left_ms = call.left_ms()
-        ready = dict(poll.poll(max(0, left_ms)))
-        if connection.sock.fileno() in ready:
+        if connection.readable():
             stall_s = max(MIN_STALL_S, min(STALL_S, left_ms / 1000))
-            connection.sock.settimeout(stall_s)
+            sock.settimeout(stall_s)
             return
+        ready = dict(poll.poll(max(0, left_ms)))
         if not ready and call.left_ms() <= 0:
             raise errors.AnswerTimeout("no answer before the deadline")
         if caller.fileno() in ready:
@@ -281,6 +360,12 @@
             poll.modify(caller, select.POLLRDHUP)
 
 
+def _readable(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _hung_up(caller: socket.socket) -> bool:
     # With a timeout set, the socket would wait for data whatever the flags.
     if not _readable(caller):
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -1,7 +1,7 @@
 """The guard: the only way to the upstream beside this daemon.
 
-Filters, in order: is the request for this service, is the daemon draining,
-is there a slot, is the idempotency key free, forward, answer.
+Filters, in order: is the request for this service, does the upstream take
+work, is there a slot, is the idempotency key free, forward, answer.
 """
 
 from __future__ import annotations
@@ -12,11 +12,11 @@
 import time
 import typing
 
-from chiveroad import config
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import metrics
+from chiveroad import presence
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _admission
@@ -24,19 +24,23 @@
 from chiveroad.traffic import _claims
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _pool
+from chiveroad import wire
 
 DRAIN_RETRY_AFTER_MS: typing.Final = 200
 SHED_RETRY_AFTER_MS: typing.Final = 200
+UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
 TIMEOUT_FACTOR: typing.Final = 2.0
 
 _FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
 _NO_LIMITS: typing.Final = _admission.Limits(slots=10_000, queue_length=0)
-_FALLBACK_KIND: typing.Final = config.Kind(1, False, 2_000)
 _log = logs.Logger("guard")
 
 
 class Guard(serving.Handler):
-    """The guard of the upstream beside this daemon."""
+    """The guard of the upstream beside this daemon.
+
+    :param upstream: what is known of the upstream.
+    """
 
     def __init__(
         self,
@@ -44,12 +48,15 @@
         applied: control.Applied,
         claims: _claims.Claims,
         recorder: metrics.Recorder,
+        protocol: wire.Protocol,
+        upstream: presence.LocalUpstream,
     ) -> None:
         self._recorder = recorder
-        self._service = options.service
         self._limited = options.traffic.limits
         self._applied = applied
         self._claims = claims
+        self._protocol = protocol
+        self._upstream = upstream
         self._pool = _pool.Pool(options.upstream.address)
         self._lock = threading.Lock()
         self._admission = _admission.Admission(_FALLBACK_LIMITS)
@@ -79,12 +86,11 @@
             them the load isn't told either.
         :raises errors.Refusal: when nothing was answered.
         """
-        if call.service != self._service:
-            raise errors.WrongGuard(f"this guards {self._service!r}")
-        if self.draining:
-            raise errors.Draining("the upstream leaves", DRAIN_RETRY_AFTER_MS)
+        self._check_upstream(call)
         ticket = self._admit(call)
         try:
+            # It may have begun to leave while the request waited.
+            self._check_upstream(call)
             if call.key and not call.kind.idempotent:
                 self._run_once(request, call, extra)
             else:
@@ -94,6 +100,17 @@
             with self._lock:
                 self._admission.finish(ticket, time.monotonic())
 
+    def _check_upstream(self, call: _call.Call) -> None:
+        known = self._upstream.known
+        if known.phase is presence.Phase.UNKNOWN:
+            raise errors.NoUpstream(
+                "the upstream isn't known yet", UNKNOWN_RETRY_AFTER_MS
+            )
+        if call.service != known.service:
+            raise errors.WrongGuard(f"this guards {known.service!r}")
+        if self.draining or not self._upstream.takes_work(time.monotonic()):
+            raise errors.Draining("the upstream leaves", DRAIN_RETRY_AFTER_MS)
+
     def load(self) -> serving.Header:
         """Return the header that tells an entry the load and the slots."""
         admission = self._admission
@@ -106,16 +123,16 @@
         self._pool.retire()
 
     def _read_call(self, request: serving.Request) -> _call.Call:
-        name = request.header(_call.KIND)
+        name, kind = _call.read_kind(request.header(_call.KIND))
         service = request.header(_call.SERVICE)
         timeout_ms = _call.number(request.header(_call.TIMEOUT_MS), 0)
-        if not name or not service or not timeout_ms:
-            raise errors.BadRequest("a guard takes requests from entries only")
+        if not service or not timeout_ms:
+            raise errors.BadRequest("a guard takes requests of entries")
         return _call.Call(
             id=request.header(_call.REQUEST),
             service=service,
             kind_name=name,
-            kind=self._kind(name),
+            kind=kind,
             team=request.header(_call.TEAM),
             deadline_s=request.received_s + timeout_ms / 1000,
             depth=_call.number(request.header(_call.DEPTH), 0),
@@ -124,20 +141,18 @@
             target=request.target,
             headers=_call.end_to_end(request.headers()),
             body=_call.Body(request),
+            caller_service=request.header(_call.CALLER),
         )
 
-    def _kind(self, name: str) -> config.Kind:
-        service = self._applied.config.services.get(self._service)
-        kinds = service.kinds if service else {}
-        return kinds.get(name, _FALLBACK_KIND)
-
     def _limits(self) -> _admission.Limits:
         if not self._limited:
             return _NO_LIMITS
-        service = self._applied.config.services.get(self._service)
+        known = self._upstream.known
+        service = self._applied.config.services.get(known.service)
         if service is None:
             return _FALLBACK_LIMITS
-        slots = min(service.slots, service.connections)
+        stated = service.slots or known.slots or _FALLBACK_LIMITS.slots
+        slots = min(stated, service.connections)
         return _admission.Limits(slots, service.queue_length)
 
     def _admit(self, call: _call.Call) -> _admission.Ticket:
@@ -179,24 +194,41 @@
     ) -> _exchange.Answer:
         self._recorder.count("chiveroad.guard.requests", "run")
         started_s = time.monotonic()
+        upstream_id = self._upstream.known.upstream_id
         try:
             answer = _exchange.ask(
-                self._pool, call, call.onward_headers(), request.socket
+                self._pool,
+                call,
+                call.upstream_headers(self._protocol, upstream_id),
+                request.socket,
+                self._protocol.read_answer,
             )
         except errors.AnswerTimeout:
             # It takes longer than this; how much longer can't be seen.
             self._learn(call, time.monotonic() - started_s, TIMEOUT_FACTOR)
             raise
-        if answer.header(serving.RAN_HEADER) == "no":
-            answer.close()
-            retry_ms = 1000 * _call.number(answer.header("Retry-After"), 0)
-            raise errors.UpstreamRefused(
-                "the upstream shed the request",
-                retry_ms or SHED_RETRY_AFTER_MS,
-            )
+        self._check_answer(answer, upstream_id)
         self._learn(call, time.monotonic() - started_s)
         return answer
 
+    def _check_answer(
+        self, answer: _exchange.Answer, upstream_id: str
+    ) -> None:
+        terms = answer.terms
+        if terms.ran and terms.genuine:
+            return
+        if not terms.genuine:
+            answer.close()
+            raise errors.AnswerSpoiled("a success without its proof")
+        answer.discard()
+        if terms.misdirected:
+            self._upstream.doubt(upstream_id)
+            raise errors.WrongUpstream("another upstream has the address")
+        raise errors.UpstreamShed(
+            "the upstream shed the request",
+            terms.retry_after_ms or SHED_RETRY_AFTER_MS,
+        )
+
     def _learn(
         self, call: _call.Call, took_s: float, factor: float = 1.0
     ) -> None:
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import http.client
 import select
+import socket
 import threading
 import time
 import typing
@@ -10,7 +12,13 @@
 import urllib3.connection
 import urllib3.util
 
-CONNECT_TIMEOUT_S: typing.Final = 0.5
+from chiveroad import serving
+
+CONNECT_TIMEOUT_S: typing.Final = 0.4
+"""Several round trips between regions; a peer without power never answers."""
+
+UNACKNOWLEDGED_MS: typing.Final = 1_500
+"""After this long without an acknowledgement the kernel gives a peer up."""
 
 RETIRE_IDLE_S: typing.Final = 4.0
 """A sender retires an idle connection long before the receiver does."""
@@ -18,42 +26,88 @@
 MAX_IDLE: typing.Final = 64
 
 
-class Connection(urllib3.connection.HTTPConnection):
-    """A connection that sends a head and a small body in one call."""
+KEEPALIVE_S: typing.Final = 1
+"""The kernel's first probe of a silent peer and the pause between probes."""
 
-    idle_since_s = 0.0
+_SOCKET_OPTIONS: typing.Final[list[tuple[int, int, int | bytes]]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+]
 
-    def __init__(self, host: str, port: int) -> None:
-        super().__init__(host, port, timeout=CONNECT_TIMEOUT_S)
-        self._held: list[bytes] | None = None
 
-    def hold(self) -> None:
-        """Gather what is sent from now on."""
-        self._held = []
+class _KeptReader(serving.Reader):
+    """A reader that outlives the answers read from it.
+
+    Bytes that follow an answer stay in its buffer, where they are seen.
+    """
+
+    def close(self) -> None:
+        """Do nothing: the connection closes its socket."""
 
-    def release(self) -> None:
-        """Send what was gathered."""
-        held, self._held = self._held, None
-        if held:
-            self.send(b"".join(held))
 
-    def putheader(  # type: ignore[override]
-        self, header: str, *values: str
-    ) -> None:
-        """Add a header that has been read by a server, and so is sound.
+class _Readable:
+    """What an answer takes for its socket."""
 
-        The library would check name and value by two patterns each time.
-        """
-        self._output(  # type: ignore[attr-defined]
-            f"{header}: {values[0]}".encode("latin-1")
+    def __init__(self, reader: _KeptReader) -> None:
+        self._reader = reader
+
+    def makefile(self, mode: str) -> _KeptReader:
+        """Return the connection's one reader."""
+        return self._reader
+
+
+class Connection(urllib3.connection.HTTPConnection):
+    """A connection that carries one request after the other.
+
+    ``reusable`` turns False once the connection can't serve another request,
+    and ``idle_limit_s`` is how long it may be idle.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(
+            host,
+            port,
+            timeout=CONNECT_TIMEOUT_S,
+            socket_options=_SOCKET_OPTIONS,
+        )
+        self._reader: _KeptReader | None = None
+        self.idle_since_s = 0.0
+        self.idle_limit_s = RETIRE_IDLE_S
+        self.reusable = True
+
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        assert self.sock is not None, "report this: connected to nothing"
+        self._reader = _KeptReader(self.sock)
+
+    def read_head(self, method: str) -> http.client.HTTPResponse:
+        """Read the head of an answer; its body may be read afterwards."""
+        assert self._reader is not None, "report this: unopened connection"
+        response = http.client.HTTPResponse(
+            _Readable(self._reader),  # type: ignore[arg-type]
+            method=method,
         )
+        response.begin()
+        return response
 
-    def send(self, data: object) -> None:
-        """Send data, or gather it while held."""
-        if self._held is not None and isinstance(data, bytes):
-            self._held.append(data)
-            return
-        super().send(data)  # type: ignore[arg-type]
+    def silent(self) -> bool:
+        """Tell whether nothing has arrived that belongs to no request."""
+        if self.sock is None or self._reader is None:
+            return False
+        if self._reader.has_data():
+            return False
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return not poll.poll(0)
+
+    def readable(self) -> bool:
+        """Tell whether a part of an answer has arrived."""
+        return not self.silent()
 
 
 class Pool:
@@ -89,6 +143,9 @@
 
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose answer was read whole."""
+        if not connection.reusable or not connection.silent():
+            connection.close()
+            return
         connection.idle_since_s = time.monotonic()
         with self._lock:
             if len(self._idle) < MAX_IDLE:
@@ -98,9 +155,9 @@
 
     def retire(self) -> None:
         """Close the connections that have been idle for long."""
-        oldest_s = time.monotonic() - RETIRE_IDLE_S
+        now_s = time.monotonic()
         with self._lock:
-            old = [c for c in self._idle if c.idle_since_s < oldest_s]
+            old = [c for c in self._idle if _too_old(c, now_s)]
             self._idle = [c for c in self._idle if c not in old]
         for connection in old:
             connection.close()
@@ -117,11 +174,9 @@
             return self._idle.pop() if self._idle else None
 
 
+def _too_old(connection: Connection, now_s: float) -> bool:
+    return now_s - connection.idle_since_s > connection.idle_limit_s
+
+
 def _usable(connection: Connection, now_s: float) -> bool:
-    if now_s - connection.idle_since_s > RETIRE_IDLE_S:
-        return False
-    if connection.sock is None:
-        return False
-    poll = select.poll()
-    poll.register(connection.sock, select.POLLIN)
-    return not poll.poll(0)
+    return not _too_old(connection, now_s) and connection.silent()
--- a/src/chiveroad/traffic/_retry.py
+++ b/src/chiveroad/traffic/_retry.py
@@ -3,19 +3,17 @@
 A retry needs a promise that the request did not run, or a request that may
 run twice.  Only the outermost entry of a deep call retries after an unknown
 outcome; every entry may go to another upstream after a refusal that ran
-nothing.  A budget, fed by successes, keeps retries a small share of traffic.
+nothing.  A budget, see ``_budget``, keeps retries a small share of traffic.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import enum
-import threading
 import typing
 
-MAX_TRIES: typing.Final = 3
-BUDGET_SHARE: typing.Final = 0.2
-BUDGET_LIMIT: typing.Final = 20.0
+MAX_TRIES: typing.Final = 5
+"""Refusals by guards cost a round trip each, and no upstream's time."""
 
 
 class Decision(enum.Enum):
@@ -31,16 +29,20 @@
 
     ``ran`` is ``no`` or ``unknown``; ``replayable`` says that the body is
     still there to be sent again; ``answer_begun`` that the caller has
-    already received a part of an answer.
+    already received a part of an answer.  ``sent`` counts the upstreams that
+    have seen the request, ``max_attempts`` is how many may, and ``tries``
+    counts guards that refused it as well.
     """
 
     ran: str
     tries: int
+    sent: int
     idempotent: bool
     outermost: bool
     replayable: bool
     answer_begun: bool
     left_ms: float
+    max_attempts: int
 
 
 def decide(failure: Failure, budget_left: bool) -> Decision:
@@ -49,33 +51,10 @@
         return Decision.GIVE_UP
     if failure.tries >= MAX_TRIES or failure.left_ms <= 0:
         return Decision.GIVE_UP
+    if failure.sent >= failure.max_attempts:
+        return Decision.GIVE_UP
     if failure.ran != "no" and not failure.idempotent:
         return Decision.GIVE_UP
     if failure.ran != "no" and not failure.outermost:
         return Decision.GIVE_UP
     return Decision.RETRY if budget_left else Decision.GIVE_UP
-
-
-class Budget:
-    """A share of successes that may be spent on retries."""
-
-    def __init__(
-        self, share: float = BUDGET_SHARE, limit: float = BUDGET_LIMIT
-    ) -> None:
-        self._share = share
-        self._limit = limit
-        self._tokens = limit
-        self._lock = threading.Lock()
-
-    def earn(self) -> None:
-        """Note a success."""
-        with self._lock:
-            self._tokens = min(self._limit, self._tokens + self._share)
-
-    def spend(self) -> bool:
-        """Take a retry from the budget; False when it is used up."""
-        with self._lock:
-            if self._tokens < 1:
-                return False
-            self._tokens -= 1
-            return True
--- /dev/null
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -0,0 +1,154 @@
+"""The upstreams as one entry sees them: where they are, and what it learnt."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import threading
+import time
+import typing
+
+from chiveroad import control
+from chiveroad import errors
+from chiveroad import membership
+from chiveroad import settings
+from chiveroad.traffic import _balancer
+from chiveroad.traffic import _call
+from chiveroad.traffic import _exchange
+from chiveroad.traffic import _pool
+
+NO_UPSTREAM_RETRY_MS: typing.Final = 1_000
+BLOCK_LIMIT_MS: typing.Final = 1_000
+
+_NOT_ITS_FAULT: typing.Final = (errors.CallerGone, errors.CallerGoneEarly)
+
+_Near = dict[_balancer.Distance, list[membership.Member]]
+_Distances = tuple[tuple[membership.Member, ...], _Near]
+
+
+class Upstreams:
+    """What one entry knows of all upstreams."""
+
+    def __init__(
+        self,
+        options: settings.Settings,
+        applied: control.Applied,
+        view: membership.View,
+    ) -> None:
+        self._options = options
+        self._applied = applied
+        self._view = view
+        self._tracks: dict[str, _balancer.Track] = {}
+        self._pools: dict[str, _pool.Pool] = {}
+        self._lock = threading.Lock()
+        self._rng = random.Random()
+        self._distances: dict[str, _Distances] = {}
+        self._picker = _balancer.picker(options.traffic.balancing)
+
+    def candidates(self, service: str) -> list[_balancer.Candidate]:
+        """Return the upstreams of a service as this entry sees them."""
+        now_s = time.monotonic()
+        return [
+            _balancer.candidate(
+                member.instance, distance, self.track(member), now_s
+            )
+            for distance, members in self._by_distance(service).items()
+            for member in _balancer.to_weigh(members, self._rng)
+        ]
+
+    def pick(
+        self, service: str, tried: collections.abc.Container[str]
+    ) -> tuple[_balancer.Candidate, membership.Member]:
+        """Choose an upstream that hasn't been tried.
+
+        :raises errors.NoUpstream: when there is none.
+        """
+        found = self.candidates(service)
+        left = [entry for entry in found if entry.instance not in tried]
+        chosen = self._picker.pick(left)
+        member = self._view.get(chosen.instance) if chosen else None
+        if chosen is None or member is None:
+            raise errors.NoUpstream(
+                f"no upstream of {service!r} can be asked",
+                NO_UPSTREAM_RETRY_MS,
+            )
+        return chosen, member
+
+    def track(self, member: membership.Member) -> _balancer.Track:
+        """Return what is learnt of one start of an upstream."""
+        name = _track_name(member)
+        track = self._tracks.get(name)
+        if track is None:
+            track = _balancer.Track(since_s=time.monotonic())
+            service = self._applied.config.services.get(member.service)
+            slots = service.slots if service is not None else 0
+            track.slots = slots or member.slots or track.slots
+            self._tracks[name] = track
+        return track
+
+    def count(self, track: _balancer.Track, step: int) -> None:
+        """Count a request in flight, or the end of one."""
+        with self._lock:
+            track.in_flight += step
+
+    def pool(self, address: str) -> _pool.Pool:
+        """Return the kept connections to a guard."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools.setdefault(address, _pool.Pool(address))
+        return pool
+
+    def tick(self) -> None:
+        """Retire idle connections, and forget upstreams that are gone."""
+        members = self._view.all()
+        guards = {member.guard for member in members}
+        for address, pool in list(self._pools.items()):
+            pool.retire()
+            if address not in guards:
+                self._pools.pop(address).close()
+        known = {_track_name(member) for member in members}
+        for name in set(self._tracks) - known:
+            self._tracks.pop(name, None)
+
+    def _by_distance(self, service: str) -> _Near:
+        members = self._view.of_service(service)
+        known = self._distances.get(service)
+        if known is not None and known[0] is members:
+            return known[1]
+        found: _Near = {}
+        for member in members:
+            found.setdefault(self._distance(member), []).append(member)
+        self._distances[service] = (members, found)
+        return found
+
+    def _distance(self, member: membership.Member) -> _balancer.Distance:
+        if member.failure_domain == self._options.failure_domain:
+            return _balancer.Distance.DOMAIN
+        if member.region == self._options.region:
+            return _balancer.Distance.REGION
+        return _balancer.Distance.REMOTE
+
+
+def learn_load(track: _balancer.Track, answer: _exchange.Answer) -> None:
+    """Take in the load that a guard told with an answer."""
+    running, _, slots = answer.header(_call.LOAD).partition(" ")
+    if running.isdigit() and slots.isdigit():
+        track.learn(int(running), int(slots), time.monotonic())
+
+
+def learn_refusal(track: _balancer.Track, refusal: errors.Refusal) -> None:
+    """Take in that a request got no answer of the upstream's own."""
+    now_s = time.monotonic()
+    if isinstance(refusal, _NOT_ITS_FAULT):
+        return
+    if isinstance(refusal, (errors.UpstreamRefused, errors.OutcomeUnknown)):
+        track.failed(now_s)
+    limit_ms = min(refusal.retry_after_ms, BLOCK_LIMIT_MS)
+    track.blocked(now_s, limit_ms / 1000)
+
+
+def _track_name(member: membership.Member) -> str:
+    return (
+        f"{member.instance}@{member.incarnation}"
+        f"/{member.upstream_id}@{member.upstream_started_at_ms}"
+    )
--- /dev/null
+++ b/src/chiveroad/wire/_native.py
@@ -0,0 +1,133 @@
+"""The product's own protocol: ``Chiveroad-`` headers and JSON bodies."""
+
+from __future__ import annotations
+
+import collections.abc
+import http
+import typing
+
+import msgspec
+
+from chiveroad import errors
+from chiveroad import serving
+from chiveroad.wire import _protocol
+
+REQUEST: typing.Final = "Chiveroad-Request"
+TIMEOUT_MS: typing.Final = "Chiveroad-Timeout-Ms"
+DEPTH: typing.Final = "Chiveroad-Depth"
+INSTANCE: typing.Final = "Chiveroad-Upstream"
+CALLER: typing.Final = "Chiveroad-Caller"
+HEARTBEAT_PATH: typing.Final = "/upstream/v1/heartbeat"
+MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
+
+_JSON: typing.Final = ("Content-Type", "application/json")
+
+
+class _HeartbeatBody(msgspec.Struct, frozen=True):
+    """The body of a heartbeat; ``state`` may also be ``gone``."""
+
+    upstream: str
+    service: str
+    address: str
+    state: typing.Literal["ready", "draining", "gone"]
+    sequence: int
+    started_at_ms: int
+    slots: int = 0
+    cold_ms: int = 0
+
+
+class _VersionBody(msgspec.Struct, frozen=True):
+    """A version in the store: its number and its canonical items."""
+
+    number: int
+    items: dict[str, str]
+
+
+_heartbeat_decoder = msgspec.json.Decoder(_HeartbeatBody)
+_version_decoder = msgspec.json.Decoder(_VersionBody)
+
+
+class Native(_protocol.Protocol):
+    """The names that stand in ``docs/UPSTREAM.md``."""
+
+    def read_request(self, request: serving.Request) -> _protocol.RequestTerms:
+        """Return what a caller states about its request."""
+        return _protocol.RequestTerms(
+            request_id="",
+            timeout_ms=number(request.header(TIMEOUT_MS)),
+            depth=number(request.header(DEPTH)),
+        )
+
+    def upstream_headers(
+        self, terms: _protocol.UpstreamTerms
+    ) -> collections.abc.Iterable[serving.Header]:
+        """Return the headers that tell an upstream its terms."""
+        headers = [
+            (REQUEST, terms.request_id),
+            (TIMEOUT_MS, str(terms.left_ms)),
+            (DEPTH, str(terms.depth)),
+        ]
+        if terms.upstream_id:
+            headers.append((INSTANCE, terms.upstream_id))
+        if terms.caller_service:
+            headers.append((CALLER, terms.caller_service))
+        return headers
+
+    def replaced(self, name: str) -> bool:
+        """Tell whether a caller's header is replaced: all our own are."""
+        return name.startswith("chiveroad-")
+
+    def read_answer(
+        self,
+        status: int,
+        header: collections.abc.Callable[[str, str], str],
+    ) -> _protocol.AnswerTerms:
+        """Return what an upstream states with an answer."""
+        return _protocol.AnswerTerms(
+            request_id=header(REQUEST, ""),
+            ran=header(serving.RAN_HEADER, "") != "no",
+            misdirected=status == http.HTTPStatus.MISDIRECTED_REQUEST,
+            retry_after_ms=1000 * number(header("Retry-After", "")),
+        )
+
+    def read_heartbeat(
+        self, request: serving.Request
+    ) -> _protocol.Heartbeat | _protocol.Leave:
+        """Read an upstream's heartbeat."""
+        if request.method != "POST" or request.path != HEARTBEAT_PATH:
+            raise errors.NoRoute(f"no page {request.path}")
+        try:
+            body = _heartbeat_decoder.decode(
+                request.read_body(MAX_HEARTBEAT_BYTES)
+            )
+        except msgspec.DecodeError as exc:
+            raise errors.BadRequest(f"unreadable heartbeat: {exc}") from exc
+        if body.state == "gone":
+            return _protocol.Leave(body.upstream)
+        return _protocol.Heartbeat(
+            body.upstream,
+            body.service,
+            body.address,
+            _protocol.UpstreamState(body.state),
+            body.sequence,
+            body.started_at_ms,
+            body.slots,
+            body.cold_ms,
+        )
+
+    def heartbeat_answer(self) -> tuple[serving.Header, bytes]:
+        """Return the content type and body that acknowledge a heartbeat."""
+        return _JSON, b"{}"
+
+    def read_version(self, spec: msgspec.Raw) -> _protocol.AcceptedVersion:
+        """Read a version that was accepted outside of chiveroad."""
+        try:
+            body = _version_decoder.decode(spec)
+        except msgspec.DecodeError as exc:
+            raise errors.BadMessage(f"unreadable version: {exc}") from exc
+        return _protocol.AcceptedVersion(body.number, body.items)
+
+
+def number(text: str) -> int:
+    """Return a header's number, or 0 where it holds none."""
+    return int(text) if text.isascii() and text.isdigit() else 0
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -117,9 +117,7 @@
         self.deployment = deployment
         self._options = options
         self._cold_s = cold_s
-        self._folder = tempfile.TemporaryDirectory(
-            prefix="chiveroad-", dir=_memory_folder()
-        )
+        self._folder = tempfile.TemporaryDirectory(prefix="chiveroad-")
         self.path = pathlib.Path(self._folder.name)
         self._ports = Ports()
         self.store_address = self._ports.take()
@@ -467,7 +465,3 @@
     except OSError:
         return False
     return True
-
-
-def _memory_folder() -> str | None:
-    return "/dev/shm" if os.path.isdir("/dev/shm") else None
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -94,7 +94,7 @@
         (b"X-A: 1\n", 400),
         (b"X-A: 1\rTransfer-Encoding: chunked\r\n", 400),
         (b"X-A: 1\x00\r\n", 400),
-        (b"X-Long: " + b"a" * 40_000 + b"\r\n", 413),
+        (b"X-Long: " + b"a" * 40_000 + b"\r\n", 431),
     ],
 )
 def test_ambiguous_framing_is_refused_with_a_code(
@@ -104,7 +104,8 @@
     received = exchange(echo[0], sent)
     assert received.startswith(b"HTTP/1.1 %d " % status)
     assert received.count(b"HTTP/1.1") == 1
-    assert b"Chiveroad-Code: 400" in received
+    code = b"4013" if status == 431 else b"4008"
+    assert b"Chiveroad-Code: " + code in received
     assert b"Chiveroad-Ran: no" in received
 
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -15,6 +15,7 @@
 from chiveroad import store
 from chiveroad.traffic import _admission
 from chiveroad.traffic import _balancer
+from chiveroad.traffic import _budget
 from chiveroad.traffic import _claims
 from chiveroad.traffic import _entry
 from chiveroad.traffic import _retry
@@ -267,11 +268,13 @@
 FAILURE: typing.Final = _retry.Failure(
     ran="no",
     tries=1,
+    sent=1,
     idempotent=False,
     outermost=True,
     replayable=True,
     answer_begun=False,
     left_ms=100.0,
+    max_attempts=2,
 )
 RETRY: typing.Final = _retry.Decision.RETRY
 GIVE_UP: typing.Final = _retry.Decision.GIVE_UP
@@ -291,6 +294,8 @@
         ),
         ({"outermost": False}, True, RETRY),
         ({"tries": _retry.MAX_TRIES}, True, GIVE_UP),
+        ({"sent": 0, "tries": 3}, True, RETRY),
+        ({"sent": 2}, True, GIVE_UP),
         ({"replayable": False}, True, GIVE_UP),
         ({"answer_begun": True}, True, GIVE_UP),
         ({"left_ms": 0.0}, True, GIVE_UP),
@@ -303,14 +308,52 @@
     assert _retry.decide(failure, budget) is decision
 
 
-def test_the_budget_is_a_share_of_successes() -> None:
-    budget = _retry.Budget(share=0.1, limit=1.0)
-    assert budget.spend()
-    assert not budget.spend()
-    for _ in range(11):
-        budget.earn()
-    assert budget.spend()
-    assert not budget.spend()
+def test_the_budget_is_a_share_of_requests_and_a_part_of_the_slack() -> None:
+    clock = fakes.Clock()
+    terms = _budget.Terms(ratio=0.2, window_s=10.0, slack=32.0)
+    budget = _budget.Budget(terms, lambda: 16, clock)
+    assert budget.spend("glade")
+    assert not budget.spend("glade")
+    for _ in range(10):
+        budget.count("glade")
+    assert budget.spend("glade")
+    assert not budget.spend("glade")
+    assert budget.spend("hollow")
+    clock.now_s += 12.0
+    assert budget.spend("glade")
+    assert not budget.spend("glade")
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.booleans(), st.floats(0, 2)),
+        max_size=300,
+    )
+)
+def test_daemons_together_stay_within_the_whole_budget(
+    events: list[tuple[int, bool, float]],
+) -> None:
+    """Whatever each takes and spends, no window is over the budget.
+
+    The requests that count are the more of two windows, as a window that
+    slides may begin at any moment.
+    """
+    clock = fakes.Clock()
+    terms = _budget.Terms(ratio=0.2, window_s=10.0, slack=20.0)
+    budgets = [_budget.Budget(terms, lambda: 4, clock) for _ in range(4)]
+    requests: list[float] = []
+    retries: list[float] = []
+    for daemon, is_request, pause_s in events:
+        clock.now_s += pause_s
+        now_s = clock.now_s
+        if is_request:
+            budgets[daemon].count("glade")
+            requests.append(now_s)
+        elif budgets[daemon].spend("glade"):
+            retries.append(now_s)
+        spent = sum(at_s > now_s - 10.0 for at_s in retries)
+        seen = sum(at_s > now_s - 20.0 for at_s in requests)
+        assert spent <= 0.2 * seen + 20.0
 
 
 NO: typing.Final = errors.Overloaded("full", 50)
