--- a/src/chiveroad/__main__.py
+++ b/src/chiveroad/__main__.py
@@ -14,7 +14,11 @@
     if _is_plain_daemon(arguments):
         from chiveroad import daemon
 
-        sys.exit(daemon.run_file(daemon.settings_path(*arguments[1:])))
+        code = daemon.run_file(daemon.settings_path(*arguments[1:]))
+        sys.stdout.flush()
+        sys.stderr.flush()
+        # Threads that still wait for a peer have nothing left to do.
+        os._exit(code)
     from chiveroad import cli
 
     cli.main()
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -35,6 +35,9 @@
 PROBE_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.3
 GUARD_TICK_S: typing.Final = 0.05
+GUARD_GRACE_S: typing.Final = 0.5
+"""What other daemons need to hear that this one stops."""
+
 ENTRY_TICK_S: typing.Final = 1.0
 CLAIM_TIMEOUT_S: typing.Final = 1.0
 SETTLE_S: typing.Final = 2.0
@@ -46,10 +49,20 @@
 
 
 class Daemon:
-    """A daemon made from its settings; ``run`` returns after a stop."""
+    """A daemon made from its settings; ``run`` returns after a stop.
+
+    :param path: the settings file, to be read again when it changes.
+    """
 
-    def __init__(self, options: settings.Settings) -> None:
+    def __init__(
+        self,
+        options: settings.Settings,
+        path: pathlib.Path | None = None,
+    ) -> None:
         self._options = options
+        self._path = path
+        self._written_ns = path.stat().st_mtime_ns if path else 0
+        self._hup = threading.Event()
         accepted = options.control.source == "accepted"
         self._protocol = _protocol(options)
         self._platform = _store(options, options.platform.timeout_ms / 1000)
@@ -148,6 +161,7 @@
         self._open_servers()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._hup.set())
         self._plane.start()
         push = self._options.metrics
         if push.push_address:
@@ -185,6 +199,7 @@
             if time.monotonic() >= entry_due_s:
                 entry_due_s = time.monotonic() + ENTRY_TICK_S
                 self._entry.tick()
+                self._reload_if_changed()
 
     def _gauges(self) -> dict[str, float]:
         load, _, _ = self._guard.load()[1].partition(" ")
@@ -226,21 +241,25 @@
     def _drain(self) -> None:
         """Stop without cutting a request.
 
-        From the first step on the guard takes no new work; the entry serves
-        on until its callers have left by themselves.
+        The guard soon takes no new work; the entry serves on until its
+        callers have left by themselves.
         """
         traffic_options = self._options.traffic
         end_s = time.monotonic() + traffic_options.drain_limit_ms / 1000
         leave_after_s = traffic_options.leave_after_ms / 1000
         _log.info("Draining.")
-        self._guard.draining = True
         self._plane.announce(membership.State.DRAINING)
+        # Others hear of it before they are refused.
+        threading.Timer(GUARD_GRACE_S, self._close_guard).start()
         self._plane.give_back()
-        for server in reversed(self._servers[1:]):
-            left_s = max(0.0, end_s - time.monotonic())
-            cut = server.drain(left_s, leave_after_s)
-            if cut:
-                _log.error("The limit cuts {} requests.", cut)
+        _, guard_server, entry_server = self._servers
+        cut = entry_server.drain(
+            max(0.0, end_s - time.monotonic()), leave_after_s
+        )
+        self._close_guard()
+        cut += guard_server.wait_idle(max(0.0, end_s - time.monotonic()))
+        if cut:
+            _log.error("The limit cuts {} requests.", cut)
         self._claims.settle(SETTLE_S)
         self._plane.announce(membership.State.GONE)
         self._plane.stopped = True
@@ -249,13 +268,40 @@
         for server in (*self._border_servers, *reversed(self._servers)):
             server.stop()
 
+    def _close_guard(self) -> None:
+        self._guard.draining = True
+
+    def _reload_if_changed(self) -> None:
+        """Take in a changed settings file, whole or not at all."""
+        if self._path is None:
+            return
+        try:
+            written_ns = self._path.stat().st_mtime_ns
+            if written_ns == self._written_ns and not self._hup.is_set():
+                return
+            self._written_ns = written_ns
+            self._hup.clear()
+            options = settings.load(self._path)
+        except (OSError, errors.SettingsError) as exc:
+            _log.error("The changed settings aren't used: {}.", exc)
+            return
+        if options == self._options:
+            _log.info("The settings are the same.")
+            return
+        for name in settings.restart_needed(self._options, options):
+            _log.warning("The setting {} needs a restart.", name)
+        self._options = options
+        self._entry.reload(options)
+        _log.info("The changed settings are in use.")
+
 
 def run_file(path: pathlib.Path) -> int:
     """Run a daemon from its settings file, and return the exit code."""
     try:
         options = settings.load(path)
         logs.set_up(options.log.level, options.log.format)
-        Daemon(options).run()
+        Daemon(options, path).run()
+        logs.flush()
     except errors.ChiveroadError as exc:
         print(f"chiveroad: {exc} ({exc.hint})", file=sys.stderr)
         return exc.exit_code
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -37,6 +37,7 @@
         self.received_s = time.monotonic()
         self.bytes_sent = 0
         self.begun = False
+        self.finished = False
 
     @property
     def socket(self) -> socket.socket:
@@ -145,6 +146,7 @@
     def finish(self) -> None:
         """Send what is held back; the answer is whole."""
         self._raw.conn.wfile.release()
+        self.finished = True
 
     def abort(self) -> None:
         """Cut the answer, so that the caller can't take it as whole."""
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -74,6 +74,7 @@
     request_queue_size = _BACKLOG
     timeout = IDLE_TIMEOUT_S
     keep_alive_conn_limit = _KEPT_CONNECTIONS
+    shutdown_timeout = 1
     max_request_header_size = _http.MAX_HEAD_BYTES
     _connections: typing.Any
 
@@ -159,7 +160,8 @@
 
         Every answer says ``Connection: close`` from now on, and after a
         grace nobody new is let in.  A kept connection that isn't used again
-        ends at its idle timeout, as its caller was told.
+        ends at its idle timeout, as its caller was told, or at the end of
+        the grace where the limit comes before that.
 
         :param grace_s: for how long new callers are still let in.
         :returns: how many requests are still in hand at the limit.
@@ -168,10 +170,20 @@
         end_s = time.monotonic() + limit_s
         time.sleep(min(grace_s, limit_s))
         self._stop_listening()
+        if self.timeout > limit_s:
+            # The thread that owns idle connections expires them all.
+            self.timeout = 0
         while time.monotonic() < end_s and self._connected:
             time.sleep(0.02)
         return self._busy
 
+    def wait_idle(self, limit_s: float) -> int:
+        """Wait until no request is in hand; return how many are at the end."""
+        end_s = time.monotonic() + limit_s
+        while time.monotonic() < end_s and self._busy:
+            time.sleep(0.02)
+        return self._busy
+
     def _stop_listening(self) -> None:
         """Close the listening socket after taking in all who wait there.
 
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -150,6 +150,18 @@
     metrics: Metrics = Metrics()
 
 
+_LIVE: typing.Final = frozenset({"service", "retries"})
+
+
+def restart_needed(old: Settings, new: Settings) -> list[str]:
+    """Return the names of changed settings that only a restart takes in."""
+    return [
+        name
+        for name in Settings.__struct_fields__
+        if name not in _LIVE and getattr(old, name) != getattr(new, name)
+    ]
+
+
 def load(path: pathlib.Path) -> Settings:
     """Read and validate a settings file.
 
--- a/src/chiveroad/traffic/_budget.py
+++ b/src/chiveroad/traffic/_budget.py
@@ -75,6 +75,14 @@
         self._requests: dict[str, _Window] = {}
         self._retries: dict[str, _Window] = {}
 
+    def change(self, terms: Terms) -> None:
+        """Go by other terms; what was counted by another window is dropped."""
+        with self._lock:
+            if terms.window_s != self._terms.window_s:
+                self._requests.clear()
+                self._retries.clear()
+            self._terms = terms
+
     def count(self, service: str) -> None:
         """Note a request for a service."""
         with self._lock:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -64,12 +64,11 @@
         self._guard = guard
         self._protocol = protocol
         self._upstreams = _upstreams.Upstreams(options, applied, view)
-        retries = options.retries
         self._budget = _budget.Budget(
-            _budget.Terms(retries.ratio, retries.window_s, retries.slack),
-            lambda: len(view.all()),
+            _terms(options.retries), lambda: len(view.all())
         )
         self._splitter = _split.Splitter()
+        self._sampler = logs.Sampler()
         self._ids = itertools.count(1)
         self._id_prefix = f"{options.instance}-{uuid.uuid4().hex[:8]}"
 
@@ -86,6 +85,13 @@
             self._recorder.count("chiveroad.entry.requests", outcome)
             took_s = time.monotonic() - request.received_s
             self._recorder.took("entry", took_s)
+            if request.begun and not request.finished:
+                _log.warning("An answer of {} was cut.", request.target)
+
+    def reload(self, options: settings.Settings) -> None:
+        """Take in changed settings."""
+        self._options = options
+        self._budget.change(_terms(options.retries))
 
     def candidates(self, service: str) -> list[_balancer.Candidate]:
         """Return the upstreams of a service as this entry sees them."""
@@ -103,7 +109,8 @@
         worst: errors.Refusal | None = None
         while True:
             try:
-                self._try_once(request, call, route, tried)
+                self._try_once(request, call, tried)
+                self._log_served(call, route, tried)
                 return
             except errors.Refusal as refusal:
                 worst = _worse(worst, refusal)
@@ -120,8 +127,45 @@
                     max_attempts=call.kind.max_attempts,
                 )
                 if not self._try_again(call, failure, refusal):
-                    _log.info("Request {} is given up: {}.", call.id, worst)
+                    _log.warning(
+                        "Request {} is given up: {}.",
+                        call.id,
+                        worst,
+                        extra=self._told(call, route, tried),
+                    )
                     raise worst from refusal
+                _log.info(
+                    "Request {} is tried again: {}.",
+                    call.id,
+                    refusal,
+                    extra=self._told(call, route, tried),
+                )
+
+    def _log_served(
+        self, call: _call.Call, route: config.Route, tried: list[str]
+    ) -> None:
+        if not self._sampler.passes():
+            return
+        _log.info(
+            "Request {} is served by {}.",
+            call.id,
+            tried[-1],
+            extra=self._told(call, route, tried),
+        )
+
+    def _told(
+        self, call: _call.Call, route: config.Route, tried: list[str]
+    ) -> dict[str, object]:
+        """Return what a line on a request tells besides its message."""
+        return {
+            "request": call.id,
+            "route": route.name,
+            "service": call.service,
+            "version": self._applied.current.number,
+            "tried": tried,
+            "left_ms": int(call.left_ms()),
+            "unlogged": self._sampler.left_out,
+        }
 
     def _read_call(
         self, request: serving.Request
@@ -162,7 +206,6 @@
         self,
         request: serving.Request,
         call: _call.Call,
-        route: config.Route,
         tried: list[str],
     ) -> None:
         if call.left_ms() <= 0:
@@ -173,15 +216,6 @@
             self._recorder.count("chiveroad.entry.retries")
         distance = chosen.distance.name.lower()
         self._recorder.count("chiveroad.entry.picks", distance)
-        _log.info(
-            "Request {} by route {} goes to {}, try {}, load {:.2f}, {}.",
-            call.id,
-            route.name,
-            chosen.instance,
-            len(tried),
-            chosen.load,
-            chosen.distance.name,
-        )
         track = self._upstreams.track(member)
         self._upstreams.count(track, 1)
         try:
@@ -231,6 +265,10 @@
         return not refusal.reached or self._budget.spend(call.service)
 
 
+def _terms(retries: settings.Retries) -> _budget.Terms:
+    return _budget.Terms(retries.ratio, retries.window_s, retries.slack)
+
+
 def _host(request: serving.Request) -> str:
     """Return the host that a request names, without its port."""
     host = request.header("Host").lower()
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -60,6 +60,7 @@
         self._pool = _pool.Pool(options.upstream.address)
         self._lock = threading.Lock()
         self._admission = _admission.Admission(_FALLBACK_LIMITS)
+        self._sampler = logs.Sampler()
         self.draining = False
 
     def handle(self, request: serving.Request) -> None:
@@ -167,18 +168,32 @@
             self._wait(ticket)
         if ticket.refusal is not None:
             reason = ticket.refusal.reason
-            _log.info("Request {} refused: {}.", call.id, reason)
+            _log.warning(
+                "Request {} is refused: {}.",
+                call.id,
+                reason,
+                extra=self._told(call),
+            )
             self._recorder.count("chiveroad.guard.requests", "refused")
             raise errors.Overloaded(reason, ticket.refusal.retry_after_ms)
-        _log.info(
-            "Request {} admitted as {}, load {} of {}.",
-            call.id,
-            call.kind_name,
-            self._admission.load,
-            self._admission.limits.slots,
-        )
+        if self._sampler.passes():
+            _log.info(
+                "Request {} is admitted.", call.id, extra=self._told(call)
+            )
         return ticket
 
+    def _told(self, call: _call.Call) -> dict[str, object]:
+        """Return what a line on a request tells besides its message."""
+        return {
+            "request": call.id,
+            "kind": call.kind_name,
+            "upstream": self._upstream.known.upstream_id,
+            "running": self._admission.running,
+            "waiting": len(self._admission.waiting),
+            "slots": self._admission.limits.slots,
+            "left_ms": int(call.left_ms()),
+        }
+
     def _wait(self, ticket: _admission.Ticket) -> None:
         ticket.decided.wait(max(0.0, ticket.deadline_s - time.monotonic()))
         with self._lock:
