--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -45,6 +45,11 @@
         found: socket.socket = self._raw.conn.socket
         return found
 
+    @property
+    def peer_host(self) -> str:
+        """Return the caller's IP address."""
+        return str(self._raw.conn.remote_addr or "")
+
     @property
     def content_length(self) -> int | None:
         """Return the body's length in bytes, or None where it is chunked."""
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -96,8 +96,9 @@
 class Traffic(_Table, frozen=True):
     """The entry and the guard.
 
-    ``balancing`` is ``two-choices``, or ``round-robin`` or ``least-reported``
-    for the baselines.  ``limits`` switches the guard's slots and queue off,
+    ``balancing`` is ``least-wait``, or a baseline: ``two-choices``,
+    ``round-robin`` or ``least-reported``.  ``admission`` is ``objective``, or
+    ``weight`` for the baseline.  ``limits`` switches the guard's slots and queue off,
     for a baseline only.  ``threads`` is how many requests each of the two
     may have in hand.  ``idle_timeout_ms`` is how long a caller's connection
     may be idle.  ``drain_limit_ms`` bounds a planned stop, and for
@@ -105,8 +106,9 @@
     """
 
     balancing: typing.Literal[
-        "two-choices", "round-robin", "least-reported"
-    ] = "two-choices"
+        "least-wait", "two-choices", "round-robin", "least-reported"
+    ] = "least-wait"
+    admission: typing.Literal["weight", "objective"] = "objective"
     limits: bool = True
     threads: typing.Annotated[int, msgspec.Meta(ge=4, le=512)] = 48
     idle_timeout_ms: Milliseconds = 10_000
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -1,14 +1,13 @@
 """The guard's limits: slots, a short queue, and who is refused.
 
 The guard sees every request to its upstream, so its count of slots is
-exact.  What can't run at once waits in a short queue, the weightiest kind
-first, then the team with the least running, then the earliest deadline.  A
-request that couldn't finish before its deadline is refused at once, and a
-full queue sheds its least weighty entry.
+exact.  What can't run at once waits in a short queue; who is next, who is
+refused at once and who is given up while it waits is a ``Policy``.
 """
 
 from __future__ import annotations
 
+import abc
 import dataclasses
 import threading
 import typing
@@ -16,6 +15,7 @@
 DEFAULT_SERVICE_MS: typing.Final = 20.0
 MIN_RETRY_MS: typing.Final = 50
 SMOOTHING: typing.Final = 0.2
+NEVER_S: typing.Final = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,13 +28,19 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Ticket:
-    """One request at the guard; ``deadline_s`` is monotonic seconds."""
+    """One request at the guard; times are monotonic seconds.
+
+    ``objective_s`` is when its answer begins to count as late, and ``inner``
+    says that a running request of another upstream waits for it.
+    """
 
     team: str
     kind: str
     weight: int
     deadline_s: float
     arrived_s: float
+    objective_s: float = NEVER_S
+    inner: bool = False
     decided: threading.Event = dataclasses.field(
         default_factory=threading.Event
     )
@@ -50,20 +56,47 @@
     retry_after_ms: int
 
 
+class Policy(abc.ABC):
+    """Who runs next, and who is refused."""
+
+    @abc.abstractmethod
+    def rank(
+        self, state: Admission, ticket: Ticket, now_s: float
+    ) -> tuple[float, ...]:
+        """Return a ticket's place in the queue, the least first."""
+
+    @abc.abstractmethod
+    def refusal(self, state: Admission, ticket: Ticket, now_s: float) -> str:
+        """Return why a ticket that can't run at once is refused, or ''.
+
+        The policy may drop another ticket to make room.
+        """
+
+    @abc.abstractmethod
+    def given_up(self, state: Admission, ticket: Ticket, now_s: float) -> str:
+        """Return why a waiting ticket is refused after all, or ''."""
+
+
 class Admission:
     """The state of one guard.
 
     ``offer`` decides on a ticket with the clock it is given; a ticket that
     is neither admitted nor refused waits.  ``finish`` frees a slot.  The
     class has no clock and no thread of its own; the caller holds a lock.
+
+    :param policy: weight first, where none is given.
     """
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: Limits, policy: Policy | None = None) -> None:
         self.limits = limits
         self.waiting: list[Ticket] = []
         self.running_by_team: dict[str, int] = {}
         self.running = 0
+        self.queued_since_s = NEVER_S
+        self._policy = policy or WeightFirst()
         self._service_ms: dict[str, float] = {}
+        self._mean_ms = DEFAULT_SERVICE_MS
+        self._learnt = False
 
     @property
     def load(self) -> int:
@@ -73,16 +106,17 @@
     def offer(self, ticket: Ticket, now_s: float) -> None:
         """Admit, queue or refuse a request."""
         free = self.running < self.limits.slots and not self.waiting
-        if free and (self._fits(ticket, now_s) or not self.running):
+        if free and (self.fits(ticket, now_s) or not self.running):
             # One at a time may try an upstream that has become too slow;
             # only so can it be seen to have become fast again.
             self._admit(ticket)
             return
-        refusal = self._refusal(ticket, now_s)
-        if refusal is not None:
-            self._refuse(ticket, refusal)
+        reason = self._policy.refusal(self, ticket, now_s)
+        if reason:
+            self.refuse(ticket, reason)
             return
         self.waiting.append(ticket)
+        self.queued_since_s = min(self.queued_since_s, now_s)
         self.advance(now_s)
 
     def finish(self, ticket: Ticket, now_s: float) -> None:
@@ -98,12 +132,18 @@
     def advance(self, now_s: float) -> None:
         """Refuse what is too late and admit what there are slots for."""
         for ticket in list(self.waiting):
-            if not self._fits(ticket, now_s):
-                self._drop(ticket, "no time left to run it", now_s)
+            reason = self._policy.given_up(self, ticket, now_s)
+            if reason:
+                self.drop(ticket, reason)
         while self.waiting and self.running < self.limits.slots:
-            chosen = min(self.waiting, key=self._rank)
+            chosen = min(
+                self.waiting,
+                key=lambda ticket: self._policy.rank(self, ticket, now_s),
+            )
             self.waiting.remove(chosen)
             self._admit(chosen)
+        if not self.waiting:
+            self.queued_since_s = NEVER_S
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Take back a waiting ticket; False when it was decided already."""
@@ -116,6 +156,9 @@
         """Learn how long a request of a kind takes."""
         known = self._service_ms.get(kind, took_ms)
         self._service_ms[kind] = known + SMOOTHING * (took_ms - known)
+        known = self._mean_ms if self._learnt else took_ms
+        self._learnt = True
+        self._mean_ms = known + SMOOTHING / 2 * (took_ms - known)
 
     def service_ms(self, kind: str) -> float:
         """Return how long a request of a kind takes, as far as known."""
@@ -123,44 +166,31 @@
 
     def wait_ms(self, ahead: int) -> float:
         """Return how long a request waits behind ``ahead`` others."""
-        times = list(self._service_ms.values()) or [DEFAULT_SERVICE_MS]
-        typical_ms = sum(times) / len(times)
-        return (ahead + 1) * typical_ms / self.limits.slots
+        return (ahead + 1) * self._mean_ms / max(1, self.limits.slots)
 
-    def _fits(self, ticket: Ticket, now_s: float) -> bool:
+    def fits(self, ticket: Ticket, now_s: float) -> bool:
+        """Tell whether a ticket that ran now would end in time."""
         needed_s = self.service_ms(ticket.kind) / 1000
         return now_s + needed_s <= ticket.deadline_s
 
-    def _refusal(self, ticket: Ticket, now_s: float) -> Refused | None:
-        ahead = sum(1 for t in self.waiting if t.weight >= ticket.weight)
-        if self.running < self.limits.slots:
-            ahead = 0
-        need_ms = self.wait_ms(ahead) + self.service_ms(ticket.kind)
-        if now_s + need_ms / 1000 > ticket.deadline_s:
-            return self._refused("can't be finished in time")
-        if self._over_share(ticket):
-            return self._refused("the team's share of the queue is used")
-        if len(self.waiting) < self.limits.queue_length:
-            return None
-        least = min(self.waiting, key=_shed_rank, default=None)
-        if least is None or least.weight >= ticket.weight:
-            return self._refused("the queue is full")
-        self._drop(least, "shed for a weightier request", now_s)
-        return None
-
-    def _over_share(self, ticket: Ticket) -> bool:
-        queued: dict[str, int] = {}
-        for entry in self.waiting:
-            queued[entry.team] = queued.get(entry.team, 0) + 1
-        teams = {*queued, *self.running_by_team, ticket.team}
-        if len(teams) == 1:
-            return False
-        share = max(1, self.limits.queue_length // len(teams))
-        return queued.get(ticket.team, 0) >= share
+    def ahead(self, ticket: Ticket, now_s: float) -> int:
+        """Return how many of those waiting go before a ticket."""
+        mine = self._policy.rank(self, ticket, now_s)
+        return sum(
+            self._policy.rank(self, other, now_s) <= mine
+            for other in self.waiting
+        )
 
-    def _refused(self, reason: str) -> Refused:
+    def refuse(self, ticket: Ticket, reason: str) -> None:
+        """Refuse a ticket, and tell when there will be room."""
         retry_ms = int(self.wait_ms(len(self.waiting)))
-        return Refused(reason, max(MIN_RETRY_MS, retry_ms))
+        ticket.refusal = Refused(reason, max(MIN_RETRY_MS, retry_ms))
+        ticket.decided.set()
+
+    def drop(self, ticket: Ticket, reason: str) -> None:
+        """Refuse a ticket that waits."""
+        self.waiting.remove(ticket)
+        self.refuse(ticket, reason)
 
     def _admit(self, ticket: Ticket) -> None:
         ticket.admitted = True
@@ -169,18 +199,56 @@
         self.running_by_team[ticket.team] = count + 1
         ticket.decided.set()
 
-    def _refuse(self, ticket: Ticket, refusal: Refused) -> None:
-        ticket.refusal = refusal
-        ticket.decided.set()
 
-    def _drop(self, ticket: Ticket, reason: str, now_s: float) -> None:
-        self.waiting.remove(ticket)
-        self._refuse(ticket, self._refused(reason))
+def over_share(state: Admission, ticket: Ticket) -> bool:
+    """Tell whether a team holds its part of the queue already."""
+    queued: dict[str, int] = {}
+    for entry in state.waiting:
+        queued[entry.team] = queued.get(entry.team, 0) + 1
+    teams = {*queued, *state.running_by_team, ticket.team}
+    if len(teams) == 1:
+        return False
+    share = max(1, state.limits.queue_length // len(teams))
+    return queued.get(ticket.team, 0) >= share
+
+
+class WeightFirst(Policy):
+    """The weightiest kind first, then the team with the least running.
 
-    def _rank(self, ticket: Ticket) -> tuple[int, int, float]:
-        running = self.running_by_team.get(ticket.team, 0)
+    A full queue sheds its least weighty entry.
+    """
+
+    def rank(
+        self, state: Admission, ticket: Ticket, now_s: float
+    ) -> tuple[float, ...]:
+        """Return a ticket's place in the queue."""
+        running = state.running_by_team.get(ticket.team, 0)
         return (-ticket.weight, running, ticket.deadline_s)
 
+    def refusal(self, state: Admission, ticket: Ticket, now_s: float) -> str:
+        """Return why a ticket is refused, or ''."""
+        ahead = sum(1 for t in state.waiting if t.weight >= ticket.weight)
+        if state.running < state.limits.slots:
+            ahead = 0
+        need_ms = state.wait_ms(ahead) + state.service_ms(ticket.kind)
+        if now_s + need_ms / 1000 > ticket.deadline_s:
+            return "can't be finished in time"
+        if over_share(state, ticket):
+            return "the team's share of the queue is used"
+        if len(state.waiting) < state.limits.queue_length:
+            return ""
+        least = min(state.waiting, key=_shed_rank, default=None)
+        if least is None or least.weight >= ticket.weight:
+            return "the queue is full"
+        state.drop(least, "shed for a weightier request")
+        return ""
+
+    def given_up(self, state: Admission, ticket: Ticket, now_s: float) -> str:
+        """Return why a waiting ticket is refused after all, or ''."""
+        if state.fits(ticket, now_s):
+            return ""
+        return "no time left to run it"
+
 
 def _shed_rank(ticket: Ticket) -> tuple[int, float]:
     return (ticket.weight, -ticket.arrived_s)
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -1,10 +1,9 @@
 """Choosing an upstream for a request.
 
 The load of an upstream is what its guard said in its last answer, fading
-towards what this entry itself has in flight there.  Of the candidates in
-reach two are drawn at random and the less loaded is taken (power of two
-choices).  Reach widens from the own failure domain to the region and then
-over the paid link only when the nearer candidates are loaded.
+towards what this entry itself has in flight there.  Taken is whoever is
+expected to answer first, by its load and the speed that its guard has learnt;
+going to another failure domain or region must save more than it costs.
 """
 
 from __future__ import annotations
@@ -26,7 +25,13 @@
 EJECT_S: typing.Final = 5.0
 MAX_EJECTED_SHARE: typing.Final = 0.5
 MAX_WEIGHED: typing.Final = 8
+UNKNOWN_SERVICE_MS: typing.Final = 20.0
+CROWDING: typing.Final = 0.2
+"""By how much a request slows down while all slots are taken but none
+waits: upstreams may get slower as they fill."""
 
+JITTER: typing.Final = 0.05
+"""Entries that know the same must not all choose the same upstream."""
 
 _T = typing.TypeVar("_T")
 
@@ -55,12 +60,40 @@
     failures: int = 0
     ejected_until_s: float = 0.0
     blocked_until_s: float = 0.0
-
-    def learn(self, running: int, slots: int, now_s: float) -> None:
-        """Take in what the guard said of its load."""
+    service_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def learn(
+        self,
+        running: int,
+        slots: int,
+        now_s: float,
+        kind: str = "",
+        service_ms: float = 0.0,
+    ) -> None:
+        """Take in what the guard said of its load and of its speed."""
         self.reported = running
         self.slots = max(1, slots)
         self.reported_s = now_s
+        if kind and service_ms:
+            self.service_ms[kind] = service_ms
+
+    def completion_ms(self, kind: str, now_s: float) -> float:
+        """Return how long a request would probably take here.
+
+        It is the time that one takes alone, longer by what the requests
+        before it need when they outnumber the slots.  An upstream that is
+        not known yet counts as fast, so that it is tried.
+        """
+        service_ms = self.service_ms.get(kind, UNKNOWN_SERVICE_MS)
+        turns = (self.outstanding(now_s) + 1) / self.slots
+        crowded = max(0.0, turns - 1.0)
+        return service_ms * (1.0 + turns * CROWDING + crowded)
+
+    def outstanding(self, now_s: float) -> int:
+        """Return how many requests run or wait there, as far as known."""
+        age_s = now_s - self.reported_s
+        fresh = max(0.0, 1.0 - age_s / FADE_S)
+        return max(self.in_flight, round(self.reported * fresh))
 
     def succeeded(self) -> None:
         """Note an answer."""
@@ -78,9 +111,7 @@
 
     def load(self, now_s: float) -> float:
         """Return the load, where 1 means that every slot is taken."""
-        age_s = now_s - self.reported_s
-        fresh = max(0.0, 1.0 - age_s / FADE_S)
-        known = max(self.in_flight, round(self.reported * fresh))
+        known = self.outstanding(now_s)
         return (known + 1) / (self.slots * self._ramp(now_s)) - 1 / self.slots
 
     def _ramp(self, now_s: float) -> float:
@@ -98,10 +129,15 @@
     ejected: bool = False
     blocked: bool = False
     reported: int = 0
+    completion_ms: float = 0.0
 
 
 def candidate(
-    instance: str, distance: Distance, track: Track, now_s: float
+    instance: str,
+    distance: Distance,
+    track: Track,
+    now_s: float,
+    kind: str = "",
 ) -> Candidate:
     """Return a candidate as its track says."""
     return Candidate(
@@ -111,6 +147,7 @@
         track.ejected_until_s > now_s,
         track.blocked_until_s > now_s,
         track.reported,
+        track.completion_ms(kind, now_s),
     )
 
 
@@ -186,7 +223,7 @@
 
 
 class TwoChoices(Picker):
-    """The way in use: see ``pick``."""
+    """A baseline: see ``pick``."""
 
     def __init__(self) -> None:
         self._rng = random.Random()
@@ -198,6 +235,36 @@
         return pick(candidates, self._rng)
 
 
+DISTANCE_MS: typing.Final = {
+    Distance.DOMAIN: 0.0,
+    Distance.REGION: 15.0,
+    Distance.REMOTE: 120.0,
+}
+"""What going further must save: the way there and back, and the link between
+regions, which is slow and paid for by volume."""
+
+
+class LeastWait(Picker):
+    """Whoever is expected to answer first, the way there included."""
+
+    def __init__(self) -> None:
+        self._rng = random.Random()
+
+    def pick(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate | None:
+        """Choose by the time until the answer, near before far."""
+        healthy = _healthy(candidates)
+        open_ = [entry for entry in healthy if not entry.blocked]
+        return min(open_ or healthy, key=self._cost_ms, default=None)
+
+    def _cost_ms(self, candidate: Candidate) -> float:
+        jitter = 1.0 + JITTER * self._rng.random()
+        return (
+            candidate.completion_ms * jitter + DISTANCE_MS[candidate.distance]
+        )
+
+
 class RoundRobin(Picker):
     """A baseline: all in turn, wherever they are."""
 
@@ -226,6 +293,7 @@
 def picker(name: str) -> Picker:
     """Return a picker by its name in the settings."""
     kinds: dict[str, type[Picker]] = {
+        "least-wait": LeastWait,
         "two-choices": TwoChoices,
         "round-robin": RoundRobin,
         "least-reported": LeastReported,
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -28,6 +28,8 @@
 DEPTH: typing.Final = "Chiveroad-Depth"
 REQUEST: typing.Final = "Chiveroad-Request"
 CALLER: typing.Final = "Chiveroad-Caller"
+OBJECTIVE_MS: typing.Final = "Chiveroad-Objective-Ms"
+INNER: typing.Final = "Chiveroad-Inner"
 LOAD: typing.Final = "Chiveroad-Load"
 RETRY_AFTER_MS: typing.Final = "Chiveroad-Retry-After-Ms"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
@@ -107,6 +109,8 @@
     ``deadline_s`` is in monotonic seconds.  ``depth`` counts the calls above
     this one.  ``key`` is the caller's idempotency key or empty.
     ``caller_service`` is the service beside the daemon that took it.
+    ``objective_s`` is when its answer begins to count as late, and ``inner``
+    says that a running request of an upstream waits for it.
     """
 
     id: str
@@ -122,6 +126,8 @@
     headers: list[serving.Header]
     body: Body
     caller_service: str = ""
+    objective_s: float = float("inf")
+    inner: bool = False
 
     def left_ms(self) -> float:
         """Return how much time is left."""
@@ -155,6 +161,11 @@
         yield KIND, write_kind(self.kind_name, self.kind)
         yield TEAM, self.team
         yield CALLER, self.caller_service
+        if self.objective_s != float("inf"):
+            left_s = self.objective_s - time.monotonic()
+            yield OBJECTIVE_MS, str(int(left_s * 1000))
+        if self.inner:
+            yield INNER, "1"
 
 
 def write_kind(name: str, kind: config.Kind) -> str:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -25,6 +25,7 @@
 from chiveroad.traffic import _call
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _guard
+from chiveroad.traffic import _patience
 from chiveroad.traffic import _retry
 from chiveroad.traffic import _split
 from chiveroad.traffic import _upstreams
@@ -68,6 +69,8 @@
             _terms(options.retries), lambda: len(view.all())
         )
         self._splitter = _split.Splitter()
+        self._patience = _patience.Patience()
+        self._own_host = options.upstream.address.rpartition(":")[0]
         self._sampler = logs.Sampler()
         self._ids = itertools.count(1)
         self._id_prefix = f"{options.instance}-{uuid.uuid4().hex[:8]}"
@@ -185,6 +188,16 @@
         timeout_ms = min(terms.timeout_ms or kind.timeout_ms, kind.timeout_ms)
         if terms.depth > _call.MAX_DEPTH:
             raise errors.BadRequest(f"over {_call.MAX_DEPTH} calls deep")
+        inner = terms.depth > 0 or self._is_inner(request)
+        asked_s = request.received_s
+        if not inner:
+            elapsed_ms = self._patience.elapsed_ms(
+                route.name, terms.timeout_ms
+            )
+            asked_s -= elapsed_ms / 1000
+        objective_s = float("inf")
+        if kind.objective_ms:
+            objective_s = asked_s + kind.objective_ms / 1000
         call = _call.Call(
             id=terms.request_id or f"{self._id_prefix}-{next(self._ids)}",
             service=self._splitter.choose(route),
@@ -199,9 +212,15 @@
             headers=_call.end_to_end(request.headers()),
             body=_call.Body(request),
             caller_service=self._options.service,
+            objective_s=objective_s,
+            inner=inner,
         )
         return call, route
 
+    def _is_inner(self, request: serving.Request) -> bool:
+        """Tell whether the upstream beside this daemon makes the request."""
+        return request.peer_host == self._own_host
+
     def _try_once(
         self,
         request: serving.Request,
@@ -210,7 +229,9 @@
     ) -> None:
         if call.left_ms() <= 0:
             raise errors.DeadlineExceeded("the deadline passed")
-        chosen, member = self._upstreams.pick(call.service, tried)
+        chosen, member = self._upstreams.pick(
+            call.service, call.kind_name, tried
+        )
         tried.append(chosen.instance)
         if len(tried) > 1:
             self._recorder.count("chiveroad.entry.retries")
@@ -235,7 +256,11 @@
         track: _balancer.Track,
     ) -> None:
         if member.instance == self._options.instance:
-            self._guard.serve(request, call)
+            try:
+                self._guard.serve(request, call)
+            finally:
+                load = self._guard.load(call.kind_name)
+                _upstreams.learn_own(track, load, call.kind_name)
             return
         answer = _exchange.ask(
             self._upstreams.pool(member.guard),
@@ -244,7 +269,7 @@
             request.socket,
             _read_hop_terms,
         )
-        _upstreams.learn_load(track, answer)
+        _upstreams.learn_load(track, answer, call.kind_name)
         code = answer.header(serving.CODE_HEADER)
         if code:
             answer.read()
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -8,6 +8,7 @@
 
 import base64
 import collections.abc
+import http
 import threading
 import time
 import typing
@@ -23,6 +24,7 @@
 from chiveroad.traffic import _call
 from chiveroad.traffic import _claims
 from chiveroad.traffic import _exchange
+from chiveroad.traffic import _objective
 from chiveroad.traffic import _pool
 from chiveroad import wire
 
@@ -59,7 +61,13 @@
         self._upstream = upstream
         self._pool = _pool.Pool(options.upstream.address)
         self._lock = threading.Lock()
-        self._admission = _admission.Admission(_FALLBACK_LIMITS)
+        policies: dict[str, _admission.Policy] = {
+            "weight": _admission.WeightFirst(),
+            "objective": _objective.ObjectiveFirst(),
+        }
+        self._admission = _admission.Admission(
+            _FALLBACK_LIMITS, policies[options.traffic.admission]
+        )
         self._sampler = logs.Sampler()
         self.draining = False
 
@@ -96,7 +104,7 @@
                 self._run_once(request, call, extra)
             else:
                 answer = self._forward(request, call)
-                self._pass_on(answer, request, extra)
+                self._pass_on(answer, request, extra, call.kind_name)
         finally:
             with self._lock:
                 self._admission.finish(ticket, time.monotonic())
@@ -112,10 +120,16 @@
         if self.draining or not self._upstream.takes_work(time.monotonic()):
             raise errors.Draining("the upstream leaves", DRAIN_RETRY_AFTER_MS)
 
-    def load(self) -> serving.Header:
-        """Return the header that tells an entry the load and the slots."""
+    def load(self, kind_name: str = "") -> serving.Header:
+        """Return the header that tells an entry the load and the speed.
+
+        It holds what runs and waits, the slots, and how many milliseconds
+        a request of the kind takes.
+        """
         admission = self._admission
-        return (_call.LOAD, f"{admission.load} {admission.limits.slots}")
+        service_ms = int(admission.service_ms(kind_name))
+        slots = admission.limits.slots
+        return (_call.LOAD, f"{admission.load} {slots} {service_ms}")
 
     def tick(self) -> None:
         """Refuse waiting requests that are too late, retire connections."""
@@ -143,6 +157,8 @@
             headers=_call.end_to_end(request.headers()),
             body=_call.Body(request),
             caller_service=request.header(_call.CALLER),
+            objective_s=_objective_s(request),
+            inner=bool(request.header(_call.INNER)),
         )
 
     def _limits(self) -> _admission.Limits:
@@ -159,7 +175,13 @@
     def _admit(self, call: _call.Call) -> _admission.Ticket:
         now_s = time.monotonic()
         ticket = _admission.Ticket(
-            call.team, call.kind_name, call.kind.weight, call.deadline_s, now_s
+            team=call.team,
+            kind=call.kind_name,
+            weight=call.kind.weight,
+            deadline_s=call.deadline_s,
+            arrived_s=now_s,
+            objective_s=call.objective_s,
+            inner=call.inner,
         )
         with self._lock:
             self._admission.limits = self._limits()
@@ -223,7 +245,9 @@
             self._learn(call, time.monotonic() - started_s, TIMEOUT_FACTOR)
             raise
         self._check_answer(answer, upstream_id)
-        self._learn(call, time.monotonic() - started_s)
+        if answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            # A failure tells nothing of how long an answer takes.
+            self._learn(call, time.monotonic() - started_s)
         return answer
 
     def _check_answer(
@@ -260,8 +284,9 @@
         answer: _exchange.Answer,
         request: serving.Request,
         extra: collections.abc.Sequence[serving.Header],
+        kind_name: str,
     ) -> None:
-        told = [*extra, self.load()] if extra else []
+        told = [*extra, self.load(kind_name)] if extra else []
         _exchange.pass_on(answer, request, told)
 
     def _run_once(
@@ -293,7 +318,7 @@
     ) -> None:
         length = answer.length
         if length is None or length > _claims.MAX_KEPT_ANSWER_BYTES:
-            self._pass_on(answer, request, extra)
+            self._pass_on(answer, request, extra, "")
             self._claims.finish(held, None)
             return
         headers = _call.end_to_end(answer.headers)
@@ -310,3 +335,11 @@
         body = base64.b64decode(kept.body)
         headers = [*kept.headers, ("Idempotency-Replayed", "true"), *extra]
         request.answer(kept.status, headers, body)
+
+
+def _objective_s(request: serving.Request) -> float:
+    """Return when the answer to an entry's request counts as late."""
+    text = request.header(_call.OBJECTIVE_MS)
+    if not text.removeprefix("-").isdigit():
+        return _admission.NEVER_S
+    return request.received_s + int(text) / 1000
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -11,6 +11,7 @@
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import membership
+from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _call
@@ -19,6 +20,7 @@
 
 NO_UPSTREAM_RETRY_MS: typing.Final = 1_000
 BLOCK_LIMIT_MS: typing.Final = 1_000
+OVERLOAD_BLOCK_MS: typing.Final = 50
 
 _NOT_ITS_FAULT: typing.Final = (errors.CallerGone, errors.CallerGoneEarly)
 
@@ -45,25 +47,30 @@
         self._distances: dict[str, _Distances] = {}
         self._picker = _balancer.picker(options.traffic.balancing)
 
-    def candidates(self, service: str) -> list[_balancer.Candidate]:
+    def candidates(
+        self, service: str, kind: str = ""
+    ) -> list[_balancer.Candidate]:
         """Return the upstreams of a service as this entry sees them."""
         now_s = time.monotonic()
         return [
             _balancer.candidate(
-                member.instance, distance, self.track(member), now_s
+                member.instance, distance, self.track(member), now_s, kind
             )
             for distance, members in self._by_distance(service).items()
             for member in _balancer.to_weigh(members, self._rng)
         ]
 
     def pick(
-        self, service: str, tried: collections.abc.Container[str]
+        self,
+        service: str,
+        kind: str,
+        tried: collections.abc.Container[str],
     ) -> tuple[_balancer.Candidate, membership.Member]:
         """Choose an upstream that hasn't been tried.
 
         :raises errors.NoUpstream: when there is none.
         """
-        found = self.candidates(service)
+        found = self.candidates(service, kind)
         left = [entry for entry in found if entry.instance not in tried]
         chosen = self._picker.pick(left)
         member = self._view.get(chosen.instance) if chosen else None
@@ -129,11 +136,24 @@
         return _balancer.Distance.REMOTE
 
 
-def learn_load(track: _balancer.Track, answer: _exchange.Answer) -> None:
-    """Take in the load that a guard told with an answer."""
-    running, _, slots = answer.header(_call.LOAD).partition(" ")
-    if running.isdigit() and slots.isdigit():
-        track.learn(int(running), int(slots), time.monotonic())
+def learn_load(
+    track: _balancer.Track, answer: _exchange.Answer, kind: str
+) -> None:
+    """Take in what a guard told of itself with an answer."""
+    _learn(track, answer.header(_call.LOAD), kind)
+
+
+def learn_own(track: _balancer.Track, load: serving.Header, kind: str) -> None:
+    """Take in what the guard in this process tells of itself."""
+    _learn(track, load[1], kind)
+
+
+def _learn(track: _balancer.Track, text: str, kind: str) -> None:
+    parts = text.split()
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+        return
+    running, slots, service_ms = (int(part) for part in parts)
+    track.learn(running, slots, time.monotonic(), kind, service_ms)
 
 
 def learn_refusal(track: _balancer.Track, refusal: errors.Refusal) -> None:
@@ -144,6 +164,9 @@
     if isinstance(refusal, (errors.UpstreamRefused, errors.OutcomeUnknown)):
         track.failed(now_s)
     limit_ms = min(refusal.retry_after_ms, BLOCK_LIMIT_MS)
+    if isinstance(refusal, errors.Overloaded):
+        # Room comes back with every answer; others may fit meanwhile.
+        limit_ms = min(limit_ms, OVERLOAD_BLOCK_MS)
     track.blocked(now_s, limit_ms / 1000)
 
 
