--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -17,6 +17,7 @@
 from chiveroad import clock
 from chiveroad import config
 from chiveroad.control import _freshness
+from chiveroad.control import _helper
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _plane
@@ -43,6 +44,7 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.3
 GRACE_S: typing.Final = 0.4
 RETRY_S: typing.Final = 0.15
+HELP_S: typing.Final = 0.3
 TICK_S: typing.Final = 0.1
 PROBE_TIMEOUT_S: typing.Final = 0.5
 
@@ -70,6 +72,7 @@
         self._address = options.platform.address
         self._distance_ms = 0
         self._source = _source.ParentSource(node, CONNECT_TIMEOUT_S, GRACE_S)
+        self._helper = _helper.Helper(node)
         self._failures: dict[str, _freshness.Failure] = {}
         self._watching = True
         self._state = membership.State.READY
@@ -94,6 +97,7 @@
         _threads.start("following members", self._follow_members)
         _threads.start("following versions", self._follow_versions)
         _threads.start("following a parent", self._follow_parent)
+        _threads.start("helping", self._help)
         self._recorder.start()
 
     def ancestors(self) -> list[str]:
@@ -183,6 +187,12 @@
         self._failures.pop(chosen.instance, None)
         return True
 
+    def _help(self) -> None:
+        while not self.stopped:
+            time.sleep(HELP_S)
+            if self._watching and self._node.applied.ready:
+                self._helper.tick()
+
     def _judge_freshness(self) -> None:
         confirmed_s = self._node.applied.confirmed_s
         if _freshness.stale(confirmed_s, clock.now_s()):
--- /dev/null
+++ b/src/chiveroad/control/_helper.py
@@ -0,0 +1,104 @@
+"""Helping daemons that have just started while they can't ask the store.
+
+The settings name no other daemon, so one that starts during an outage of the
+store knows nobody.  Whoever watches the store notices that it is silent and
+speaks to it first: it offers itself as a parent and hands over its version.
+"""
+
+from __future__ import annotations
+
+import time
+import typing
+
+import msgspec
+import urllib3
+
+from chiveroad import config
+from chiveroad.control import _messages
+from chiveroad.control import _node
+from chiveroad.control import _source
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import membership
+
+SILENT_S: typing.Final = 0.9
+"""A child asks at least twice in this time."""
+
+RETRY_S: typing.Final = 0.5
+MAX_RETRY_S: typing.Final = 4.0
+CONNECT_TIMEOUT_S: typing.Final = 0.2
+READ_TIMEOUT_S: typing.Final = 0.5
+
+_log = logs.Logger("control")
+_decoder = msgspec.json.Decoder(_messages.HelloAnswer)
+
+
+class Helper:
+    """Speaks to daemons that have fallen silent."""
+
+    def __init__(self, node: _node.Node) -> None:
+        self._node = node
+        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._due_s: dict[str, float] = {}
+        self._pause_s: dict[str, float] = {}
+
+    def tick(self) -> None:
+        """Speak to those whose turn it is."""
+        now_s = time.monotonic()
+        for member in self._node.view.all():
+            if self._is_silent(member, now_s):
+                if now_s >= self._due_s.get(member.instance, 0.0):
+                    self._help(member)
+            else:
+                self._pause_s.pop(member.instance, None)
+
+    def _is_silent(self, member: membership.Member, now_s: float) -> bool:
+        mine = self._node.member
+        if member.instance == mine.instance or not member.alive:
+            return False
+        child = self._node.children.get(member.instance)
+        return child is None or now_s - child.heard_s > SILENT_S
+
+    def _help(self, member: membership.Member) -> None:
+        pause_s = self._pause_s.get(member.instance, RETRY_S)
+        self._pause_s[member.instance] = min(MAX_RETRY_S, 2 * pause_s)
+        try:
+            self._speak_to(member)
+        except errors.ChiveroadError as exc:
+            _log.debug("{} can't be helped: {}.", member.instance, exc)
+        self._due_s[member.instance] = time.monotonic() + pause_s
+
+    def _speak_to(self, member: membership.Member) -> None:
+        held = self._node.applied.current
+        hello = _messages.Hello(self._node.member, held.number)
+        answer = self._post(member, _source.HELLO_PATH, hello)
+        try:
+            theirs = _decoder.decode(answer).version
+        except msgspec.DecodeError as exc:
+            raise errors.BadMessage(f"{member.instance}: {exc}") from exc
+        if theirs >= held.number:
+            return
+        offer = _messages.SnapshotOffer(
+            held.number, held.digest, config.pack(held.config.items)
+        )
+        self._post(member, _source.SNAPSHOT_PATH, offer)
+        _log.info("{} was given version {}.", member.instance, held.number)
+
+    def _post(
+        self, member: membership.Member, path: str, message: msgspec.Struct
+    ) -> bytes:
+        try:
+            response = self._http.request(
+                "POST",
+                f"http://{member.control}{path}",
+                body=msgspec.json.encode(message),
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
+                ),
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise errors.PeerUnavailable(f"{exc}") from exc
+        if response.status != 200:
+            raise errors.PeerUnavailable(f"{response.status}")
+        return response.data
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -64,6 +64,19 @@
     snapshot: bytes
 
 
+class Hello(msgspec.Struct, frozen=True):
+    """A daemon offers itself as a parent to one that may know nobody."""
+
+    member: membership.Member
+    version: int
+
+
+class HelloAnswer(msgspec.Struct, frozen=True):
+    """The version that the daemon spoken to holds."""
+
+    version: int
+
+
 class DaemonStatus(msgspec.Struct, frozen=True):
     """What a daemon says of itself.
 
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -30,6 +30,7 @@
 _KEPT_PACKS: typing.Final = 16
 _JSON: typing.Final = (("Content-Type", "application/json"),)
 _request_decoder = msgspec.json.Decoder(_messages.SyncRequest)
+_hello_decoder = msgspec.json.Decoder(_messages.Hello)
 _offer_decoder = msgspec.json.Decoder(_messages.SnapshotOffer)
 
 
@@ -50,6 +51,7 @@
         ] = {
             ("POST", _source.SYNC_PATH): self._sync,
             ("POST", _source.SNAPSHOT_PATH): self._snapshot,
+            ("POST", _source.HELLO_PATH): self._hello,
             ("GET", STATUS_PATH): self._status,
         }
 
@@ -173,6 +175,12 @@
             raise errors.BadRequest(str(exc)) from exc
         request.answer(http.HTTPStatus.OK, _JSON, b"{}")
 
+    def _hello(self, request: serving.Request) -> None:
+        hello = self._read(request, _hello_decoder)
+        self._node.take_from_below([hello.member])
+        answer = _messages.HelloAnswer(self._node.applied.current.number)
+        request.answer(http.HTTPStatus.OK, _JSON, msgspec.json.encode(answer))
+
     def _status(self, request: serving.Request) -> None:
         node = self._node
         held = node.applied.current
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -24,6 +24,7 @@
 
 SYNC_PATH: typing.Final = "/control/v1/sync"
 SNAPSHOT_PATH: typing.Final = "/control/v1/snapshot"
+HELLO_PATH: typing.Final = "/control/v1/hello"
 
 _answer_decoder = msgspec.json.Decoder(_messages.SyncAnswer)
 _log = logs.Logger("control")
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -254,7 +254,9 @@
         self._plane.give_back()
         _, guard_server, entry_server = self._servers
         cut = entry_server.drain(
-            max(0.0, end_s - time.monotonic()), leave_after_s
+            max(0.0, end_s - time.monotonic()),
+            leave_after_s,
+            traffic_options.leave_while_busy_ms / 1000,
         )
         self._close_guard()
         cut += guard_server.wait_idle(max(0.0, end_s - time.monotonic()))
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -155,7 +155,12 @@
         with self._busy_lock:
             self._connected -= 1
 
-    def drain(self, limit_s: float, grace_s: float = LISTEN_GRACE_S) -> int:
+    def drain(
+        self,
+        limit_s: float,
+        grace_s: float = LISTEN_GRACE_S,
+        busy_grace_s: float = 0.0,
+    ) -> int:
         """Let callers leave, and wait until the last connection is closed.
 
         Every answer says ``Connection: close`` from now on, and after a
@@ -164,11 +169,15 @@
         the grace where the limit comes before that.
 
         :param grace_s: for how long new callers are still let in.
+        :param busy_grace_s: for how much longer they are while a request is
+            in hand: where callers keep coming, the time until the process
+            has ended is the time for which nobody is there.
         :returns: how many requests are still in hand at the limit.
         """
         self.keeps_connections = False
         end_s = time.monotonic() + limit_s
         time.sleep(min(grace_s, limit_s))
+        self.wait_idle(min(busy_grace_s, end_s - time.monotonic()))
         self._stop_listening()
         if self.timeout > limit_s:
             # The thread that owns idle connections expires them all.
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -97,12 +97,13 @@
     """The entry and the guard.
 
     ``balancing`` is ``least-wait``, or a baseline: ``two-choices``,
-    ``round-robin`` or ``least-reported``.  ``admission`` is ``objective``, or
-    ``weight`` for the baseline.  ``limits`` switches the guard's slots and queue off,
-    for a baseline only.  ``threads`` is how many requests each of the two
-    may have in hand.  ``idle_timeout_ms`` is how long a caller's connection
-    may be idle.  ``drain_limit_ms`` bounds a planned stop, and for
-    ``leave_after_ms`` from its begin new callers are still let in.
+    ``round-robin`` or ``least-reported``.  ``admission`` is ``objective``,
+    or ``weight`` for the baseline.  ``limits`` switches the guard's slots
+    and queue off, for a baseline only.  ``threads`` is how many requests
+    each of the two may have in hand.  ``idle_timeout_ms`` is how long a
+    caller's connection may be idle.  ``drain_limit_ms`` bounds a planned
+    stop.  For ``leave_after_ms`` from its begin new callers are still let
+    in, and for ``leave_while_busy_ms`` more while a request is in hand.
     """
 
     balancing: typing.Literal[
@@ -114,6 +115,9 @@
     idle_timeout_ms: Milliseconds = 10_000
     drain_limit_ms: Milliseconds = 30_000
     leave_after_ms: Milliseconds = 500
+    leave_while_busy_ms: typing.Annotated[
+        int, msgspec.Meta(ge=0, le=600_000)
+    ] = 0
 
 
 class Retries(_Table, frozen=True):
