--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import gc
 import itertools
 import os
 import pathlib
@@ -158,6 +159,9 @@
         :raises errors.AddressInUse: when an address can't be listened on.
         """
         sys.setswitchinterval(SWITCH_INTERVAL_S)
+        # What the modules made lives as long as the process.
+        gc.collect()
+        gc.freeze()
         self._open_servers()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop.set())
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -113,6 +113,7 @@
         self.start(status, [*headers, ("Content-Length", str(len(body)))])
         if self.method != "HEAD":
             self._raw.write(body)
+            self.bytes_sent += len(body)
         self.finish()
 
     def start(
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -6,7 +6,7 @@
 import socket
 import typing
 
-READ_BUFFER_BYTES: typing.Final = 16 * 1024
+READ_BUFFER_BYTES: typing.Final = 8 * 1024
 
 
 class Reader(io.BufferedReader):
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -2,8 +2,9 @@
 
 The load of an upstream is what its guard said in its last answer, fading
 towards what this entry itself has in flight there.  Taken is whoever is
-expected to answer first, by its load and the speed that its guard has learnt;
-going to another failure domain or region must save more than it costs.
+expected to answer within the objective, by its load and the speed that its
+guard has learnt; going to another failure domain or region must save more
+than it costs.
 """
 
 from __future__ import annotations
@@ -130,6 +131,20 @@
     blocked: bool = False
     reported: int = 0
     completion_ms: float = 0.0
+    objective_ms: int = 0
+    answer_bytes: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request asks of an upstream.
+
+    ``answer_bytes`` is how large the answers to its kind usually are.
+    """
+
+    kind: str = ""
+    objective_ms: int = 0
+    answer_bytes: float = 0.0
 
 
 def candidate(
@@ -137,7 +152,7 @@
     distance: Distance,
     track: Track,
     now_s: float,
-    kind: str = "",
+    wanted: Wanted = Wanted(),
 ) -> Candidate:
     """Return a candidate as its track says."""
     return Candidate(
@@ -147,7 +162,9 @@
         track.ejected_until_s > now_s,
         track.blocked_until_s > now_s,
         track.reported,
-        track.completion_ms(kind, now_s),
+        track.completion_ms(wanted.kind, now_s),
+        wanted.objective_ms,
+        wanted.answer_bytes,
     )
 
 
@@ -235,17 +252,40 @@
         return pick(candidates, self._rng)
 
 
-DISTANCE_MS: typing.Final = {
+LATE_AT_OBJECTIVE: typing.Final = 0.4
+"""How many of an upstream's answers are late when their mean takes as long as
+the objective: service times are skewed, so less than half."""
+
+LATE_POWER: typing.Final = 3
+"""How fast answers become late as their mean nears the objective."""
+
+DEFAULT_OBJECTIVE_MS: typing.Final = 1_000
+
+WAY_COST: typing.Final = {
+    Distance.DOMAIN: 0.0,
+    Distance.REGION: 0.005,
+    Distance.REMOTE: 0.04,
+}
+"""What the way there and back costs, as a share of an answer's worth."""
+
+COST_PER_KB: typing.Final = {
     Distance.DOMAIN: 0.0,
-    Distance.REGION: 15.0,
-    Distance.REMOTE: 120.0,
+    Distance.REGION: 0.01,
+    Distance.REMOTE: 0.032,
 }
-"""What going further must save: the way there and back, and the link between
-regions, which is slow and paid for by volume."""
+"""What a kilobyte costs on its way, as a share of an answer's worth: the
+users' prices for traffic between failure domains and between regions."""
+
+HEAD_KB: typing.Final = 1.0
+"""The heads of a request and its answer on their way."""
 
 
 class LeastWait(Picker):
-    """Whoever is expected to answer first, the way there included."""
+    """Whoever costs least: in answers that come late, and in the way there.
+
+    Speed alone is no reason to go far, as an answer well within its
+    objective is worth no less than an early one.
+    """
 
     def __init__(self) -> None:
         self._rng = random.Random()
@@ -253,16 +293,19 @@
     def pick(
         self, candidates: collections.abc.Sequence[Candidate]
     ) -> Candidate | None:
-        """Choose by the time until the answer, near before far."""
+        """Choose by the cost, among those that haven't just refused."""
         healthy = _healthy(candidates)
         open_ = [entry for entry in healthy if not entry.blocked]
-        return min(open_ or healthy, key=self._cost_ms, default=None)
+        return min(open_ or healthy, key=self._cost, default=None)
 
-    def _cost_ms(self, candidate: Candidate) -> float:
+    def _cost(self, candidate: Candidate) -> float:
         jitter = 1.0 + JITTER * self._rng.random()
-        return (
-            candidate.completion_ms * jitter + DISTANCE_MS[candidate.distance]
-        )
+        objective_ms = candidate.objective_ms or DEFAULT_OBJECTIVE_MS
+        share = candidate.completion_ms * jitter / objective_ms
+        late = LATE_AT_OBJECTIVE * share**LATE_POWER
+        kilobytes = HEAD_KB + candidate.answer_bytes / 1000
+        way = WAY_COST[candidate.distance]
+        return late + way + kilobytes * COST_PER_KB[candidate.distance]
 
 
 class RoundRobin(Picker):
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -230,7 +230,7 @@
         if call.left_ms() <= 0:
             raise errors.DeadlineExceeded("the deadline passed")
         chosen, member = self._upstreams.pick(
-            call.service, call.kind_name, tried
+            call.service, self._upstreams.wanted(call), tried
         )
         tried.append(chosen.instance)
         if len(tried) > 1:
@@ -242,6 +242,7 @@
         try:
             self._serve(request, call, member, track)
             track.succeeded()
+            self._upstreams.learn_size(call.kind_name, request.bytes_sent)
         except errors.Refusal as refusal:
             _upstreams.learn_refusal(track, refusal)
             raise
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -21,6 +21,7 @@
 NO_UPSTREAM_RETRY_MS: typing.Final = 1_000
 BLOCK_LIMIT_MS: typing.Final = 1_000
 OVERLOAD_BLOCK_MS: typing.Final = 50
+SIZE_SMOOTHING: typing.Final = 0.1
 
 _NOT_ITS_FAULT: typing.Final = (errors.CallerGone, errors.CallerGoneEarly)
 
@@ -42,19 +43,22 @@
         self._view = view
         self._tracks: dict[str, _balancer.Track] = {}
         self._pools: dict[str, _pool.Pool] = {}
+        self._answer_bytes: dict[str, float] = {}
         self._lock = threading.Lock()
         self._rng = random.Random()
         self._distances: dict[str, _Distances] = {}
         self._picker = _balancer.picker(options.traffic.balancing)
 
     def candidates(
-        self, service: str, kind: str = ""
+        self,
+        service: str,
+        wanted: _balancer.Wanted = _balancer.Wanted(),
     ) -> list[_balancer.Candidate]:
         """Return the upstreams of a service as this entry sees them."""
         now_s = time.monotonic()
         return [
             _balancer.candidate(
-                member.instance, distance, self.track(member), now_s, kind
+                member.instance, distance, self.track(member), now_s, wanted
             )
             for distance, members in self._by_distance(service).items()
             for member in _balancer.to_weigh(members, self._rng)
@@ -63,14 +67,14 @@
     def pick(
         self,
         service: str,
-        kind: str,
+        wanted: _balancer.Wanted,
         tried: collections.abc.Container[str],
     ) -> tuple[_balancer.Candidate, membership.Member]:
         """Choose an upstream that hasn't been tried.
 
         :raises errors.NoUpstream: when there is none.
         """
-        found = self.candidates(service, kind)
+        found = self.candidates(service, wanted)
         left = [entry for entry in found if entry.instance not in tried]
         chosen = self._picker.pick(left)
         member = self._view.get(chosen.instance) if chosen else None
@@ -93,6 +97,19 @@
             self._tracks[name] = track
         return track
 
+    def wanted(self, call: _call.Call) -> _balancer.Wanted:
+        """Return what a request asks of an upstream."""
+        return _balancer.Wanted(
+            call.kind_name,
+            call.kind.objective_ms,
+            self._answer_bytes.get(call.kind_name, 0.0),
+        )
+
+    def learn_size(self, kind: str, size: int) -> None:
+        """Take in how large an answer to a kind of request was."""
+        known = self._answer_bytes.get(kind, float(size))
+        self._answer_bytes[kind] = known + SIZE_SMOOTHING * (size - known)
+
     def count(self, track: _balancer.Track, step: int) -> None:
         """Count a request in flight, or the end of one."""
         with self._lock:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -178,11 +178,13 @@
     distance: _balancer.Distance,
     in_flight: int,
     service_ms: float,
+    answer_bytes: float = 1_000.0,
 ) -> _balancer.Candidate:
     """Return an upstream with a load and a speed."""
     track = _balancer.Track(since_s=-100.0, in_flight=in_flight, slots=10)
     track.service_ms["k"] = service_ms
-    return _balancer.candidate(name, distance, track, 0.0, "k")
+    wanted = _balancer.Wanted("k", 600, answer_bytes)
+    return _balancer.candidate(name, distance, track, 0.0, wanted)
 
 
 NEAR = _balancer.Distance.DOMAIN
@@ -191,26 +193,31 @@
 
 
 @pytest.mark.parametrize(
-    ("found", "chosen"),
+    ("found", "answer_bytes", "chosen"),
     [
         # A slow upstream that is idle answers later than a fast busy one.
-        ([("slow", NEAR, 0, 400), ("fast", NEAR, 8, 200)], "fast"),
-        ([("slow", NEAR, 0, 400), ("fast", NEAR, 30, 200)], "slow"),
-        ([("near", NEAR, 5, 200), ("other", REGION, 3, 200)], "near"),
-        ([("near", NEAR, 25, 200), ("other", REGION, 3, 200)], "other"),
-        ([("near", NEAR, 9, 200), ("far", FAR, 0, 200)], "near"),
-        ([("near", NEAR, 40, 200), ("far", FAR, 0, 200)], "far"),
+        ([("slow", NEAR, 0, 400), ("fast", NEAR, 8, 200)], 1_000, "fast"),
+        ([("slow", NEAR, 0, 400), ("fast", NEAR, 30, 200)], 1_000, "slow"),
+        ([("near", NEAR, 5, 200), ("other", REGION, 3, 200)], 1_000, "near"),
+        ([("near", NEAR, 25, 200), ("other", REGION, 3, 200)], 1_000, "other"),
+        ([("near", NEAR, 9, 200), ("far", FAR, 0, 200)], 1_000, "near"),
+        ([("near", NEAR, 40, 200), ("far", FAR, 0, 200)], 1_000, "far"),
+        # Being faster is no reason to go far while both are in time.
+        ([("near", NEAR, 0, 250), ("far", FAR, 0, 100)], 1_000, "near"),
+        # A large answer isn't worth the link unless nothing else is left.
+        ([("near", NEAR, 30, 200), ("far", FAR, 0, 200)], 90_000, "near"),
+        ([("other", REGION, 9, 200), ("far", FAR, 0, 200)], 90_000, "other"),
+        ([("far", FAR, 30, 200)], 90_000, "far"),
         # One that isn't known yet is tried.
-        ([("known", NEAR, 0, 200), ("new", NEAR, 0, 0)], "new"),
+        ([("known", NEAR, 0, 200), ("new", NEAR, 0, 0)], 1_000, "new"),
     ],
 )
 def test_where_work_goes(
-    found: list[tuple[str, _balancer.Distance, int, float]], chosen: str
+    found: list[tuple[str, _balancer.Distance, int, float]],
+    answer_bytes: float,
+    chosen: str,
 ) -> None:
-    candidates = [candidate(*each) for each in found]
-    for each in candidates:
-        if each.instance == "new":
-            each = dataclasses.replace(each)
+    candidates = [candidate(*each, answer_bytes) for each in found]
     picked = _balancer.LeastWait().pick(candidates)
     assert picked is not None and picked.instance == chosen
 
