--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -409,6 +409,12 @@
     code = 4028
 
 
+class UpstreamFailed(OutcomeUnknown):
+    """The upstream answered with a failure; another one is asked."""
+
+    code = 4029
+
+
 class KeyInProgress(OutcomeUnknown):
     """A request with the same idempotency key is running."""
 
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -16,6 +16,12 @@
 MIN_RETRY_MS: typing.Final = 50
 SMOOTHING: typing.Final = 0.2
 NEVER_S: typing.Final = float("inf")
+MIN_OBSERVED: typing.Final = 4
+"""Fewer requests in hand say little of how fast the upstream is."""
+
+AGE_SHARE: typing.Final = 1.5
+"""By how much the mean age of requests in hand may exceed the mean time that
+they take before it counts as a change: their spread alone explains less."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +52,7 @@
     )
     admitted: bool = False
     refusal: Refused | None = None
+    begun_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +103,9 @@
         self._policy = policy or WeightFirst()
         self._service_ms: dict[str, float] = {}
         self._mean_ms = DEFAULT_SERVICE_MS
+        self._slowdown = 1.0
         self._learnt = False
+        self._running: set[Ticket] = set()
 
     @property
     def load(self) -> int:
@@ -105,11 +114,12 @@
 
     def offer(self, ticket: Ticket, now_s: float) -> None:
         """Admit, queue or refuse a request."""
+        self.observe(now_s)
         free = self.running < self.limits.slots and not self.waiting
         if free and (self.fits(ticket, now_s) or not self.running):
             # One at a time may try an upstream that has become too slow;
             # only so can it be seen to have become fast again.
-            self._admit(ticket)
+            self._admit(ticket, now_s)
             return
         reason = self._policy.refusal(self, ticket, now_s)
         if reason:
@@ -123,6 +133,7 @@
         """Free the slot of an admitted ticket and admit those waiting."""
         assert ticket.admitted, "report this: finished but never admitted"
         self.running -= 1
+        self._running.discard(ticket)
         left = self.running_by_team[ticket.team] - 1
         self.running_by_team[ticket.team] = left
         if not left:
@@ -131,6 +142,7 @@
 
     def advance(self, now_s: float) -> None:
         """Refuse what is too late and admit what there are slots for."""
+        self.observe(now_s)
         for ticket in list(self.waiting):
             reason = self._policy.given_up(self, ticket, now_s)
             if reason:
@@ -141,7 +153,7 @@
                 key=lambda ticket: self._policy.rank(self, ticket, now_s),
             )
             self.waiting.remove(chosen)
-            self._admit(chosen)
+            self._admit(chosen, now_s)
         if not self.waiting:
             self.queued_since_s = NEVER_S
 
@@ -162,11 +174,26 @@
 
     def service_ms(self, kind: str) -> float:
         """Return how long a request of a kind takes, as far as known."""
-        return self._service_ms.get(kind, DEFAULT_SERVICE_MS)
+        return self._service_ms.get(kind, DEFAULT_SERVICE_MS) * self._slowdown
+
+    def observe(self, now_s: float) -> None:
+        """Learn from what is still running that the upstream is slower.
+
+        While service times don't change, requests in hand are about as old
+        on average as a request takes; when they are older, waiting for their
+        end would tell it too late.
+        """
+        self._slowdown = 1.0
+        if len(self._running) < MIN_OBSERVED or not self._learnt:
+            return
+        total_s = sum(now_s - ticket.begun_s for ticket in self._running)
+        age_ms = 1000 * total_s / len(self._running)
+        self._slowdown = max(1.0, age_ms / max(1.0, self._mean_ms) / AGE_SHARE)
 
     def wait_ms(self, ahead: int) -> float:
         """Return how long a request waits behind ``ahead`` others."""
-        return (ahead + 1) * self._mean_ms / max(1, self.limits.slots)
+        mean_ms = self._mean_ms * self._slowdown
+        return (ahead + 1) * mean_ms / max(1, self.limits.slots)
 
     def fits(self, ticket: Ticket, now_s: float) -> bool:
         """Tell whether a ticket that ran now would end in time."""
@@ -192,9 +219,11 @@
         self.waiting.remove(ticket)
         self.refuse(ticket, reason)
 
-    def _admit(self, ticket: Ticket) -> None:
+    def _admit(self, ticket: Ticket, now_s: float) -> None:
         ticket.admitted = True
         self.running += 1
+        ticket.begun_s = now_s
+        self._running.add(ticket)
         count = self.running_by_team.get(ticket.team, 0)
         self.running_by_team[ticket.team] = count + 1
         ticket.decided.set()
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -24,6 +24,12 @@
 SLOW_START_FLOOR: typing.Final = 0.1
 EJECT_AFTER_FAILURES: typing.Final = 3
 EJECT_S: typing.Final = 5.0
+EJECT_FAILING_SHARE: typing.Final = 0.3
+"""The share of failures that is no accident: healthy upstreams fail one
+request in a thousand."""
+
+FAILING_SMOOTHING: typing.Final = 0.1
+FAILURE_STATUS: typing.Final = 500
 MAX_EJECTED_SHARE: typing.Final = 0.5
 MAX_WEIGHED: typing.Final = 8
 UNKNOWN_SERVICE_MS: typing.Final = 20.0
@@ -59,6 +65,7 @@
     slots: int = 1
     reported_s: float = 0.0
     failures: int = 0
+    failing_share: float = 0.0
     ejected_until_s: float = 0.0
     blocked_until_s: float = 0.0
     service_ms: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -96,15 +103,27 @@
         fresh = max(0.0, 1.0 - age_s / FADE_S)
         return max(self.in_flight, round(self.reported * fresh))
 
-    def succeeded(self) -> None:
-        """Note an answer."""
+    def answered(self, status: int, now_s: float) -> None:
+        """Note an answer of the upstream's own, which may be a failure."""
+        if status >= FAILURE_STATUS:
+            self.failed(now_s)
+            return
         self.failures = 0
+        self.failing_share -= FAILING_SMOOTHING * self.failing_share
 
     def failed(self, now_s: float) -> None:
-        """Note a failure; several in a row eject the upstream."""
+        """Note a failure.
+
+        Several in a row eject the upstream, or a large share of its last
+        answers: its health check may be good all the while.
+        """
         self.failures += 1
-        if self.failures >= EJECT_AFTER_FAILURES:
+        self.failing_share += FAILING_SMOOTHING * (1 - self.failing_share)
+        in_a_row = self.failures >= EJECT_AFTER_FAILURES
+        if in_a_row or self.failing_share > EJECT_FAILING_SHARE:
             self.ejected_until_s = now_s + EJECT_S
+            # Once it is back it is judged by what it does then.
+            self.failing_share /= 2
 
     def blocked(self, now_s: float, for_s: float) -> None:
         """Note that the guard refuses new work for a while."""
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -10,6 +10,7 @@
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import serving
+from chiveroad.traffic import _second
 from chiveroad import wire
 
 MAX_HELD_BODY_BYTES: typing.Final = 64 * 1024
@@ -110,7 +111,9 @@
     this one.  ``key`` is the caller's idempotency key or empty.
     ``caller_service`` is the service beside the daemon that took it.
     ``objective_s`` is when its answer begins to count as late, and ``inner``
-    says that a running request of an upstream waits for it.
+    says that a running request of an upstream waits for it.  ``second``
+    decides whether an upstream's failure is replaced by another's answer,
+    and ``kept`` is such a failure.
     """
 
     id: str
@@ -128,6 +131,8 @@
     caller_service: str = ""
     objective_s: float = float("inf")
     inner: bool = False
+    second: _second.Second | None = None
+    kept: tuple[int, list[serving.Header], bytes] | None = None
 
     def left_ms(self) -> float:
         """Return how much time is left."""
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import time
 import typing
@@ -27,6 +28,7 @@
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _patience
 from chiveroad.traffic import _retry
+from chiveroad.traffic import _second
 from chiveroad.traffic import _split
 from chiveroad.traffic import _upstreams
 from chiveroad import wire
@@ -112,7 +114,7 @@
         worst: errors.Refusal | None = None
         while True:
             try:
-                self._try_once(request, call, tried)
+                self._try_once(request, call, tried, sent)
                 self._log_served(call, route, tried)
                 return
             except errors.Refusal as refusal:
@@ -136,6 +138,10 @@
                         worst,
                         extra=self._told(call, route, tried),
                     )
+                    if call.kept is not None and not request.begun:
+                        if isinstance(worst, errors.UpstreamFailed):
+                            request.answer(*call.kept)
+                            return
                     raise worst from refusal
                 _log.info(
                     "Request {} is tried again: {}.",
@@ -226,6 +232,7 @@
         request: serving.Request,
         call: _call.Call,
         tried: list[str],
+        sent: int,
     ) -> None:
         if call.left_ms() <= 0:
             raise errors.DeadlineExceeded("the deadline passed")
@@ -238,10 +245,10 @@
         distance = chosen.distance.name.lower()
         self._recorder.count("chiveroad.entry.picks", distance)
         track = self._upstreams.track(member)
+        call.second = self._second(call, sent)
         self._upstreams.count(track, 1)
         try:
             self._serve(request, call, member, track)
-            track.succeeded()
             self._upstreams.learn_size(call.kind_name, request.bytes_sent)
         except errors.Refusal as refusal:
             _upstreams.learn_refusal(track, refusal)
@@ -249,6 +256,16 @@
         finally:
             self._upstreams.count(track, -1)
 
+    def _second(self, call: _call.Call, sent: int) -> _second.Second | None:
+        """Return the second chance of a request that may be repeated."""
+        if not call.kind.idempotent or not call.body.replayable:
+            return None
+        if call.depth or sent + 1 >= call.kind.max_attempts:
+            return None
+        return _second.Second(
+            functools.partial(self._budget.spend, call.service)
+        )
+
     def _serve(
         self,
         request: serving.Request,
@@ -258,7 +275,8 @@
     ) -> None:
         if member.instance == self._options.instance:
             try:
-                self._guard.serve(request, call)
+                status = self._guard.serve(request, call)
+                track.answered(status, time.monotonic())
             finally:
                 load = self._guard.load(call.kind_name)
                 _upstreams.learn_own(track, load, call.kind_name)
@@ -275,6 +293,8 @@
         if code:
             answer.read()
             raise _told(answer, code)
+        track.answered(answer.status, time.monotonic())
+        _guard.check_failure(call, answer)
         _exchange.pass_on(answer, request, hold_bytes=HELD_ANSWER_BYTES)
 
     def _try_again(
@@ -288,7 +308,9 @@
         if _retry.decide(failure, True) is _retry.Decision.GIVE_UP:
             return False
         # What no upstream has seen is free to go on to another one.
-        return not refusal.reached or self._budget.spend(call.service)
+        if not refusal.reached or (call.second and call.second.paid):
+            return True
+        return self._budget.spend(call.service)
 
 
 def _terms(retries: settings.Retries) -> _budget.Terms:
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -88,11 +88,12 @@
         request: serving.Request,
         call: _call.Call,
         extra: collections.abc.Sequence[serving.Header] = (),
-    ) -> None:
+    ) -> int:
         """Run a request on the upstream and answer it.
 
         :param extra: headers for an entry that is another daemon; without
             them the load isn't told either.
+        :returns: the answer's status.
         :raises errors.Refusal: when nothing was answered.
         """
         self._check_upstream(call)
@@ -102,9 +103,11 @@
             self._check_upstream(call)
             if call.key and not call.kind.idempotent:
                 self._run_once(request, call, extra)
-            else:
-                answer = self._forward(request, call)
-                self._pass_on(answer, request, extra, call.kind_name)
+                return http.HTTPStatus.OK
+            answer = self._forward(request, call)
+            check_failure(call, answer)
+            self._pass_on(answer, request, extra, call.kind_name)
+            return answer.status
         finally:
             with self._lock:
                 self._admission.finish(ticket, time.monotonic())
@@ -337,6 +340,18 @@
         request.answer(kept.status, headers, body)
 
 
+def check_failure(call: _call.Call, answer: _exchange.Answer) -> None:
+    """Keep an upstream's failure back where another upstream is to be asked.
+
+    :raises errors.UpstreamFailed: when it is kept.
+    """
+    if call.second is None or not call.second.replaces(answer.status):
+        return
+    headers = _call.end_to_end(answer.headers)
+    call.kept = (answer.status, headers, answer.read())
+    raise errors.UpstreamFailed(f"the upstream answered {answer.status}")
+
+
 def _objective_s(request: serving.Request) -> float:
     """Return when the answer to an entry's request counts as late."""
     text = request.header(_call.OBJECTIVE_MS)
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -206,6 +206,7 @@
     logs.set_up("info", form, stream)
     logs.Logger("guard").info("Request {} admitted.", "r-1")
     logs.Logger("guard").debug("Not shown.")
+    logs.flush()
     handler = logbook.Handler.stack_manager.pop_application()
     assert handler is not None
     line = stream.getvalue()
