--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -349,7 +349,9 @@
 
 def _told(answer: _exchange.Answer, code: str) -> errors.Refusal:
     """Return the refusal that a guard told."""
-    retry_ms = _call.number(answer.header(_call.RETRY_AFTER_MS), 0)
+    # A guard whose workers are all taken refuses with the standard header.
+    standard_ms = 1000 * _call.number(answer.header("Retry-After"), 0)
+    retry_ms = _call.number(answer.header(_call.RETRY_AFTER_MS), standard_ms)
     error = _REFUSALS.get(_call.number(code, 0), errors.OutcomeUnknown)
     return error(f"refused by the guard with E{code}", retry_ms)
 
