--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,7 +3,8 @@
 set -eu
 lock=deploy/requirements.txt
 if ! cmp -s "$lock" target/installed.txt; then
-    python3 -m pip install --quiet --upgrade --target target/deps -r "$lock"
+    rm -rf target/deps
+    python3 -m pip install --quiet --no-deps --target target/deps -r "$lock"
     cp "$lock" target/installed.txt
 fi
 rm -rf target/deps/chiveroad
--- a/src/chiveroad/cli/_app.py
+++ b/src/chiveroad/cli/_app.py
@@ -14,6 +14,7 @@
 from chiveroad.cli import _output
 from chiveroad.cli import _push
 from chiveroad.cli import _status
+from chiveroad.cli import _trace
 from chiveroad import daemon
 from chiveroad import errors
 from chiveroad import store
@@ -113,6 +114,19 @@
     _finish(_explain.report(found), output)
 
 
+@app.command()
+def trace(
+    request: typing.Annotated[str, typer.Argument(help="A request's id.")],
+    logs: typing.Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Logs of daemons, JSON lines."),
+    ],
+    output: Output = TABLE,
+) -> None:
+    """Show what all daemons decided on one request, in order."""
+    _finish(_trace.report(request, _trace.find(request, logs)), output)
+
+
 @app.command()
 def version(output: Output = TABLE) -> None:
     """Show the version."""
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,46 @@
+"""Finding one request's lines in the logs of many daemons."""
+
+from __future__ import annotations
+
+import pathlib
+
+import msgspec
+import pytest
+
+from chiveroad.cli import _trace
+from chiveroad import errors
+
+
+def line(time: str, request: str, **more: object) -> str:
+    """Return a line of a daemon's log."""
+    value = {"time": f"2026-01-01T00:00:{time}+00:00", "part": "entry"}
+    return msgspec.json.encode(
+        {**value, "message": "m", "request": request, **more}
+    ).decode()
+
+
+def test_lines_of_one_request_come_in_order(tmp_path: pathlib.Path) -> None:
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text(
+        "\n".join(
+            [
+                line("03.000000", "q-1", version=12, tried=["x", "y"]),
+                line("02.000000", "q-2", message="about q-1"),
+                "not JSON, though it names q-1",
+                '{"request": "q-1"}',
+            ]
+        )
+    )
+    second.write_text("  -1.2 daemon " + line("01.000000", "q-1", left_ms=7))
+    found = _trace.find("q-1", [first, second])
+    assert [each.log for each in found] == ["b.log", "a.log"]
+    assert found[1].line.tried == ["x", "y"]
+    report = _trace.report("q-1", found)
+    assert report.rows[0][0] == "00:00:01.000"
+    assert not report.notes
+    assert _trace.report("q-3", _trace.find("q-3", [first])).notes
+
+
+def test_a_log_that_cannot_be_read_is_an_error(tmp_path: pathlib.Path) -> None:
+    with pytest.raises(errors.UsageError):
+        _trace.find("q-1", [tmp_path / "missing.log"])
