--- a/src/chiveroad/cli/_trace.py
+++ b/src/chiveroad/cli/_trace.py
@@ -42,7 +42,7 @@
 
     :raises errors.UsageError: when a log can't be read.
     """
-    found = []
+    found: list[Found] = []
     for log in logs:
         try:
             text = log.read_text(encoding="utf-8", errors="replace")
