--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 import socket
 import threading
 import time
@@ -16,6 +15,7 @@
 
 from chiveroad import clock
 from chiveroad import config
+from chiveroad.control import _backoff
 from chiveroad.control import _freshness
 from chiveroad.control import _helper
 from chiveroad.control import _messages
@@ -44,6 +44,10 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.3
 GRACE_S: typing.Final = 0.4
 RETRY_S: typing.Final = 0.15
+MAX_RETRY_VERSIONS_S: typing.Final = 0.6
+"""A version is to be in force two seconds after its acceptance."""
+
+MAX_RETRY_MEMBERS_S: typing.Final = 1.0
 HELP_S: typing.Final = 0.3
 TICK_S: typing.Final = 0.1
 PROBE_TIMEOUT_S: typing.Final = 0.5
@@ -220,27 +224,23 @@
 
     def _follow_versions(self) -> None:
         revision = 0
+        gap = False
+        backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_VERSIONS_S)
         while not self.stopped:
             self._wait_until_watching()
             revision = max(revision, self._node.applied.current.revision)
             try:
-                if revision:
+                if revision and not gap:
                     revision = self._watch_versions(revision)
                 else:
                     revision = self._read_version()
+                gap = False
+                backoff.reset()
             except errors.StoreExpired:
-                revision = self._read_after_gap()
+                gap = True
             except errors.ChiveroadError as exc:
                 _log.debug("No version from the store: {}.", exc)
-                time.sleep(RETRY_S * random.uniform(0.5, 1.5))
-
-    def _read_after_gap(self) -> int:
-        try:
-            return self._read_version()
-        except errors.ChiveroadError as exc:
-            _log.debug("No version from the store: {}.", exc)
-            time.sleep(RETRY_S * random.uniform(0.5, 1.5))
-            return 0
+                backoff.wait()
 
     def _read_version(self) -> int:
         asked_s = clock.now_s()
@@ -276,6 +276,7 @@
 
     def _follow_members(self) -> None:
         revision = 0
+        backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_MEMBERS_S)
         while not self.stopped:
             self._wait_until_watching()
             try:
@@ -283,11 +284,12 @@
                     revision = self._watch_members(revision)
                 else:
                     revision = self._list_members()
+                backoff.reset()
             except errors.StoreExpired:
                 revision = 0
             except errors.ChiveroadError as exc:
                 _log.debug("No members from the store: {}.", exc)
-                time.sleep(RETRY_S * random.uniform(0.5, 1.5))
+                backoff.wait()
 
     def _list_members(self) -> int:
         listing = self._store.list(store.Kind.MEMBERS)
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import collections.abc
-import random
 import threading
 import time
 import typing
 
 import msgspec
 
+from chiveroad.control import _backoff
 from chiveroad.control import _messages
 from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
 
-RETRY_S: typing.Final = 0.2
+RETRY_S: typing.Final = 0.1
+MAX_RETRY_S: typing.Final = 0.6
+"""An upstream waits four seconds in all for its leave to be acknowledged."""
 
 _log = logs.Logger("record")
 _decoder = msgspec.json.Decoder(_messages.MemberRecord)
@@ -87,6 +89,7 @@
         return wanted is None or wanted == self._held
 
     def _run(self) -> None:
+        backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_S)
         while not self.stopped:
             with self._changed:
                 while self._current():
@@ -94,8 +97,12 @@
                     if self.stopped:
                         return
                 wanted = self._compose()
-            if wanted is not None and not self._write(wanted):
-                time.sleep(RETRY_S * random.uniform(0.5, 1.5))
+            if wanted is None:
+                continue
+            if self._write(wanted):
+                backoff.reset()
+            else:
+                backoff.wait()
 
     def _write(self, wanted: _messages.MemberRecord) -> bool:
         try:
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -36,7 +36,7 @@
     """The settings file can't be used."""
 
     code = 1001
-    hint = "compare the settings file with docs/OPERATING.md"
+    hint = "compare the settings file with docs/OPERATIONS.md"
     exit_code = 2
 
 
@@ -83,7 +83,7 @@
     """A key is unknown, missing, or holds the wrong type or range."""
 
     code = 2002
-    hint = "compare the key with docs/OPERATING.md"
+    hint = "compare the key with docs/OPERATIONS.md"
 
 
 class FileName(FileError):
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -19,6 +19,9 @@
 MIN_OBSERVED: typing.Final = 4
 """Fewer requests in hand say little of how fast the upstream is."""
 
+MIN_LEARNT_TURNS: typing.Final = 3
+"""How often each slot must have been used before the mean is trusted."""
+
 AGE_SHARE: typing.Final = 1.5
 """By how much the mean age of requests in hand may exceed the mean time that
 they take before it counts as a change: their spread alone explains less."""
@@ -104,7 +107,7 @@
         self._service_ms: dict[str, float] = {}
         self._mean_ms = DEFAULT_SERVICE_MS
         self._slowdown = 1.0
-        self._learnt = False
+        self._learnt = 0
         self._running: set[Ticket] = set()
 
     @property
@@ -169,7 +172,7 @@
         known = self._service_ms.get(kind, took_ms)
         self._service_ms[kind] = known + SMOOTHING * (took_ms - known)
         known = self._mean_ms if self._learnt else took_ms
-        self._learnt = True
+        self._learnt += 1
         self._mean_ms = known + SMOOTHING / 2 * (took_ms - known)
 
     def service_ms(self, kind: str) -> float:
@@ -184,7 +187,10 @@
         end would tell it too late.
         """
         self._slowdown = 1.0
-        if len(self._running) < MIN_OBSERVED or not self._learnt:
+        if len(self._running) < MIN_OBSERVED:
+            return
+        if self._learnt < MIN_LEARNT_TURNS * self.limits.slots:
+            # The first to end are the short ones; all others look slow.
             return
         total_s = sum(now_s - ticket.begun_s for ticket in self._running)
         age_ms = 1000 * total_s / len(self._running)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -11,6 +11,7 @@
 
 from chiveroad import config
 from chiveroad import control
+from chiveroad.control import _backoff
 from chiveroad.control import _freshness
 from chiveroad.control import _messages
 from chiveroad.control import _record
@@ -111,6 +112,15 @@
     assert _freshness.stale(10.0, 10.1 + _freshness.STALE_S)
 
 
+def test_pauses_double_up_to_a_limit_and_begin_anew() -> None:
+    backoff = _backoff.Backoff(0.1, 0.6)
+    pauses = [backoff.next_s() for _ in range(8)]
+    for pause_s, middle_s in zip(pauses, (0.1, 0.2, 0.4, 0.6, 0.6, 0.6)):
+        assert 0.5 * middle_s <= pause_s <= 1.5 * middle_s
+    backoff.reset()
+    assert backoff.next_s() <= 0.15
+
+
 class Recording:
     """A recorder, the store behind it, and what is to be recorded."""
 
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -264,3 +264,33 @@
     for _ in range(30):
         patience.elapsed_ms("r", 1_000)
     assert patience.elapsed_ms("r", 900) == 100
+
+
+def test_a_guard_that_has_just_started_doesnt_take_a_mix_for_slowness() -> (
+    None
+):
+    """Short requests end first; the long ones in hand are no sign."""
+    state = _admission.Admission(
+        _admission.Limits(12, 64), _objective.ObjectiveFirst()
+    )
+    tickets = [ticket for _, ticket in stream(1_000.0, 0.02)][:11]
+    for ticket in tickets:
+        state.offer(ticket, ticket.arrived_s)
+    state.served("call", 50.0)
+    call = _admission.Ticket("t", "call", 9, 0.8, 0.5, 1.5, inner=True)
+    state.offer(call, 0.5)
+    assert call.admitted
+
+
+def test_an_upstream_that_turns_slow_is_seen_before_its_answers_come() -> None:
+    state = _admission.Admission(
+        _admission.Limits(10, 64), _objective.ObjectiveFirst()
+    )
+    for _ in range(40):
+        state.served("browse", 200.0)
+    for _, ticket in [(0, t) for _, t in stream(1_000.0, 0.02)][:10]:
+        state.offer(ticket, 0.0)
+    state.observe(0.2)
+    assert state.service_ms("browse") == pytest.approx(200.0)
+    state.observe(0.9)
+    assert state.service_ms("browse") > 500.0
