--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -23,8 +23,6 @@
 }
 """The platform's kind for each of ours; others keep their name."""
 
-_WRITES: typing.Final = frozenset({"POST", "PUT", "DELETE"})
-
 
 class _Metadata(msgspec.Struct):
     """``revision`` is that of the object's last change."""
@@ -58,8 +56,6 @@
     as_of: int
 
 
-_T = typing.TypeVar("_T")
-
 _object_decoder = msgspec.json.Decoder(_Object)
 _page_decoder = msgspec.json.Decoder(_Page)
 _changes_decoder = msgspec.json.Decoder(_Changes)
@@ -81,7 +77,7 @@
     def get(self, kind: store.Kind, name: str) -> store.StoredObject:
         """Return an object."""
         body = self._call("GET", self._url(kind, name))
-        return _stored(_decode(_object_decoder, body))
+        return _stored(store.decode_answer(_object_decoder, body))
 
     def list(self, kind: store.Kind, prefix: str = "") -> store.Listing:
         """Return the objects whose names begin with the prefix."""
@@ -90,7 +86,7 @@
         while True:
             query = f"?{urllib.parse.urlencode({'after': after})}"
             url = self._url(kind) + (query if after else "")
-            page = _decode(_page_decoder, self._call("GET", url))
+            page = store.decode_answer(_page_decoder, self._call("GET", url))
             found = [_stored(item) for item in page.items]
             objects += [each for each in found if each.name.startswith(prefix)]
             if not page.has_more or not found:
@@ -117,7 +113,7 @@
                 answer = self._call("PUT", self._url(kind, name), body)
         except errors.StoreNotFound as exc:
             raise errors.StoreConflict(f"{kind.value}/{name} is gone") from exc
-        written = _decode(_object_decoder, answer)
+        written = store.decode_answer(_object_decoder, answer)
         return store.StoredObject(
             name, written.metadata.revision, msgspec.Raw(value)
         )
@@ -136,7 +132,7 @@
         )
         url = f"{self._url(kind)}?{query}"
         body = self._call("GET", url, timeout_s=timeout_s + WATCH_GRACE_S)
-        changes = _decode(_changes_decoder, body)
+        changes = store.decode_answer(_changes_decoder, body)
         for change in changes.events:
             stored = _stored(change.object)
             if change.tombstone:
@@ -177,41 +173,12 @@
         ) as exc:
             raise errors.StoreUnavailable(f"{method}: {exc}") from exc
         except urllib3.exceptions.HTTPError as exc:
-            raise _lost(method, str(exc)) from exc
+            raise store.lost_answer(method, str(exc)) from exc
         if response.status >= http.HTTPStatus.BAD_REQUEST:
-            raise _failure(response.status, method, response.data)
+            raise store.status_error(response.status, method, response.data)
         return response.data
 
 
-def _lost(method: str, message: str) -> errors.StoreError:
-    if method in _WRITES:
-        return errors.StoreOutcomeUnknown(f"{method}: {message}")
-    return errors.StoreUnavailable(f"{method}: {message}")
-
-
-def _failure(status: int, method: str, body: bytes) -> errors.StoreError:
-    text = body[:200].decode(errors="replace")
-    message = f"{method} answered {status}: {text}"
-    known: dict[int, type[errors.StoreError]] = {
-        http.HTTPStatus.NOT_FOUND: errors.StoreNotFound,
-        http.HTTPStatus.CONFLICT: errors.StoreConflict,
-        http.HTTPStatus.GONE: errors.StoreExpired,
-        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE: errors.StoreTooLarge,
-        http.HTTPStatus.SERVICE_UNAVAILABLE: errors.StoreUnavailable,
-        http.HTTPStatus.TOO_MANY_REQUESTS: errors.StoreUnavailable,
-    }
-    if status in known:
-        return known[status](message)
-    return _lost(method, message)
-
-
-def _decode(decoder: msgspec.json.Decoder[_T], body: bytes) -> _T:
-    try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as exc:
-        raise errors.StoreUnavailable(f"unreadable answer: {exc}") from exc
-
-
 def _stored(item: _Object) -> store.StoredObject:
     return store.StoredObject(
         item.metadata.name, item.metadata.revision, item.spec.copy()
--- a/src/chiveroad/store/__init__.py
+++ b/src/chiveroad/store/__init__.py
@@ -10,6 +10,9 @@
 from chiveroad.store._base import Store
 from chiveroad.store._base import StoredObject
 from chiveroad.store._http import HttpStore
+from chiveroad.store._outcome import decode_answer
+from chiveroad.store._outcome import lost_answer
+from chiveroad.store._outcome import status_error
 
 __all__ = [
     "ABSENT",
@@ -21,5 +24,8 @@
     "MAX_VALUE_BYTES",
     "Store",
     "StoredObject",
+    "decode_answer",
+    "lost_answer",
     "overwrite",
+    "status_error",
 ]
--- a/src/chiveroad/store/_http.py
+++ b/src/chiveroad/store/_http.py
@@ -12,13 +12,13 @@
 
 from chiveroad import errors
 from chiveroad.store import _base
+from chiveroad.store import _outcome
 
 CONNECT_TIMEOUT_S: typing.Final = 1.0
 READ_TIMEOUT_S: typing.Final = 3.0
 WATCH_GRACE_S: typing.Final = 5.0
 
 _PATH: typing.Final = "/apis/chiveroad/v1"
-_WRITES: typing.Final = frozenset({"PUT", "DELETE"})
 
 
 class _Metadata(msgspec.Struct, rename="camel"):
@@ -66,13 +66,13 @@
     def get(self, kind: _base.Kind, name: str) -> _base.StoredObject:
         """Return an object."""
         body = self._call("GET", self._url(kind, name))
-        return _stored(_decode(_object_decoder, body))
+        return _stored(_outcome.decode_answer(_object_decoder, body))
 
     def list(self, kind: _base.Kind, prefix: str = "") -> _base.Listing:
         """Return the objects whose names begin with the prefix."""
         query = urllib.parse.urlencode({"prefix": prefix})
         body = self._call("GET", f"{self._url(kind)}?{query}")
-        listed = _decode(_list_decoder, body)
+        listed = _outcome.decode_answer(_list_decoder, body)
         return _base.Listing(
             _version(listed.metadata),
             tuple(_stored(item) for item in listed.items),
@@ -90,7 +90,7 @@
             {"metadata": metadata, "spec": msgspec.Raw(value)}
         )
         answer = self._call("PUT", self._url(kind, name), body)
-        written = _decode(_object_decoder, answer)
+        written = _outcome.decode_answer(_object_decoder, answer)
         return _base.StoredObject(
             name, _version(written.metadata), msgspec.Raw(value)
         )
@@ -120,7 +120,9 @@
         )
         try:
             if response.status != http.HTTPStatus.OK:
-                raise _failure(response.status, "GET", response.read())
+                raise _outcome.status_error(
+                    response.status, "GET", response.read()
+                )
             yield from _events(response)
         except urllib3.exceptions.HTTPError as exc:
             raise errors.StoreUnavailable(
@@ -137,7 +139,7 @@
     def _call(self, method: str, url: str, body: bytes | None = None) -> bytes:
         response = self._send(method, url, body, self._timeout_s, stream=False)
         if response.status >= http.HTTPStatus.BAD_REQUEST:
-            raise _failure(response.status, method, response.data)
+            raise _outcome.status_error(response.status, method, response.data)
         return response.data
 
     def _send(
@@ -165,30 +167,7 @@
         except urllib3.exceptions.ConnectTimeoutError as exc:
             raise errors.StoreUnavailable(f"{method}: {exc}") from exc
         except urllib3.exceptions.HTTPError as exc:
-            raise _lost(method, str(exc)) from exc
-
-
-def _lost(method: str, message: str) -> errors.StoreError:
-    if method in _WRITES:
-        return errors.StoreOutcomeUnknown(f"{method}: {message}")
-    return errors.StoreUnavailable(f"{method}: {message}")
-
-
-def _failure(status: int, method: str, body: bytes) -> errors.StoreError:
-    message = (
-        f"{method} answered {status}: {body[:200].decode(errors='replace')}"
-    )
-    known: dict[int, type[errors.StoreError]] = {
-        http.HTTPStatus.NOT_FOUND: errors.StoreNotFound,
-        http.HTTPStatus.CONFLICT: errors.StoreConflict,
-        http.HTTPStatus.GONE: errors.StoreExpired,
-        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE: errors.StoreTooLarge,
-        http.HTTPStatus.SERVICE_UNAVAILABLE: errors.StoreUnavailable,
-        http.HTTPStatus.TOO_MANY_REQUESTS: errors.StoreUnavailable,
-    }
-    if status in known:
-        return known[status](message)
-    return _lost(method, message)
+            raise _outcome.lost_answer(method, str(exc)) from exc
 
 
 def _events(
@@ -198,20 +177,13 @@
     for chunk in response.stream(64 * 1024):
         *lines, pending = (pending + chunk).split(b"\n")
         for line in lines:
-            event = _decode(_event_decoder, line)
+            event = _outcome.decode_answer(_event_decoder, line)
             version = _version(event.object.metadata)
             bookmark = event.type is _base.EventType.BOOKMARK
             stored = None if bookmark else _stored(event.object)
             yield _base.Event(event.type, version, stored)
 
 
-def _decode(decoder: msgspec.json.Decoder[_T], body: bytes) -> _T:
-    try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as exc:
-        raise errors.StoreUnavailable(f"unreadable answer: {exc}") from exc
-
-
 def _version(metadata: _Metadata) -> int:
     return int(metadata.resource_version)
 
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -26,6 +26,7 @@
 from chiveroad.traffic import _call
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _guard
+from chiveroad.traffic import _hop
 from chiveroad.traffic import _patience
 from chiveroad.traffic import _retry
 from chiveroad.traffic import _second
@@ -136,7 +137,7 @@
                         "Request {} is given up: {}.",
                         call.id,
                         worst,
-                        extra=self._told(call, route, tried),
+                        extra=self._log_fields(call, route, tried),
                     )
                     if call.kept is not None and not request.begun:
                         if isinstance(worst, errors.UpstreamFailed):
@@ -147,7 +148,7 @@
                     "Request {} is tried again: {}.",
                     call.id,
                     refusal,
-                    extra=self._told(call, route, tried),
+                    extra=self._log_fields(call, route, tried),
                 )
 
     def _log_served(
@@ -159,10 +160,10 @@
             "Request {} is served by {}.",
             call.id,
             tried[-1],
-            extra=self._told(call, route, tried),
+            extra=self._log_fields(call, route, tried),
         )
 
-    def _told(
+    def _log_fields(
         self, call: _call.Call, route: config.Route, tried: list[str]
     ) -> dict[str, object]:
         """Return what a line on a request tells besides its message."""
@@ -286,13 +287,13 @@
             call,
             call.guard_headers(),
             request.socket,
-            _read_hop_terms,
+            _hop.read_terms,
         )
         _upstreams.learn_load(track, answer, call.kind_name)
         code = answer.header(serving.CODE_HEADER)
         if code:
             answer.read()
-            raise _told(answer, code)
+            raise _hop.refusal_of(answer, code)
         track.answered(answer.status, time.monotonic())
         _guard.check_failure(call, answer)
         _exchange.pass_on(answer, request, hold_bytes=HELD_ANSWER_BYTES)
@@ -335,27 +336,6 @@
     return path
 
 
-def _read_hop_terms(status: int, header: typing.Any) -> wire.AnswerTerms:
-    """Return what a guard states with an answer."""
-    return wire.AnswerTerms(request_id=header(_call.REQUEST, ""))
-
-
-_REFUSALS: typing.Final = {
-    error.code: error
-    for error in errors.tree(errors.Refusal)
-    if issubclass(error, errors.Refusal)
-}
-
-
-def _told(answer: _exchange.Answer, code: str) -> errors.Refusal:
-    """Return the refusal that a guard told."""
-    # A guard whose workers are all taken refuses with the standard header.
-    standard_ms = 1000 * _call.number(answer.header("Retry-After"), 0)
-    retry_ms = _call.number(answer.header(_call.RETRY_AFTER_MS), standard_ms)
-    error = _REFUSALS.get(_call.number(code, 0), errors.OutcomeUnknown)
-    return error(f"refused by the guard with E{code}", retry_ms)
-
-
 def _worse(
     before: errors.Refusal | None, now: errors.Refusal
 ) -> errors.Refusal:
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -197,17 +197,19 @@
                 "Request {} is refused: {}.",
                 call.id,
                 reason,
-                extra=self._told(call),
+                extra=self._log_fields(call),
             )
             self._recorder.count("chiveroad.guard.requests", "refused")
             raise errors.Overloaded(reason, ticket.refusal.retry_after_ms)
         if self._sampler.passes():
             _log.info(
-                "Request {} is admitted.", call.id, extra=self._told(call)
+                "Request {} is admitted.",
+                call.id,
+                extra=self._log_fields(call),
             )
         return ticket
 
-    def _told(self, call: _call.Call) -> dict[str, object]:
+    def _log_fields(self, call: _call.Call) -> dict[str, object]:
         """Return what a line on a request tells besides its message."""
         return {
             "request": call.id,
--- /dev/null
+++ b/src/chiveroad/traffic/_hop.py
@@ -0,0 +1,34 @@
+"""Reading what a guard answers to an entry."""
+
+from __future__ import annotations
+
+import typing
+
+from chiveroad import errors
+from chiveroad.traffic import _call
+from chiveroad.traffic import _exchange
+from chiveroad import wire
+
+
+def read_terms(status: int, header: typing.Any) -> wire.AnswerTerms:
+    """Return what a guard states with an answer."""
+    return wire.AnswerTerms(request_id=header(_call.REQUEST, ""))
+
+
+_REFUSALS: typing.Final = {
+    error.code: error
+    for error in errors.tree(errors.Refusal)
+    if issubclass(error, errors.Refusal)
+}
+
+
+def refusal_of(answer: _exchange.Answer, code: str) -> errors.Refusal:
+    """Return the refusal that a guard has answered with.
+
+    :param code: its number, as the answer states it.
+    """
+    # A guard whose workers are all taken refuses with the standard header.
+    standard_ms = 1000 * _call.number(answer.header("Retry-After"), 0)
+    retry_ms = _call.number(answer.header(_call.RETRY_AFTER_MS), standard_ms)
+    error = _REFUSALS.get(_call.number(code, 0), errors.OutcomeUnknown)
+    return error(f"refused by the guard with E{code}", retry_ms)
