--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -344,7 +344,7 @@
         if record is None or not record.member.upstream_id:
             return
         member = record.member
-        self._upstream.assume(
+        self._upstream.recall(
             presence.Known(
                 upstream_id=member.upstream_id,
                 service=member.service,
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -218,7 +218,7 @@
         """Announce an upstream without heartbeats once it can be reached."""
         if self._options.upstream.heartbeats:
             return
-        self._upstream.assume(
+        self._upstream.recall(
             presence.Known(
                 service=self._options.service, phase=presence.Phase.READY
             )
--- a/src/chiveroad/presence/__init__.py
+++ b/src/chiveroad/presence/__init__.py
@@ -1,6 +1,7 @@
 """What a daemon knows of the upstream beside it."""
 
 from chiveroad.presence._handler import HeartbeatHandler
+from chiveroad.presence._local import Left
 from chiveroad.presence._local import LocalUpstream
 from chiveroad.presence._state import decide
 from chiveroad.presence._state import Known
@@ -10,6 +11,7 @@
 __all__ = [
     "HeartbeatHandler",
     "Known",
+    "Left",
     "LocalUpstream",
     "Phase",
     "Verdict",
--- a/src/chiveroad/presence/_handler.py
+++ b/src/chiveroad/presence/_handler.py
@@ -75,7 +75,11 @@
             self._record_leave()
 
     def _leave(self, leave: wire.Leave) -> None:
-        if self._upstream.leave(leave.upstream_id):
+        whose = self._upstream.leave(leave.upstream_id)
+        if whose is _local.Left.UNKNOWN:
+            # The record may still name it as ready; it isn't read yet.
+            raise errors.NotRecorded("no record is read", RECORD_RETRY_MS)
+        if whose is _local.Left.KNOWN:
             self._record_leave()
 
     def _record_leave(self) -> None:
--- a/src/chiveroad/presence/_local.py
+++ b/src/chiveroad/presence/_local.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import collections.abc
+import enum
 import threading
 import time
 import typing
@@ -16,9 +16,18 @@
 daemons need to hear of it, and far below the two seconds that it serves on.
 """
 
+LATE_S: typing.Final = 10.0
+"""For how long a heartbeat of an upstream that has left may still arrive."""
+
 _log = logs.Logger("presence")
 
-Listener = collections.abc.Callable[["_state.Known"], bool]
+
+class Left(enum.Enum):
+    """Whose leave it was: of the upstream known, of another, or unclear."""
+
+    KNOWN = "the upstream that is known"
+    OTHER = "an upstream before the one that is known"
+    UNKNOWN = "no upstream is known yet"
 
 
 class LocalUpstream:
@@ -31,6 +40,7 @@
         self._address = address
         self._lock = threading.Lock()
         self._known = _state.Known()
+        self._left_s: dict[str, float] = {}
 
     @property
     def known(self) -> _state.Known:
@@ -52,6 +62,9 @@
             verdict, known = _state.decide(
                 self._known, heartbeat, self._address, time.monotonic()
             )
+            new_life = verdict is _state.Verdict.NEW_LIFE
+            if new_life and self._has_left(heartbeat.upstream_id):
+                verdict, known = _state.Verdict.STALE, self._known
             self._known = known
         if verdict in (_state.Verdict.NEW_LIFE, _state.Verdict.CHANGED):
             _log.info(
@@ -70,24 +83,36 @@
             )
         return verdict
 
-    def leave(self, upstream_id: str) -> bool:
-        """Note that an upstream ends; False when it isn't the one known."""
+    def leave(self, upstream_id: str) -> Left:
+        """Note that an upstream ends."""
         with self._lock:
-            if self._known.upstream_id != upstream_id:
-                _log.warning("{} leaves but isn't known.", upstream_id)
-                return False
-            self._known = _state.left(
-                self._known, _state.Phase.GONE, time.monotonic()
-            )
-        _log.info("Upstream {} is gone.", upstream_id)
-        return True
-
-    def assume(self, known: _state.Known) -> None:
-        """Go by what isn't a heartbeat, until there is one."""
+            known = self._known
+            if known.upstream_id == upstream_id:
+                self._known = _state.left(
+                    known, _state.Phase.GONE, time.monotonic()
+                )
+            else:
+                self._left_s[upstream_id] = time.monotonic()
+        if known.upstream_id == upstream_id:
+            _log.info("Upstream {} is gone.", upstream_id)
+            return Left.KNOWN
+        _log.warning("{} leaves but isn't known.", upstream_id)
+        unknown = known.phase is _state.Phase.UNKNOWN
+        return Left.UNKNOWN if unknown else Left.OTHER
+
+    def recall(self, recorded: _state.Known) -> None:
+        """Take in what an earlier life of this daemon has recorded.
+
+        A heartbeat that came late may have been heard before the record was
+        read: what the record says of leaving goes before it.
+        """
         with self._lock:
-            if self._known.phase is not _state.Phase.UNKNOWN:
-                return
-            self._known = known
+            if self._has_left(recorded.upstream_id):
+                recorded = _state.left(
+                    recorded, _state.Phase.GONE, time.monotonic()
+                )
+            self._known = _state.recall(self._known, recorded)
+            known = self._known
         _log.info(
             "Upstream {} of {} is taken for {}.",
             known.upstream_id or self._address,
@@ -95,6 +120,10 @@
             known.phase.value,
         )
 
+    def _has_left(self, upstream_id: str) -> bool:
+        left_s = self._left_s.get(upstream_id)
+        return left_s is not None and time.monotonic() - left_s < LATE_S
+
     def doubt(self, upstream_id: str) -> None:
         """Forget the upstream: another one answers at its address."""
         with self._lock:
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -95,6 +95,24 @@
     return Verdict.FRESH, heard
 
 
+def recall(known: Known, recorded: Known) -> Known:
+    """Return what is known once the record of an earlier life is read.
+
+    A record of the same life that says it leaves goes before whatever was
+    heard, and a record of a later life too.
+    """
+    if known.phase is Phase.UNKNOWN:
+        return recorded
+    mine = (known.started_at_ms, known.upstream_id)
+    theirs = (recorded.started_at_ms, recorded.upstream_id)
+    if theirs > mine:
+        return recorded
+    leaves = recorded.phase in (Phase.DRAINING, Phase.GONE)
+    if theirs == mine and leaves:
+        return left(known, recorded.phase, recorded.left_s)
+    return known
+
+
 def left(known: Known, phase: Phase, now_s: float) -> Known:
     """Return what is known once the upstream has said that it leaves."""
     left_s = known.left_s or now_s
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -13,6 +13,7 @@
 from chiveroad import errors
 from chiveroad import presence
 from chiveroad.presence import _local
+from chiveroad.presence import _state
 from chiveroad import serving
 from chiveroad import wire
 
@@ -123,9 +124,9 @@
 def test_a_leave_of_another_upstream_changes_nothing() -> None:
     upstream = presence.LocalUpstream(HERE)
     upstream.hear(BEAT)
-    assert not upstream.leave("i-9")
+    assert upstream.leave("i-9") is presence.Left.OTHER
     assert phase_of(upstream) is presence.Phase.READY
-    assert upstream.leave("i-1")
+    assert upstream.leave("i-1") is presence.Left.KNOWN
     assert phase_of(upstream) is presence.Phase.GONE
 
 
@@ -140,6 +141,67 @@
     assert phase_of(upstream) is presence.Phase.READY
 
 
+RECORDED = dataclasses.replace(KNOWN, sequence=0)
+
+
+def test_a_leave_before_the_record_is_read_counts_once_it_is() -> None:
+    """Hold a leave that comes while nothing is known yet.
+
+    Seen on coulee-launch, hunt-b19e-7: a leave was acknowledged 0.14 s
+    before the record named the upstream as ready, and work was sent on.
+    """
+    upstream = presence.LocalUpstream(HERE)
+    assert upstream.leave("i-1") is presence.Left.UNKNOWN
+    upstream.recall(RECORDED)
+    assert phase_of(upstream) is presence.Phase.GONE
+    upstream.hear(dataclasses.replace(BEAT, sequence=9))
+    assert phase_of(upstream) is presence.Phase.GONE
+    later = dataclasses.replace(BEAT, upstream_id="i-2", started_at_ms=2_000)
+    upstream.hear(later)
+    assert phase_of(upstream) is presence.Phase.READY
+
+
+def test_a_late_heartbeat_after_an_unclear_leave_is_stale() -> None:
+    upstream = presence.LocalUpstream(HERE)
+    upstream.leave("i-1")
+    assert upstream.hear(BEAT) is presence.Verdict.STALE
+    assert phase_of(upstream) is presence.Phase.UNKNOWN
+
+
+def test_an_unclear_leave_is_not_acknowledged() -> None:
+    handler = presence.HeartbeatHandler(
+        wire.Native(),
+        presence.LocalUpstream(HERE),
+        lambda _: True,
+        lambda: {"glade"},
+    )
+    with pytest.raises(errors.NotRecorded):
+        handler.handle(_as_request(_Request(state="gone")))
+
+
+@pytest.mark.parametrize(
+    ("heard", "recorded", "phase"),
+    [
+        ("READY", "DRAINING", "DRAINING"),
+        ("READY", "GONE", "GONE"),
+        ("READY", "READY", "READY"),
+        ("DRAINING", "READY", "DRAINING"),
+        ("UNKNOWN", "READY", "READY"),
+    ],
+)
+def test_what_a_record_says_of_leaving_goes_before_a_late_heartbeat(
+    heard: str, recorded: str, phase: str
+) -> None:
+    known = dataclasses.replace(KNOWN, phase=presence.Phase[heard])
+    if heard == "UNKNOWN":
+        known = presence.Known()
+    record = dataclasses.replace(RECORDED, phase=presence.Phase[recorded])
+    assert _state.recall(known, record).phase is presence.Phase[phase]
+    earlier = dataclasses.replace(record, started_at_ms=1)
+    if heard != "UNKNOWN":
+        assert _state.recall(known, earlier) == known
+
+
 class _Request:
     """Just what the native protocol reads of a request."""
 
@@ -177,7 +239,11 @@
         ({"state": "asleep"}, True, errors.BadRequest),
         ({"sequence": "one"}, True, errors.BadRequest),
         ({"service": "nobody"}, True, errors.BadRequest),
-        ({"state": "gone", "upstream": "i-9"}, False, None),
+        (
+            {"state": "gone", "upstream": "i-9"},
+            True,
+            errors.NotRecorded,
+        ),
     ],
 )
 def test_a_leave_is_acknowledged_only_once_it_is_recorded(
