Leave out daemons that can't be reached, and probe the silent ones

Cause: a daemon whose machine lost power or its links refuses nothing.

Now: an entry keeps, for each guard, the attempts that reached nobody since it was last heard. One is a doubt, two are a loss; the doubted are asked when nobody else is left, the lost never. A guard that is silent for 0.2 s while a request waits is probed, so is one that took no connection, side by side and less often with each miss. A request that may be repeated leaves a lost daemon, paid from the retry budget; one that may run once waits on. Connecting to a daemon takes 0.2 s at most.

Without the change the new test of a silent daemon gets 504 where it now gets 200.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -35,6 +35,7 @@
 READY_THREADS: typing.Final = 2
 PROBE_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.3
+PEER_PROBE_TICK_S: typing.Final = 0.1
 GUARD_TICK_S: typing.Final = 0.05
 GUARD_GRACE_S: typing.Final = 0.5
 """What other daemons need to hear that this one stops."""
@@ -98,6 +99,7 @@
         )
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
+        self._servers_closed = threading.Event()
         self._servers = self._make_servers()
         self._border_servers = self._make_border_servers()
 
@@ -170,7 +172,7 @@
         push = self._options.metrics
         if push.push_address:
             self._exporter.push(push.push_address, push.push_interval_ms)
-        for work in (self._probe, self._collect):
+        for work in (self._probe, self._collect, self._probe_peers):
             threading.Thread(
                 target=work, name=work.__name__, daemon=True
             ).start()
@@ -230,6 +232,11 @@
                 return
             time.sleep(PROBE_S)
 
+    def _probe_peers(self) -> None:
+        """Ask silent daemons for a sign of life while requests wait."""
+        while not self._servers_closed.wait(PEER_PROBE_TICK_S):
+            self._entry.probe()
+
     def _collect(self) -> None:
         """Delete expired claims, a share of them at a time, as merger."""
         shards = itertools.cycle(f"{n:02x}" for n in range(CLAIM_SHARDS))
@@ -271,6 +278,7 @@
         self._plane.stopped = True
         self._control.stopped = True
         _log.info("Stopped.")
+        self._servers_closed.set()
         for server in (*self._border_servers, *reversed(self._servers)):
             server.stop()
 
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -422,6 +422,12 @@
     code = 4029
 
 
+class PeerSilent(OutcomeUnknown):
+    """The upstream's daemon shows no sign of life; another one is asked."""
+
+    code = 4030
+
+
 class KeyInProgress(OutcomeUnknown):
     """A request with the same idempotency key is running."""
 
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -17,6 +17,8 @@
 import random
 import typing
 
+from chiveroad.traffic import _reach
+
 WIDEN_LOAD: typing.Final = 0.5
 CROSS_LOAD: typing.Final = 1.0
 FADE_S: typing.Final = 0.5
@@ -152,6 +154,7 @@
     completion_ms: float = 0.0
     objective_ms: int = 0
     answer_bytes: float = 0.0
+    reach: _reach.State = _reach.State.REACHED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +175,7 @@
     track: Track,
     now_s: float,
     wanted: Wanted = Wanted(),
+    reach: _reach.State = _reach.State.REACHED,
 ) -> Candidate:
     """Return a candidate as its track says."""
     return Candidate(
@@ -184,6 +188,7 @@
         track.completion_ms(wanted.kind, now_s),
         wanted.objective_ms,
         wanted.answer_bytes,
+        reach,
     )
 
 
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -28,6 +28,7 @@
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _hop
 from chiveroad.traffic import _patience
+from chiveroad.traffic import _reach
 from chiveroad.traffic import _retry
 from chiveroad.traffic import _second
 from chiveroad.traffic import _split
@@ -107,6 +108,10 @@
         """Retire idle connections, and forget upstreams that are gone."""
         self._upstreams.tick()
 
+    def probe(self) -> None:
+        """Ask the daemons of which nothing is heard for a sign of life."""
+        self._upstreams.probe()
+
     def _carry(self, request: serving.Request) -> None:
         call, route = self._read_call(request)
         self._budget.count(call.service)
@@ -282,13 +287,15 @@
                 load = self._guard.load(call.kind_name)
                 _upstreams.learn_own(track, load, call.kind_name)
             return
-        answer = _exchange.ask(
-            self._upstreams.pool(member.guard),
-            call,
-            call.guard_headers(),
-            request.socket,
-            _hop.read_terms,
-        )
+        with self._upstreams.waiting(member.guard):
+            answer = _exchange.ask(
+                self._upstreams.pool(member.guard),
+                call,
+                call.guard_headers(),
+                request.socket,
+                _hop.read_terms,
+                self._abandon(call, member.guard),
+            )
         _upstreams.learn_load(track, answer, call.kind_name)
         code = answer.header(serving.CODE_HEADER)
         if code:
@@ -298,6 +305,19 @@
         _guard.check_failure(call, answer)
         _exchange.pass_on(answer, request, hold_bytes=HELD_ANSWER_BYTES)
 
+    def _abandon(
+        self, call: _call.Call, address: str
+    ) -> _exchange.Abandon | None:
+        """Return what tells whether a request leaves a silent daemon.
+
+        It does where another upstream may run it too, and is paid for.
+        """
+        second = call.second
+        if second is None:
+            return None
+        reach = self._upstreams.reach(address)
+        return lambda: reach.state is _reach.State.LOST and second.pay()
+
     def _try_again(
         self,
         call: _call.Call,
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -37,9 +37,14 @@
     ValueError,
 )
 
+WAKE_MS: typing.Final = 100
+"""How often a request that may be repeated looks whether its peer lives."""
+
 ReadTerms = collections.abc.Callable[
     [int, collections.abc.Callable[[str, str], str]], wire.AnswerTerms
 ]
+Abandon = collections.abc.Callable[[], bool]
+"""Tells whether a request leaves its peer before there is an answer."""
 
 
 class Answer:
@@ -132,9 +137,11 @@
     headers: collections.abc.Iterable[serving.Header],
     caller: socket.socket,
     read_terms: ReadTerms,
+    abandon: Abandon | None = None,
 ) -> Answer:
     """Send a request and wait for the head of the answer.
 
+    :param abandon: asked now and then while the request waits.
     :raises errors.UpstreamRefused: when no connection could be opened, so
         that nothing was sent.
     :raises errors.OutcomeUnknown: when it was sent and no answer came; the
@@ -150,7 +157,8 @@
         raise errors.UpstreamRefused(f"no connection: {exc}", 200) from exc
     try:
         _send(connection, call, headers)
-        return _await_own_answer(pool, connection, call, caller, read_terms)
+        _await_answer(connection, caller, call, abandon)
+        return _read_own_answer(pool, connection, call, caller, read_terms)
     except errors.Refusal:
         connection.close()
         raise
@@ -159,7 +167,7 @@
         raise errors.OutcomeUnknown(f"no answer: {exc!r}") from exc
 
 
-def _await_own_answer(
+def _read_own_answer(
     pool: _pool.Pool,
     connection: _pool.Connection,
     call: _call.Call,
@@ -336,7 +344,10 @@
 
 
 def _await_answer(
-    connection: _pool.Connection, caller: socket.socket, call: _call.Call
+    connection: _pool.Connection,
+    caller: socket.socket,
+    call: _call.Call,
+    abandon: Abandon | None = None,
 ) -> None:
     """Wait until the peer answers, the caller hangs up, or time is over."""
     sock = connection.sock
@@ -350,9 +361,12 @@
             stall_s = max(MIN_STALL_S, min(STALL_S, left_ms / 1000))
             sock.settimeout(stall_s)
             return
-        ready = dict(poll.poll(max(0, left_ms)))
+        wait_ms = min(left_ms, WAKE_MS) if abandon else left_ms
+        ready = dict(poll.poll(max(0, wait_ms)))
         if not ready and call.left_ms() <= 0:
             raise errors.AnswerTimeout("no answer before the deadline")
+        if not ready and abandon and abandon():
+            raise errors.PeerSilent("the peer shows no sign of life")
         if caller.fileno() in ready:
             if _hung_up(caller):
                 raise errors.CallerGone("the caller hung up")
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -28,6 +28,9 @@
 from chiveroad.traffic import _pool
 from chiveroad import wire
 
+PROBE_PATH: typing.Final = "/guard/v1/probe"
+"""Answered whatever the load, as a sign of life."""
+
 DRAIN_RETRY_AFTER_MS: typing.Final = 200
 SHED_RETRY_AFTER_MS: typing.Final = 200
 UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
@@ -73,6 +76,9 @@
 
     def handle(self, request: serving.Request) -> None:
         """Serve a request that another daemon's entry sent here."""
+        if request.path == PROBE_PATH:
+            request.answer(http.HTTPStatus.NO_CONTENT, (), b"")
+            return
         extra = [(_call.REQUEST, request.header(_call.REQUEST))]
         try:
             self.serve(request, self._read_call(request), extra)
--- a/src/chiveroad/traffic/_pages.py
+++ b/src/chiveroad/traffic/_pages.py
@@ -9,6 +9,7 @@
 from chiveroad import serving
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _entry
+from chiveroad.traffic import _reach
 
 UPSTREAMS_PATH: typing.Final = "/control/v1/upstreams"
 
@@ -42,6 +43,8 @@
         why = "not now: it has just refused"
     if found.ejected:
         why = "not now: ejected after failures"
+    if found.reach is not _reach.State.REACHED:
+        why = "not now: its daemon can't be reached"
     return UpstreamView(
         found.instance, found.distance.name.lower(), found.load, why
     )
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -15,7 +15,11 @@
 from chiveroad import serving
 
 CONNECT_TIMEOUT_S: typing.Final = 0.4
-"""Several round trips between regions; a peer without power never answers."""
+"""An upstream that is nearly full takes its time for a new connection."""
+
+PEER_CONNECT_TIMEOUT_S: typing.Final = 0.2
+"""Several round trips between regions; a daemon without power never
+answers."""
 
 UNACKNOWLEDGED_MS: typing.Final = 1_500
 """After this long without an acknowledgement the kernel gives a peer up."""
@@ -67,11 +71,11 @@
     and ``idle_limit_s`` is how long it may be idle.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, connect_timeout_s: float) -> None:
         super().__init__(
             host,
             port,
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=connect_timeout_s,
             socket_options=_SOCKET_OPTIONS,
         )
         self._reader: _KeptReader | None = None
@@ -118,12 +122,16 @@
     stay warm and the others retire.
 
     :param address: ``HOST:PORT``.
+    :param connect_timeout_s: how long opening a connection may take.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
+        self._connect_timeout_s = connect_timeout_s
         self._idle: list[Connection] = []
         self._lock = threading.Lock()
 
@@ -137,7 +145,7 @@
             if _usable(kept, time.monotonic()):
                 return kept
             kept.close()
-        fresh = Connection(self._host, self._port)
+        fresh = Connection(self._host, self._port, self._connect_timeout_s)
         fresh.connect()
         return fresh
 
--- a/src/chiveroad/traffic/_second.py
+++ b/src/chiveroad/traffic/_second.py
@@ -5,7 +5,8 @@
 while attempts are left.  The retry is paid for from the budget before the
 failure is dropped, and the failure is kept in case no other answer comes.
 An upstream that is still at work is never left: the work would be lost, and
-nothing says that another one would be faster.
+nothing says that another one would be faster.  A daemon that shows no sign of
+life is left, as its upstream's answer couldn't arrive.
 """
 
 from __future__ import annotations
@@ -33,5 +34,9 @@
             return False
         if status == http.HTTPStatus.GATEWAY_TIMEOUT:
             return False
+        return self.pay()
+
+    def pay(self) -> bool:
+        """Pay for another try, once; False when the budget is used up."""
         self.paid = self.paid or self._pay()
         return self.paid
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
+import itertools
 import random
 import threading
 import time
@@ -10,13 +12,16 @@
 
 from chiveroad import control
 from chiveroad import errors
+from chiveroad import logs
 from chiveroad import membership
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _call
 from chiveroad.traffic import _exchange
+from chiveroad.traffic import _guard
 from chiveroad.traffic import _pool
+from chiveroad.traffic import _reach
 
 NO_UPSTREAM_RETRY_MS: typing.Final = 1_000
 BLOCK_LIMIT_MS: typing.Final = 1_000
@@ -25,6 +30,8 @@
 
 _NOT_ITS_FAULT: typing.Final = (errors.CallerGone, errors.CallerGoneEarly)
 
+_log = logs.Logger("entry")
+
 _Near = dict[_balancer.Distance, list[membership.Member]]
 _Distances = tuple[tuple[membership.Member, ...], _Near]
 
@@ -43,26 +50,18 @@
         self._view = view
         self._tracks: dict[str, _balancer.Track] = {}
         self._pools: dict[str, _pool.Pool] = {}
+        self._reaches: dict[str, _reach.Reach] = {}
+        self._missing: dict[str, _reach.Reach] = {}
         self._answer_bytes: dict[str, float] = {}
         self._lock = threading.Lock()
         self._rng = random.Random()
         self._distances: dict[str, _Distances] = {}
         self._picker = _balancer.picker(options.traffic.balancing)
 
-    def candidates(
-        self,
-        service: str,
-        wanted: _balancer.Wanted = _balancer.Wanted(),
-    ) -> list[_balancer.Candidate]:
+    def candidates(self, service: str) -> list[_balancer.Candidate]:
         """Return the upstreams of a service as this entry sees them."""
-        now_s = time.monotonic()
-        return [
-            _balancer.candidate(
-                member.instance, distance, self.track(member), now_s, wanted
-            )
-            for distance, members in self._by_distance(service).items()
-            for member in _balancer.to_weigh(members, self._rng)
-        ]
+        near = self._by_distance(service)
+        return self._weighed(near, _balancer.Wanted())
 
     def pick(
         self,
@@ -74,7 +73,8 @@
 
         :raises errors.NoUpstream: when there is none.
         """
-        found = self.candidates(service, wanted)
+        near = self._reachable(self._by_distance(service), tried)
+        found = self._weighed(near, wanted)
         left = [entry for entry in found if entry.instance not in tried]
         chosen = self._picker.pick(left)
         member = self._view.get(chosen.instance) if chosen else None
@@ -85,6 +85,104 @@
             )
         return chosen, member
 
+    def reach(self, address: str) -> _reach.Reach:
+        """Return what is known of the way to a daemon's guard."""
+        found = self._reaches.get(address)
+        if found is None:
+            found = self._reaches.setdefault(address, _reach.Reach())
+        return found
+
+    @contextlib.contextmanager
+    def waiting(self, address: str) -> collections.abc.Iterator[None]:
+        """Count a request that waits for a guard's answer.
+
+        An answer is a sign of life; a failed connection attempt is a miss.
+        """
+        reach = self.reach(address)
+        with self._lock:
+            reach.sent(time.monotonic())
+        try:
+            yield
+            self._heard(address)
+        except errors.UpstreamRefused:
+            self._missed(address)
+            raise
+        finally:
+            with self._lock:
+                reach.ended()
+
+    def probe(self) -> None:
+        """Ask the daemons of which nothing is heard for a sign of life."""
+        now_s = time.monotonic()
+        due = {
+            address: reach
+            for address, reach in list(self._reaches.items())
+            if reach.probe_due(now_s)
+        }
+        if not due:
+            return
+        for reach in due.values():
+            reach.probed_s = now_s
+        living = _reach.probe(due, _guard.PROBE_PATH)
+        for address in due:
+            if address in living:
+                self._heard(address)
+            else:
+                self._missed(address)
+
+    def _heard(self, address: str) -> None:
+        reach = self.reach(address)
+        reach.heard(time.monotonic())
+        if self._missing.pop(address, None) is not None:
+            _log.info("The daemon at {} answers again.", address)
+
+    def _missed(self, address: str) -> None:
+        reach = self.reach(address)
+        reach.missed()
+        self._missing[address] = reach
+        if reach.misses == _reach.LOST_AFTER_MISSES:
+            _log.warning("The daemon at {} can't be reached.", address)
+
+    def _state(self, member: membership.Member) -> _reach.State:
+        reach = self._missing.get(member.guard)
+        return _reach.State.REACHED if reach is None else reach.state
+
+    def _reachable(
+        self, near: _Near, tried: collections.abc.Container[str]
+    ) -> _Near:
+        """Return those that can be reached, or else the doubtful ones."""
+        if not self._missing:
+            return near
+        left = {
+            distance: [m for m in members if m.instance not in tried]
+            for distance, members in near.items()
+        }
+        every = itertools.chain.from_iterable(left.values())
+        best = min(map(self._state, every), default=_reach.State.LOST)
+        if best is _reach.State.LOST:
+            return {}
+        return {
+            distance: [m for m in members if self._state(m) is best]
+            for distance, members in left.items()
+        }
+
+    def _weighed(
+        self, near: _Near, wanted: _balancer.Wanted
+    ) -> list[_balancer.Candidate]:
+        now_s = time.monotonic()
+        return [
+            _balancer.candidate(
+                member.instance,
+                distance,
+                self.track(member),
+                now_s,
+                wanted,
+                self._state(member),
+            )
+            for distance, members in near.items()
+            for member in _balancer.to_weigh(members, self._rng)
+        ]
+
     def track(self, member: membership.Member) -> _balancer.Track:
         """Return what is learnt of one start of an upstream."""
         name = _track_name(member)
@@ -119,7 +217,8 @@
         """Return the kept connections to a guard."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools.setdefault(address, _pool.Pool(address))
+            made = _pool.Pool(address, _pool.PEER_CONNECT_TIMEOUT_S)
+            pool = self._pools.setdefault(address, made)
         return pool
 
     def tick(self) -> None:
@@ -130,6 +229,9 @@
             pool.retire()
             if address not in guards:
                 self._pools.pop(address).close()
+        for address in set(self._reaches) - guards:
+            self._reaches.pop(address, None)
+            self._missing.pop(address, None)
         known = {_track_name(member) for member in members}
         for name in set(self._tracks) - known:
             self._tracks.pop(name, None)
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,309 @@
+"""Daemons that vanish: who is probed, who is asked, who is left."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import http.client
+import socket
+import threading
+import time
+import typing
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from chiveroad import config
+from chiveroad import control
+from chiveroad import errors
+from chiveroad import membership
+from chiveroad import metrics
+from chiveroad import serving
+from chiveroad import settings
+from chiveroad.traffic import _balancer
+from chiveroad.traffic import _entry
+from chiveroad.traffic import _guard
+from chiveroad.traffic import _reach
+from chiveroad.traffic import _upstreams
+from chiveroad import wire
+from standins import mesh
+
+LOST, DOUBTED, REACHED = (
+    _reach.State.LOST,
+    _reach.State.DOUBTED,
+    _reach.State.REACHED,
+)
+_PORTS = mesh.Ports()
+SETTINGS = """
+instance = "entry"
+service = "other"
+failure_domain = "d"
+region = "r"
+[listen]
+entry = "{entry}"
+guard = "127.0.0.1:2"
+control = "127.0.0.1:3"
+[upstream]
+address = "127.0.0.1:4"
+[platform]
+address = "127.0.0.1:5"
+"""
+
+
+@pytest.mark.parametrize(
+    ("misses", "state"), [(0, REACHED), (1, DOUBTED), (2, LOST), (9, LOST)]
+)
+def test_one_miss_is_a_doubt_and_two_are_a_loss(
+    misses: int, state: _reach.State
+) -> None:
+    reach = _reach.Reach()
+    for _ in range(misses):
+        reach.missed()
+    assert reach.state is state
+    reach.heard(1.0)
+    assert reach.state is REACHED
+
+
+@pytest.mark.parametrize(
+    ("waiting", "quiet_s", "misses", "probed_s_ago", "due"),
+    [
+        (0, 9.0, 0, 9.0, False),  # nobody waits
+        (1, 0.1, 0, 9.0, False),  # an answer may well take this long
+        (1, 0.3, 0, 9.0, True),
+        (0, 9.0, 1, 0.05, False),  # the last probe has just ended
+        (0, 9.0, 1, 0.2, True),
+        (0, 9.0, 3, 0.2, False),  # probed less often
+        (0, 9.0, 3, 0.5, True),
+        (0, 9.0, 99, 0.9, False),
+        (0, 9.0, 99, 1.1, True),
+    ],
+)
+def test_when_a_daemon_is_probed(
+    waiting: int, quiet_s: float, misses: int, probed_s_ago: float, due: bool
+) -> None:
+    reach = _reach.Reach(waiting, 100 - quiet_s, misses, 100 - probed_s_ago)
+    assert reach.probe_due(100.0) is due
+
+
+def test_silence_counts_from_the_first_request_that_waits() -> None:
+    reach = _reach.Reach()
+    reach.sent(50.0)
+    assert not reach.probe_due(50.1)
+    assert reach.probe_due(50.3)
+    reach.sent(50.3)  # a later one doesn't put the probe off
+    assert reach.probe_due(50.35)
+    reach.heard(50.4)
+    assert not reach.probe_due(50.5)
+
+
+@hypothesis.given(
+    st.lists(st.sampled_from(["sent", "ended", "heard", "missed"]))
+)
+def test_whatever_happens_a_living_daemon_is_reached_again(
+    events: list[str],
+) -> None:
+    reach = _reach.Reach()
+    for at_s, event in enumerate(events):
+        if event == "sent":
+            reach.sent(float(at_s))
+        elif event == "ended" and reach.waiting:
+            reach.ended()
+        elif event == "heard":
+            reach.heard(float(at_s))
+        elif event == "missed":
+            reach.missed()
+        # What isn't reached is probed again within a second.
+        if reach.state is not REACHED:
+            assert reach.probe_due(reach.probed_s + _reach.MAX_PROBE_PAUSE_S)
+    reach.heard(float(len(events)))
+    assert reach.state is REACHED
+
+
+class _Serving(serving.Handler):
+    """Answers 200, and 204 to probes as a guard does."""
+
+    def __init__(self) -> None:
+        self.served: list[str] = []
+
+    def handle(self, request: serving.Request) -> None:
+        """Answer one request."""
+        if request.path == _guard.PROBE_PATH:
+            request.answer(204, (), b"")
+            return
+        self.served.append(request.target)
+        request.answer(200, (), b"here")
+
+
+@contextlib.contextmanager
+def living() -> collections.abc.Iterator[tuple[str, _Serving]]:
+    """Run a guard that answers."""
+    address, handler = _PORTS.take(), _Serving()
+    server = serving.Server(address, handler, 8)
+    server.open()
+    yield address, handler
+    server.stop()
+
+
+@contextlib.contextmanager
+def mute() -> collections.abc.Iterator[str]:
+    """Run a guard that takes connections and never answers."""
+    with socket.create_server(("127.0.0.1", 0), backlog=64) as listener:
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def test_a_probe_tells_the_living_from_the_mute_and_the_absent() -> None:
+    absent = _PORTS.take()
+    with living() as (alive, _), mute() as silent:
+        found = _reach.probe(
+            [silent, alive, absent], _guard.PROBE_PATH, timeout_s=1.0
+        )
+    assert found == {alive}
+
+
+def upstreams(*guards: str) -> _upstreams.Upstreams:
+    """Return the upstreams of ``glade`` behind some guards."""
+    return _upstreams.Upstreams(_options(), _applied(), _view(*guards))
+
+
+def _options(entry: str = "127.0.0.1:1") -> settings.Settings:
+    return settings.parse(SETTINGS.format(entry=entry))
+
+
+def _view(*guards: str) -> membership.View:
+    view = membership.View(threading.Condition())
+    view.merge(
+        membership.Member(
+            instance=f"daemon-{number}",
+            service="glade",
+            failure_domain="d",
+            region="r",
+            incarnation=1,
+            sequence=1,
+            state=membership.State.READY,
+            entry="127.0.0.1:1",
+            guard=guard,
+            control="127.0.0.1:1",
+        )
+        for number, guard in enumerate(guards)
+    )
+    return view
+
+
+def _applied() -> control.Applied:
+    kinds = {
+        "read": config.Kind(1, True, 3_000),
+        "write": config.Kind(1, False, 1_000),
+    }
+    service = config.Service("glade", "t", 8, 8, 8, ("*",), kinds)
+    items = dict(
+        [
+            config.service_item(service),
+            *(
+                config.route_item(
+                    config.Route(
+                        kind, "t", f"/{kind}", ("GET",), "glade", kind
+                    )
+                )
+                for kind in kinds
+            ),
+        ]
+    )
+    applied = control.Applied(threading.Condition(), confirmed_only=False)
+    applied.offer(1, config.digest(items), items)
+    return applied
+
+
+def test_a_lost_daemon_is_not_asked_while_another_can_be_reached() -> None:
+    known = upstreams("127.0.0.1:11", "127.0.0.1:12", "127.0.0.1:13")
+    for misses, guard in enumerate(("127.0.0.1:11", "127.0.0.1:12")):
+        for _ in range(misses + 1):
+            known._missed(guard)
+    wanted = _balancer.Wanted()
+    for _ in range(50):
+        assert known.pick("glade", wanted, ())[0].instance == "daemon-2"
+    # The doubted one goes before nothing, the lost one doesn't.
+    assert known.pick("glade", wanted, ("daemon-2",))[0].reach is DOUBTED
+    with pytest.raises(errors.NoUpstream):
+        known.pick("glade", wanted, ("daemon-2", "daemon-0"))
+    known._heard("127.0.0.1:12")
+    assert known.pick("glade", wanted, ("daemon-2", "daemon-0"))
+
+
+def test_a_connection_that_fails_is_a_miss_and_an_answer_a_sign() -> None:
+    known = upstreams("127.0.0.1:11")
+    with pytest.raises(errors.UpstreamRefused):
+        with known.waiting("127.0.0.1:11"):
+            raise errors.UpstreamRefused("no connection")
+    assert known.reach("127.0.0.1:11").state is DOUBTED
+    with known.waiting("127.0.0.1:11"):
+        assert known.reach("127.0.0.1:11").waiting == 1
+    assert known.reach("127.0.0.1:11") == _reach.Reach(
+        0, known.reach("127.0.0.1:11").quiet_since_s
+    )
+
+
+@contextlib.contextmanager
+def entry_before(*guards: str) -> collections.abc.Iterator[str]:
+    """Run an entry that knows some guards, and probes the silent ones."""
+    address = _PORTS.take()
+    entry = _entry.Entry(
+        _options(address),
+        _applied(),
+        _view(*guards),
+        typing.cast(_guard.Guard, None),
+        metrics.Recorder(),
+        wire.Native(),
+    )
+    server = serving.Server(address, entry, 32)
+    server.open()
+    ended = threading.Event()
+
+    def probe() -> None:
+        while not ended.wait(0.05):
+            entry.probe()
+
+    thread = threading.Thread(target=probe)
+    thread.start()
+    yield address
+    ended.set()
+    thread.join()
+    server.stop()
+
+
+def get(address: str, path: str) -> tuple[int, float]:
+    """Ask for a path, and return the status and the time it took, in s."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=8)
+    started_s = time.monotonic()
+    connection.request("GET", path)
+    status = connection.getresponse().status
+    connection.close()
+    return status, time.monotonic() - started_s
+
+
+def test_what_may_be_repeated_leaves_a_daemon_that_went_silent() -> None:
+    with mute() as silent, living() as (alive, handler):
+        with entry_before(silent, alive) as address:
+            answers = [get(address, "/read") for _ in range(12)]
+    assert [status for status, _ in answers] == [200] * 12
+    # Two probes and a pause; the deadline would be three seconds.
+    assert max(took_s for _, took_s in answers) < 2.0
+    assert len(handler.served) == 12
+
+
+def test_what_may_run_once_waits_for_a_silent_daemon() -> None:
+    with mute() as silent, entry_before(silent) as address:
+        status, took_s = get(address, "/write")
+    assert status == 504
+    assert took_s >= 0.9
+
+
+def test_with_nobody_to_be_reached_the_refusal_comes_at_once() -> None:
+    absent = _PORTS.take()
+    with entry_before(absent) as address:
+        get(address, "/write")
+        time.sleep(0.5)
+        status, took_s = get(address, "/write")
+    assert status == 503
+    assert took_s < 0.15
