--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,3 +9,6 @@
 fi
 rm -rf target/deps/chiveroad
 cp -R src/chiveroad target/deps/chiveroad
+find target/deps/chiveroad -name __pycache__ -prune -exec rm -rf {} +
+# The processes can't write here, and would compile at every start.
+python3 -m compileall -q --invalidation-mode unchecked-hash target/deps/chiveroad
--- a/src/chiveroad/__main__.py
+++ b/src/chiveroad/__main__.py
@@ -1,29 +1,41 @@
 """The program's entry point.
 
 A daemon with plain arguments starts without the command line library, which
-would cost it a tenth of its memory; everything else goes through it.
+would cost it a tenth of its memory, and without OpenSSL; everything else
+goes through it.
 """
 
 import os
 import sys
+import typing
 
 
 def main() -> None:
     """Run the program with the process's arguments."""
     arguments = sys.argv[1:]
     if _is_plain_daemon(arguments):
-        from chiveroad import daemon
-
-        code = daemon.run_file(daemon.settings_path(*arguments[1:]))
-        sys.stdout.flush()
-        sys.stderr.flush()
-        # Threads that still wait for a peer have nothing left to do.
-        os._exit(code)
+        _run_daemon(*arguments[1:])
     from chiveroad import cli
 
     cli.main()
 
 
+def _run_daemon(argument: str | None = None) -> typing.NoReturn:
+    from chiveroad import openssl
+    from chiveroad import settings
+
+    path = settings.named_path(argument)
+    if not settings.pushes_encrypted(path):
+        openssl.leave_out()
+    from chiveroad import daemon
+
+    code = daemon.run_file(path)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Threads that still wait for a peer have nothing left to do.
+    os._exit(code)
+
+
 def _is_plain_daemon(arguments: list[str]) -> bool:
     if arguments == ["daemon"]:
         return "CHIVEROAD_CONFIG" in os.environ
--- a/src/chiveroad/cli/_app.py
+++ b/src/chiveroad/cli/_app.py
@@ -17,6 +17,7 @@
 from chiveroad.cli import _trace
 from chiveroad import daemon
 from chiveroad import errors
+from chiveroad import settings
 from chiveroad import store
 
 app = typer.Typer(
@@ -53,15 +54,17 @@
 
 @app.command("daemon")
 def run_daemon(
-    settings: typing.Annotated[
+    path: typing.Annotated[
         typing.Optional[str],
         typer.Argument(
-            envvar="CHIVEROAD_CONFIG", help="The settings file, TOML."
+            envvar="CHIVEROAD_CONFIG",
+            help="The settings file, TOML.",
+            metavar="[SETTINGS]",
         ),
     ] = None,
 ) -> None:
     """Run the daemon beside an upstream until it is asked to stop."""
-    raise typer.Exit(daemon.run_file(daemon.settings_path(settings)))
+    raise typer.Exit(daemon.run_file(settings.named_path(path)))
 
 
 @app.command()
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -5,7 +5,6 @@
 import functools
 import gc
 import itertools
-import os
 import pathlib
 import signal
 import socket
@@ -322,17 +321,6 @@
     return 0
 
 
-def settings_path(argument: str | None = None) -> pathlib.Path:
-    """Return the settings file named by an argument or the environment.
-
-    :raises errors.UsageError: when neither names one.
-    """
-    named = argument or os.environ.get("CHIVEROAD_CONFIG")
-    if not named:
-        raise errors.UsageError("name a settings file, or CHIVEROAD_CONFIG")
-    return pathlib.Path(named)
-
-
 def _protocol(options: settings.Settings) -> wire.Protocol:
     if options.platform.protocol == "native":
         return wire.Native()
--- a/src/chiveroad/logs.py
+++ b/src/chiveroad/logs.py
@@ -1,25 +1,27 @@
-"""Logging: one logbook channel for each part, as text or as JSON lines.
+"""Logging: one log for each part, as text or as JSON lines.
 
 Lines are written by a thread of their own from a bounded queue, so that no
 request ever waits for whoever reads them.  What doesn't fit is dropped and
 counted, and lines on requests that went well are sampled under load; refusals
 and failures are dropped last.
+
+The standard library's logging serves here: logbook would bring the TLS
+library along, which takes a tenth of a daemon's memory.
 """
 
 from __future__ import annotations
 
 import collections
 import datetime
+import logging
 import sys
 import threading
 import time
 import typing
 
-import logbook
 import msgspec
 
 FORMATS: typing.Final = ("text", "json")
-LEVELS: typing.Final = ("debug", "info", "warning", "error")
 QUEUE_LINES: typing.Final = 2_000
 RESERVED_LINES: typing.Final = 1_000
 """Room in the queue that only lines of note may take."""
@@ -27,13 +29,67 @@
 SAMPLED_LINES_PER_S: typing.Final = 20
 FLUSH_S: typing.Final = 1.0
 
+_ROOT: typing.Final = "chiveroad"
+_Extra: typing.TypeAlias = dict[str, object] | None
+
 
-class Logger(logbook.Logger):  # type: ignore[misc]
-    """A channel; its name stands before every line of the part.
+class Logger:
+    """The log of one part; its name stands in every line of the part.
 
     >>> Logger("guard").info("Request {} was admitted.", "r-17")
+
+    What ``extra`` holds becomes fields of the line, where it has fields.
     """
 
+    def __init__(self, part: str) -> None:
+        self._part = part
+        self._logger = logging.getLogger(f"{_ROOT}.{part}")
+
+    def debug(
+        self, message: str, *values: object, extra: _Extra = None
+    ) -> None:
+        """Log what only a developer wants to see."""
+        self._log(logging.DEBUG, message, values, extra)
+
+    def info(
+        self, message: str, *values: object, extra: _Extra = None
+    ) -> None:
+        """Log a decision or a change."""
+        self._log(logging.INFO, message, values, extra)
+
+    def warning(
+        self, message: str, *values: object, extra: _Extra = None
+    ) -> None:
+        """Log a refusal, a failure, or something lost for a while."""
+        self._log(logging.WARNING, message, values, extra)
+
+    def error(
+        self, message: str, *values: object, extra: _Extra = None
+    ) -> None:
+        """Log what an operator has to see to."""
+        self._log(logging.ERROR, message, values, extra)
+
+    def exception(self, message: str, *values: object) -> None:
+        """Log an error together with the exception in hand."""
+        self._log(logging.ERROR, message, values, exc_info=True)
+
+    def _log(
+        self,
+        level: int,
+        message: str,
+        values: tuple[object, ...],
+        extra: _Extra = None,
+        exc_info: bool = False,
+    ) -> None:
+        if not self._logger.isEnabledFor(level):
+            return
+        self._logger.log(
+            level,
+            message.format(*values),
+            exc_info=exc_info,
+            extra={"part": self._part, "fields": extra or {}},
+        )
+
 
 class Sampler:
     """Lets a bounded number of lines a second through, and counts the rest."""
@@ -99,22 +155,28 @@
                 self._idle.set()
 
 
-class _Handler(logbook.Handler):  # type: ignore[misc]
+class _Handler(logging.Handler):
     """Formats a record in the thread that logs, and queues it."""
 
     def __init__(self, writer: Writer, level: int) -> None:
-        super().__init__(level=level)
+        super().__init__(level)
         self._writer = writer
+        self._exceptions = logging.Formatter()
 
-    def emit(self, record: logbook.LogRecord) -> None:
+    def emit(self, record: logging.LogRecord) -> None:
         """Queue a record."""
-        of_note = record.level > logbook.INFO
+        of_note = record.levelno > logging.INFO
         self._writer.write(self.line(record) + "\n", of_note)
 
-    def line(self, record: logbook.LogRecord) -> str:
+    def line(self, record: logging.LogRecord) -> str:
         """Return the record as a line."""
         raise NotImplementedError
 
+    def _exception(self, record: logging.LogRecord) -> str:
+        if not record.exc_info:
+            return ""
+        return self._exceptions.formatException(record.exc_info)
+
 
 class JsonHandler(_Handler):
     """Writes each record as one JSON object on a line.
@@ -122,38 +184,45 @@
     ``dropped`` counts the lines that were left out since the start.
     """
 
-    def line(self, record: logbook.LogRecord) -> str:
+    def line(self, record: logging.LogRecord) -> str:
         """Return the record as JSON."""
         value: dict[str, object] = {
-            "time": record.time.isoformat(),
-            "level": record.level_name.lower(),
-            "part": record.channel,
-            "message": record.message,
+            "time": _time(record).isoformat(),
+            "level": record.levelname.lower(),
+            "part": _field(record, "part"),
+            "message": record.getMessage(),
         }
-        value.update(record.extra)
-        if record.exc_info:
-            value["error"] = record.formatted_exception
+        value.update(_field(record, "fields"))
+        if error := self._exception(record):
+            value["error"] = error
         if self._writer.dropped:
             value["dropped"] = self._writer.dropped
         return msgspec.json.encode(value).decode()
 
 
 class TextHandler(_Handler):
-    """Writes each record as one line of text.
+    """Writes each record as one line of text."""
 
-    The library's own formatter takes about three times as long, which a
-    line for each request makes worth avoiding.
-    """
-
-    def line(self, record: logbook.LogRecord) -> str:
+    def line(self, record: logging.LogRecord) -> str:
         """Return the record as a line."""
-        time_ = record.time.isoformat(sep=" ", timespec="microseconds")[11:26]
+        time_ = _time(record).isoformat(sep=" ", timespec="microseconds")
+        part = _field(record, "part")
         line = (
-            f"{time_} {record.level_name} [{record.channel}] {record.message}"
+            f"{time_[11:26]} {record.levelname} [{part}] {record.getMessage()}"
         )
-        if record.exc_info:
-            return f"{line}\n{record.formatted_exception}"
-        return line
+        error = self._exception(record)
+        return f"{line}\n{error}" if error else line
+
+
+def _field(record: logging.LogRecord, name: str) -> typing.Any:
+    """Return what ``Logger`` has put into a record."""
+    return record.__dict__[name]
+
+
+def _time(record: logging.LogRecord) -> datetime.datetime:
+    return datetime.datetime.fromtimestamp(
+        record.created, datetime.timezone.utc
+    )
 
 
 _writers: list[Writer] = []
@@ -162,15 +231,15 @@
 def set_up(
     level: str, format_: str, stream: typing.TextIO = sys.stdout
 ) -> None:
-    """Send the log to a stream, from a level up."""
-    logbook.set_datetime_format(
-        lambda: datetime.datetime.now(datetime.timezone.utc)
-    )
-    number = logbook.lookup_level(level.upper())
+    """Send the log to a stream, from a level up, and nowhere else."""
     kind = JsonHandler if format_ == "json" else TextHandler
     writer = Writer(stream)
     _writers.append(writer)
-    kind(writer, number).push_application()
+    number: int = logging.getLevelName(level.upper())
+    root = logging.getLogger(_ROOT)
+    root.setLevel(number)
+    root.propagate = False
+    root.handlers = [kind(writer, number)]
 
 
 def flush() -> None:
--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -11,10 +11,12 @@
 import typing
 
 from chiveroad.metrics import _record
+from chiveroad.metrics import _text
 from chiveroad import serving
 
 if typing.TYPE_CHECKING:
     from opentelemetry import metrics as otel
+    from opentelemetry.sdk.metrics import export
 
 COUNTERS = {
     "chiveroad.entry.requests": "Requests taken by the entry, by outcome.",
@@ -43,21 +45,19 @@
         self._recorder = recorder
         self._gauges = gauges
         self._lock = threading.Lock()
-        self._started = False
+        self._reader: export.InMemoryMetricReader | None = None
 
     def page(self, request: serving.Request) -> None:
         """Answer a scrape."""
-        import prometheus_client
+        from opentelemetry.sdk.metrics import export
 
         with self._lock:
-            if not self._started:
-                self._started = True
-                from opentelemetry.exporter import prometheus
-
-                self._provide(prometheus.PrometheusMetricReader())
-        body = prometheus_client.generate_latest()
-        kind = prometheus_client.CONTENT_TYPE_LATEST
-        request.answer(200, [("Content-Type", kind)], body)
+            if self._reader is None:
+                self._reader = export.InMemoryMetricReader()
+                self._provide(self._reader)
+            data = self._reader.get_metrics_data()
+        body = _text.render(data).encode()
+        request.answer(200, [("Content-Type", _text.CONTENT_TYPE)], body)
 
     def push(self, address: str, interval_ms: int) -> None:
         """Push to an OTLP collector's URL from now on."""
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -74,7 +74,9 @@
     request_queue_size = _BACKLOG
     timeout = IDLE_TIMEOUT_S
     keep_alive_conn_limit = _KEPT_CONNECTIONS
-    shutdown_timeout = 1
+    shutdown_timeout = 0.05  # type: ignore[assignment]
+    """How long a stop waits for workers; no request is in hand by then."""
+
     max_request_header_size = _http.MAX_HEAD_BYTES
     _connections: typing.Any
 
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import os
 import pathlib
 import tomllib
 import typing
@@ -168,6 +169,17 @@
     ]
 
 
+def named_path(argument: str | None = None) -> pathlib.Path:
+    """Return the settings file named by an argument or the environment.
+
+    :raises errors.UsageError: when neither names one.
+    """
+    named = argument or os.environ.get("CHIVEROAD_CONFIG")
+    if not named:
+        raise errors.UsageError("name a settings file, or CHIVEROAD_CONFIG")
+    return pathlib.Path(named)
+
+
 def load(path: pathlib.Path) -> Settings:
     """Read and validate a settings file.
 
@@ -180,6 +192,15 @@
     return parse(text, str(path))
 
 
+def pushes_encrypted(path: pathlib.Path) -> bool:
+    """Tell whether a settings file has metrics pushed by HTTPS."""
+    try:
+        return load(path).metrics.push_address.startswith("https:")
+    except errors.SettingsError:
+        # Whoever uses the file reports what is wrong with it.
+        return False
+
+
 def parse(text: str, name: str = "settings") -> Settings:
     """Validate the text of a settings file."""
     try:
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -12,7 +12,6 @@
 import threading
 import typing
 
-import logbook
 import msgspec
 import pytest
 
@@ -207,8 +206,6 @@
     logs.Logger("guard").info("Request {} admitted.", "r-1")
     logs.Logger("guard").debug("Not shown.")
     logs.flush()
-    handler = logbook.Handler.stack_manager.pop_application()
-    assert handler is not None
     line = stream.getvalue()
     assert line.count("\n") == 1
     assert "Request r-1 admitted." in line
@@ -231,3 +228,39 @@
     }
     page = pages.DOCS / name
     assert page.read_text() == pages.with_part(page, parts[name]())
+
+
+def test_a_daemon_and_its_metrics_do_without_openssl() -> None:
+    script = """
+import sys
+from chiveroad import openssl
+openssl.leave_out()
+from chiveroad import daemon, metrics
+recorder = metrics.Recorder()
+recorder.count("chiveroad.entry.requests", "4004")
+recorder.took("entry", 0.12)
+class Request:
+    def answer(self, status, headers, body):
+        print(body.decode())
+names = ("config.version", "config.ready", "members", "guard.load")
+gauges = {f"chiveroad.{name}": 3.0 for name in names}
+exporter = metrics.Exporter(recorder, lambda: gauges)
+exporter.page(Request())
+exporter.page(Request())
+assert not sys.modules["ssl"] and not sys.modules["_hashlib"]
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", script],
+        check=True,
+        timeout=60,
+        capture_output=True,
+        text=True,
+    )
+    lines = done.stdout.splitlines()
+    assert "# TYPE chiveroad_entry_requests_total counter" in lines
+    assert 'chiveroad_entry_requests_total{label="4004"} 1' in lines
+    assert lines.count("chiveroad_members 3.0") == 2
+    assert any(
+        line.startswith("chiveroad_latency_milliseconds{part=")
+        for line in lines
+    )
