The end of a drain is bounded whatever the store or a worker does

The library joins a worker without a limit once its own limit is over, and a worker of the control address may wait for a call. Besides, claims could take 2 s and the store's last call 1.5 s.

Ruled out: the limit of the servers' stop alone.

Now: the servers are stopped side by side for 0.3 s at most, claims and the store's last call have 0.4 s each; a record that stays does no harm, as it says that the upstream left or that the daemon comes back. A test with a worker that hangs fails without the change (the stop takes 10 s).

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import functools
 import gc
 import itertools
@@ -41,7 +42,16 @@
 
 ENTRY_TICK_S: typing.Final = 1.0
 CLAIM_TIMEOUT_S: typing.Final = 1.0
-SETTLE_S: typing.Final = 2.0
+SETTLE_S: typing.Final = 0.4
+"""What is left to write of claims is small, and claims expire."""
+
+STOP_LIMIT_S: typing.Final = 0.3
+"""How long the end waits for the servers; no request is in hand by then."""
+
+LAST_CALL_S: typing.Final = 0.4
+"""How long the end waits for the store to take the daemon's record back; the
+record that stays does no harm."""
+
 COLLECT_S: typing.Final = 5.0
 CLAIM_SHARDS: typing.Final = 256
 METRICS_PATH: typing.Final = "/metrics"
@@ -98,7 +108,7 @@
         )
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
-        self._servers_closed = threading.Event()
+        self._peers_left = threading.Event()
         self._servers = self._make_servers()
         self._border_servers = self._make_border_servers()
 
@@ -233,7 +243,7 @@
 
     def _probe_peers(self) -> None:
         """Ask silent daemons for a sign of life while requests wait."""
-        while not self._servers_closed.wait(PEER_PROBE_TICK_S):
+        while not self._peers_left.wait(PEER_PROBE_TICK_S):
             self._entry.probe()
 
     def _collect(self) -> None:
@@ -273,13 +283,19 @@
         if cut:
             _log.error("The limit cuts {} requests.", cut)
         self._claims.settle(SETTLE_S)
-        self._plane.announce(membership.State.GONE)
+        # A store that doesn't answer may not hold up the end.
+        leaving = threading.Thread(
+            target=self._plane.announce,
+            args=(membership.State.GONE,),
+            daemon=True,
+        )
+        leaving.start()
+        leaving.join(LAST_CALL_S)
         self._plane.stopped = True
         self._control.stopped = True
+        self._peers_left.set()
         _log.info("Stopped.")
-        self._servers_closed.set()
-        for server in (*self._border_servers, *reversed(self._servers)):
-            server.stop()
+        stop_all((*self._border_servers, *reversed(self._servers)))
 
     def _close_guard(self) -> None:
         self._guard.draining = True
@@ -308,6 +324,24 @@
         _log.info("The changed settings are in use.")
 
 
+def stop_all(
+    servers: collections.abc.Iterable[serving.Server],
+    limit_s: float = STOP_LIMIT_S,
+) -> None:
+    """Stop servers side by side, and leave those that take longer behind.
+
+    The library waits without a limit for a worker that doesn't come back.
+    """
+    end_s = time.monotonic() + limit_s
+    threads = [
+        threading.Thread(target=server.stop, daemon=True) for server in servers
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(max(0.0, end_s - time.monotonic()))
+
+
 def run_file(path: pathlib.Path) -> int:
     """Run a daemon from its settings file, and return the exit code."""
     try:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -14,6 +14,7 @@
 
 from chiveroad import config
 from chiveroad import control
+from chiveroad import daemon
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -339,6 +340,21 @@
     server.stop()
 
 
+def test_the_end_doesnt_wait_for_a_worker_that_hangs() -> None:
+    address = mesh.Ports().take()
+    handler = Slow()
+    server = serving.Server(address, handler, 4)
+    server.open()
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as hanging:
+        hanging.sendall(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+        time.sleep(0.2)
+        started_s = time.monotonic()
+        daemon.stop_all([server], 0.3)
+        assert time.monotonic() - started_s < 1.0
+        handler.leave.set()
+
+
 class Stuck(io.StringIO):
     """A standard output that nobody reads."""
 
