What a caller or a stranger may send is bounded

Cause: an accepted configuration states limits (head and body in bytes, time for a head) that weren't read; a head sent byte by byte held a worker for ever, as only the pause between bytes was limited; and the heartbeat address, open to every machine, believed anyone, so that a rival could have an upstream drained.

Now: limits travel as an item of the configuration and bind the entry: 413 for a body, 431 for a head over its size, the connection ends when a head takes too long; all reads of one head share one deadline. The idle limit is left: ours is longer, and closing sooner is what cuts requests. Heartbeats count only from the upstream's own host, as nobody else may call there.

Ruled out: authentication between daemons; the platform hands out no secret to build it on (docs/PROOFS.md).

--- a/src/chiveroad/config/__init__.py
+++ b/src/chiveroad/config/__init__.py
@@ -20,6 +20,8 @@
 from chiveroad.config._model import Config
 from chiveroad.config._model import Items
 from chiveroad.config._model import Kind
+from chiveroad.config._model import Limits
+from chiveroad.config._model import limits_item
 from chiveroad.config._model import Route
 from chiveroad.config._model import route_item
 from chiveroad.config._model import Service
@@ -33,6 +35,7 @@
     "Document",
     "Items",
     "Kind",
+    "Limits",
     "MAX_FILE_BYTES",
     "Merged",
     "Route",
@@ -43,6 +46,7 @@
     "check_name",
     "diff",
     "digest",
+    "limits_item",
     "merge",
     "pack",
     "pack_delta",
--- a/src/chiveroad/config/_model.py
+++ b/src/chiveroad/config/_model.py
@@ -84,12 +84,27 @@
         return tuple(share.service for share in self.split)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What a caller may send, and how long it may take.
+
+    ``max_body_bytes`` is 0 where bodies aren't limited.
+    """
+
+    max_head_bytes: int = 32 * 1024
+    max_body_bytes: int = 0
+    head_timeout_ms: int = 5_000
+
+
+LIMITS_KEY: typing.Final = "limits/callers"
+
 Items: typing.TypeAlias = collections.abc.Mapping[str, str]
-"""A configuration as canonical JSON texts by key, ``service/NAME`` or
-``route/NAME``.  Deltas and digests work on this form."""
+"""A configuration as canonical JSON texts by key, ``service/NAME``,
+``route/NAME`` or ``LIMITS_KEY``.  Deltas and digests work on this form."""
 
 _service_decoder = msgspec.json.Decoder(Service)
 _route_decoder = msgspec.json.Decoder(Route)
+_limits_decoder = msgspec.json.Decoder(Limits)
 _encoder = msgspec.json.Encoder(order="sorted")
 
 
@@ -108,10 +123,13 @@
         self.items = dict(items)
         self.services: dict[str, Service] = {}
         self.routes: dict[str, Route] = {}
+        self.limits = Limits()
         for key, text in self.items.items():
             if key.startswith("service/"):
                 service = _service_decoder.decode(text)
                 self.services[service.name] = service
+            elif key == LIMITS_KEY:
+                self.limits = _limits_decoder.decode(text)
             else:
                 route = _route_decoder.decode(text)
                 self.routes[route.name] = route
@@ -181,3 +199,8 @@
 def route_item(route: Route) -> tuple[str, str]:
     """Return the key and canonical text of a route."""
     return f"route/{route.name}", _encoder.encode(route).decode()
+
+
+def limits_item(limits: Limits) -> tuple[str, str]:
+    """Return the key and canonical text of the limits for callers."""
+    return LIMITS_KEY, _encoder.encode(limits).decode()
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -151,6 +151,7 @@
             handler = presence.HeartbeatHandler(
                 self._protocol,
                 self._upstream,
+                self._options.upstream.address.rpartition(":")[0],
                 self._plane.record,
                 self._known_services,
             )
@@ -214,8 +215,16 @@
             if time.monotonic() >= entry_due_s:
                 entry_due_s = time.monotonic() + ENTRY_TICK_S
                 self._entry.tick()
+                self._limit_callers()
                 self._reload_if_changed()
 
+    def _limit_callers(self) -> None:
+        limits = self._node.applied.config.limits
+        *_, entry_server = self._servers
+        entry_server.limit_heads(
+            limits.max_head_bytes, limits.head_timeout_ms / 1000
+        )
+
     def _gauges(self) -> dict[str, float]:
         load, _, _ = self._guard.load()[1].partition(" ")
         return {
--- a/src/chiveroad/platform/_configuration.py
+++ b/src/chiveroad/platform/_configuration.py
@@ -43,10 +43,23 @@
     max_connections: int = 100
 
 
+class _Limits(msgspec.Struct):
+    """Bounds for callers.
+
+    ``idle_timeout_s`` isn't read: kept connections are closed later than it
+    says, and never sooner.
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+
+
 class _Configuration(msgspec.Struct):
     version: str
     routes: list[_Route]
     services: list[_Service]
+    limits: _Limits | None = None
 
 
 _decoder = msgspec.json.Decoder(_Configuration)
@@ -80,9 +93,19 @@
             kinds=dict(sorted(kinds.get(service.name, {}).items())),
         )
         items.append(config.service_item(ours))
+    if found.limits is not None:
+        items.append(config.limits_item(_limits(found.limits)))
     return wire.AcceptedVersion(number, dict(sorted(items)))
 
 
+def _limits(limits: _Limits) -> config.Limits:
+    return config.Limits(
+        max_head_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout_ms=int(limits.header_timeout_s * 1000),
+    )
+
+
 def _translate(route: _Route) -> tuple[config.Route, config.Kind]:
     # Downloads may be repeated as well; all other kinds may not.
     idempotent = route.kind in ("idempotent", "download")
--- a/src/chiveroad/presence/_handler.py
+++ b/src/chiveroad/presence/_handler.py
@@ -29,6 +29,7 @@
     An acknowledgement of a leave binds all lives of this daemon, so it is
     given only once the leave is recorded outside of this process.
 
+    :param host: the upstream's host; nobody else may speak for it.
     :param record: returns whether what is known has been recorded.
     :param services: returns the names of the services that exist.
     """
@@ -37,16 +38,21 @@
         self,
         protocol: wire.Protocol,
         upstream: _local.LocalUpstream,
+        host: str,
         record: Record,
         services: collections.abc.Callable[[], collections.abc.Container[str]],
     ) -> None:
         self._protocol = protocol
         self._upstream = upstream
+        self._host = host
         self._record = record
         self._services = services
 
     def handle(self, request: serving.Request) -> None:
         """Answer one heartbeat."""
+        if request.peer_host != self._host:
+            _log.warning("A heartbeat comes from {}.", request.peer_host)
+            raise errors.BadRequest("only the upstream's host may call this")
         try:
             heard = self._protocol.read_heartbeat(request)
         except errors.BadRequest as refusal:
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -14,6 +14,7 @@
 import re
 import select
 import socket
+import time
 import typing
 
 from cheroot import server as cheroot_server
@@ -96,6 +97,15 @@
         self.inheaders: dict[bytes, bytes] = _Headers()
         self.header_reader = _HeaderReader()
 
+    def parse_request(self) -> None:
+        """Read a request's line and head, within a time for both."""
+        reader = self.conn.rfile
+        reader.end_by(time.monotonic() + self.server.head_timeout_s)
+        try:
+            super().parse_request()
+        finally:
+            reader.end_by(None)
+
     def read_request_headers(self) -> bool:
         """Read the head, and refuse ambiguous framing."""
         if not self._read_head():
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -96,6 +96,7 @@
         self.timeout = idle_timeout_s
         self.fractional_retry = fractional_retry
         self.keeps_connections = True
+        self.head_timeout_s = _http.READ_TIMEOUT_S
         self._address = address
         self._busy = 0
         self._lingering = 0
@@ -121,6 +122,11 @@
             full = errors.Overloaded("all workers are taken", FULL_RETRY_MS)
             conn.refuse_unread(full)
 
+    def limit_heads(self, max_bytes: int, timeout_s: float) -> None:
+        """Bound the heads of requests, and how long they may take."""
+        self.max_request_header_size = max_bytes
+        self.head_timeout_s = timeout_s
+
     def may_linger(self) -> bool:
         """Tell whether a worker may wait on its own connection."""
         occupied = self._busy + self._lingering
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -4,19 +4,54 @@
 
 import io
 import socket
+import time
 import typing
 
 READ_BUFFER_BYTES: typing.Final = 8 * 1024
 
 
+class _TimedSocket(socket.SocketIO):
+    """A raw socket reader whose reads all end by one point in time."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, "r")
+        self._timed = sock
+        self.end_s: float | None = None
+
+    def readinto(self, buffer: typing.Any) -> int | None:
+        """Read what there is.
+
+        :raises TimeoutError: when nothing has come by then.
+        """
+        if self.end_s is not None:
+            left_s = self.end_s - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError("the peer is too slow")
+            pause_s = self._timed.gettimeout()
+            self._timed.settimeout(min(left_s, pause_s or left_s))
+            try:
+                return super().readinto(buffer)
+            finally:
+                self._timed.settimeout(pause_s)
+        return super().readinto(buffer)
+
+
 class Reader(io.BufferedReader):
     """A buffered socket reader that can tell whether it holds data."""
 
     def __init__(self, sock: socket.socket) -> None:
-        super().__init__(socket.SocketIO(sock, "r"), READ_BUFFER_BYTES)
+        self._timed = _TimedSocket(sock)
+        super().__init__(self._timed, READ_BUFFER_BYTES)
         self._sock = sock
         self.bytes_read = 0
 
+    def end_by(self, end_s: float | None) -> None:
+        """Bound all reads from now on; None lifts the bound.
+
+        :param end_s: in monotonic seconds.
+        """
+        self._timed.end_s = end_s
+
     def has_data(self) -> bool:
         """Tell whether data waits in the buffer, without waiting for it."""
         timeout_s = self._sock.gettimeout()
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -55,6 +55,8 @@
 class Body:
     """A request's body: held when small, else streamed once.
 
+    :param limit: how many bytes it may have at most; 0 for any number.
+
     ``replayable`` tells whether it can be sent again.  ``length`` is the
     body's length in bytes, or None while the end hasn't been seen.
 
@@ -62,8 +64,8 @@
     :raises errors.BodyTimeout: when the caller is too slow with it.
     """
 
-    def __init__(self, request: serving.Request) -> None:
-        self._chunks = request.body()
+    def __init__(self, request: serving.Request, limit: int = 0) -> None:
+        self._chunks = _limited(request.body(), limit)
         self._begin: list[bytes] = []
         self._started = False
         self.length = request.content_length
@@ -97,6 +99,18 @@
         self.length = total
 
 
+def _limited(
+    chunks: collections.abc.Iterator[bytes], limit: int
+) -> collections.abc.Iterator[bytes]:
+    """Yield chunks, and end as if cut when they are over a limit."""
+    total = 0
+    for chunk in chunks:
+        total += len(chunk)
+        if limit and total > limit:
+            raise serving.BodyCut(f"over {limit} bytes")
+        yield chunk
+
+
 def _body_refusal(cut: serving.BodyCut) -> errors.Refusal:
     if isinstance(cut.__cause__, TimeoutError):
         return errors.BodyTimeout("the body came too slowly")
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -210,6 +210,9 @@
         objective_s = float("inf")
         if kind.objective_ms:
             objective_s = asked_s + kind.objective_ms / 1000
+        limit = current.limits.max_body_bytes
+        if limit and (request.content_length or 0) > limit:
+            raise errors.RequestTooLarge(f"the body is over {limit} bytes")
         call = _call.Call(
             id=terms.request_id or f"{self._id_prefix}-{next(self._ids)}",
             service=self._splitter.choose(route),
@@ -222,7 +225,7 @@
             method=request.method,
             target=request.target,
             headers=_call.end_to_end(request.headers()),
-            body=_call.Body(request),
+            body=_call.Body(request, limit),
             caller_service=self._options.service,
             objective_s=objective_s,
             inner=inner,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -188,6 +188,26 @@
     assert ours.match("GET", "/x/y/z", "b.example") is None
 
 
+def test_the_limits_of_a_configuration_are_read() -> None:
+    spec = {
+        "version": "r1",
+        "routes": [],
+        "services": [],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 67_108_864,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+    }
+    found = platform.Protocol().read_version(
+        msgspec.Raw(msgspec.json.encode(spec))
+    )
+    ours = config.Config(found.items)
+    assert ours.limits == config.Limits(16_384, 67_108_864, 3_000)
+    assert config.Config({}).limits == config.Limits()
+
+
 def test_the_settings_template_gives_valid_settings() -> None:
     """Each placeholder stands where a value of its kind is expected."""
     text = (ROOT / "deploy" / "settings.toml").read_text()
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -18,6 +18,7 @@
 from chiveroad import wire
 
 HERE = "10.0.0.1:80"
+HOST = "10.0.0.1"
 READY = wire.UpstreamState.READY
 DRAINING = wire.UpstreamState.DRAINING
 BEAT = wire.Heartbeat("i-1", "glade", HERE, READY, 5, 1_000, 12)
@@ -172,6 +173,7 @@
     handler = presence.HeartbeatHandler(
         wire.Native(),
         presence.LocalUpstream(HERE),
+        HOST,
         lambda _: True,
         lambda: {"glade"},
     )
@@ -207,6 +209,7 @@
 
     method = "POST"
     path = "/upstream/v1/heartbeat"
+    peer_host = HOST
 
     def __init__(self, **changes: object) -> None:
         body = {
@@ -254,6 +257,7 @@
     handler = presence.HeartbeatHandler(
         wire.Native(),
         presence.LocalUpstream(HERE),
+        HOST,
         lambda _: recorded,
         lambda: {"glade"},
     )
@@ -266,5 +270,17 @@
         handler.handle(_as_request(request))
 
 
+def test_a_heartbeat_from_another_host_changes_nothing() -> None:
+    upstream = presence.LocalUpstream(HERE)
+    handler = presence.HeartbeatHandler(
+        wire.Native(), upstream, HOST, lambda _: True, lambda: {"glade"}
+    )
+    forged = _Request()
+    forged.peer_host = "10.9.9.9"
+    with pytest.raises(errors.BadRequest):
+        handler.handle(_as_request(forged))
+    assert phase_of(upstream) is presence.Phase.UNKNOWN
+
+
 def _as_request(request: _Request) -> serving.Request:
     return request  # type: ignore[return-value]
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -287,3 +287,43 @@
     pool.give_back(talking)
     time.sleep(0.2)
     assert pool.take() is not talking
+
+
+def test_a_head_that_comes_byte_by_byte_is_given_up(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    echo[2].limit_heads(1_000, 0.5)
+    host, _, port = echo[0].rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as sock:
+        started_s = time.monotonic()
+        with pytest.raises(OSError):
+            for byte in b"GET / HTTP/1.1\r\nHost: " + b"x" * 100:
+                sock.sendall(bytes([byte]))
+                time.sleep(0.05)
+                if time.monotonic() - started_s > 1:
+                    # What it was told is read; then the connection ends.
+                    while sock.recv(1_000):
+                        pass
+                    raise ConnectionResetError
+        assert time.monotonic() - started_s < 3
+
+
+def test_a_head_over_the_configured_limit_is_refused(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    echo[2].limit_heads(1_000, 0.5)
+    sent = b"GET / HTTP/1.1\r\n" + HOST + b"X: " + b"a" * 2_000 + b"\r\n\r\n"
+    assert exchange(echo[0], sent).startswith(b"HTTP/1.1 431 ")
+
+
+def test_a_slow_body_isnt_bound_by_the_limit_on_heads(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    echo[2].limit_heads(1_000, 0.3)
+    host, _, port = echo[0].rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(b"POST / HTTP/1.1\r\n" + HOST)
+        sock.sendall(b"Content-Length: 2\r\n\r\na")
+        time.sleep(0.6)
+        sock.sendall(b"b")
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
