Metrics: refusals by code, queue, slots, members, budget, store calls

Cause: the on-call engineer has only logs and metrics, and the page gave no refusals by code at the guard, no wait for a slot, no slots, nothing on members' states, the age of the version, what is left of the retry budget, calls to the store or bytes.

Now: all of these, a table of what each means and what to do when it is off, and a test that holds page and code together. Gauges may have a label; the two observers of the same shape are one.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import functools
 import gc
@@ -14,6 +15,7 @@
 import time
 import typing
 
+from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import logs
@@ -76,14 +78,14 @@
         self._hup = threading.Event()
         accepted = options.control.source == "accepted"
         self._protocol = _protocol(options)
-        self._platform = _store(options, options.platform.timeout_ms / 1000)
+        self._recorder = metrics.Recorder()
+        self._platform = self._store(options.platform.timeout_ms / 1000)
         self._upstream = presence.LocalUpstream(options.upstream.address)
         self._node = control.Node(_first_word(options, accepted), accepted)
         self._plane = self._make_plane(accepted)
         self._claims = traffic.Claims(
-            _store(options, CLAIM_TIMEOUT_S), options.instance
+            self._store(CLAIM_TIMEOUT_S), options.instance
         )
-        self._recorder = metrics.Recorder()
         self._exporter = metrics.Exporter(self._recorder, self._gauges)
         self._guard = traffic.Guard(
             options,
@@ -112,6 +114,10 @@
         self._servers = self._make_servers()
         self._border_servers = self._make_border_servers()
 
+    def _store(self, timeout_s: float) -> store.Store:
+        found = _store(self._options, timeout_s)
+        return store.CountedStore(found, self._recorder.count)
+
     def _make_plane(self, accepted: bool) -> control.Plane:
         if not accepted:
             return control.Agent(self._options, self._platform, self._node)
@@ -225,14 +231,23 @@
             limits.max_head_bytes, limits.head_timeout_ms / 1000
         )
 
-    def _gauges(self) -> dict[str, float]:
-        load, _, _ = self._guard.load()[1].partition(" ")
-        return {
-            "chiveroad.config.version": self._node.applied.current.number,
-            "chiveroad.config.ready": float(self._node.applied.ready),
-            "chiveroad.members": len(self._node.view.all()),
-            "chiveroad.guard.load": float(load),
+    def _gauges(self) -> dict[str, metrics.Values]:
+        applied = self._node.applied
+        members = collections.Counter(
+            member.state.value for member in self._node.view.all()
+        )
+        found: dict[str, metrics.Values] = {
+            "chiveroad.config.version": {"": applied.current.number},
+            "chiveroad.config.ready": {"": float(applied.ready)},
+            "chiveroad.members": dict(members),
+            "chiveroad.members.missing": {"": self._entry.missing},
+            "chiveroad.retries.left": self._entry.retries_left(),
+            **self._guard.gauges(),
         }
+        if applied.confirmed_s is not None:
+            age_s = clock.now_s() - applied.confirmed_s
+            found["chiveroad.config.age"] = {"": age_s}
+        return found
 
     def _probe(self) -> None:
         """Announce an upstream without heartbeats once it can be reached."""
--- a/src/chiveroad/metrics/__init__.py
+++ b/src/chiveroad/metrics/__init__.py
@@ -1,6 +1,7 @@
 """Counters and latencies, served and pushed through OpenTelemetry."""
 
 from chiveroad.metrics._export import Exporter
+from chiveroad.metrics._export import Values
 from chiveroad.metrics._record import Recorder
 
-__all__ = ["Exporter", "Recorder"]
+__all__ = ["Exporter", "Recorder", "Values"]
--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -19,20 +19,30 @@
     from opentelemetry.sdk.metrics import export
 
 COUNTERS = {
+    "chiveroad.entry.bytes": "Bytes of bodies, in from callers and out.",
     "chiveroad.entry.requests": "Requests taken by the entry, by outcome.",
     "chiveroad.entry.retries": "Tries after the first.",
     "chiveroad.entry.picks": "Upstreams picked, by distance.",
     "chiveroad.guard.requests": "Requests at the guard, by outcome.",
+    "chiveroad.store.calls": "Calls to the store, by kind and outcome.",
 }
 LATENCY = "chiveroad.latency"
 GAUGES = {
     "chiveroad.config.version": "Version in force.",
-    "chiveroad.config.ready": "Whether the version is confirmed.",
-    "chiveroad.members": "Members known.",
-    "chiveroad.guard.load": "Requests running or waiting at the guard.",
+    "chiveroad.config.ready": "Whether the version may be used.",
+    "chiveroad.config.age": "Seconds since the version was confirmed.",
+    "chiveroad.members": "Members known, by state.",
+    "chiveroad.members.missing": "Daemons that can't be reached.",
+    "chiveroad.guard.running": "Requests running at the upstream.",
+    "chiveroad.guard.waiting": "Requests waiting for a slot.",
+    "chiveroad.guard.slots": "Requests that the upstream takes at once.",
+    "chiveroad.retries.left": "Retries left in this window, by service.",
 }
 
-Gauges = collections.abc.Callable[[], dict[str, float]]
+Values = dict[str, float]
+"""The values of one metric by its label, which may be empty."""
+
+Gauges = collections.abc.Callable[[], dict[str, Values]]
 
 
 class Exporter:
@@ -76,11 +86,11 @@
         meter = provider.get_meter("chiveroad")
         for name, text in COUNTERS.items():
             meter.create_observable_counter(
-                name, [self._counter(name)], description=text
+                name, [_observing(self._counts, name)], description=text
             )
         for name, text in GAUGES.items():
             meter.create_observable_gauge(
-                name, [self._gauge(name)], description=text
+                name, [_observing(self._gauges, name)], description=text
             )
         meter.create_observable_gauge(
             LATENCY,
@@ -89,35 +99,11 @@
             description="Latency by part and quantile.",
         )
 
-    def _counter(
-        self, name: str
-    ) -> collections.abc.Callable[
-        [otel.CallbackOptions], collections.abc.Iterable[otel.Observation]
-    ]:
-        from opentelemetry import metrics as otel
-
-        def observe(
-            _: otel.CallbackOptions,
-        ) -> collections.abc.Iterable[otel.Observation]:
-            for (found, label), count in self._recorder.counts().items():
-                if found == name:
-                    yield otel.Observation(count, {"label": label})
-
-        return observe
-
-    def _gauge(
-        self, name: str
-    ) -> collections.abc.Callable[
-        [otel.CallbackOptions], collections.abc.Iterable[otel.Observation]
-    ]:
-        from opentelemetry import metrics as otel
-
-        def observe(
-            _: otel.CallbackOptions,
-        ) -> collections.abc.Iterable[otel.Observation]:
-            yield otel.Observation(self._gauges()[name])
-
-        return observe
+    def _counts(self) -> dict[str, Values]:
+        found: dict[str, Values] = {}
+        for (name, label), count in self._recorder.counts().items():
+            found.setdefault(name, {})[label] = count
+        return found
 
     def _latency(
         self, _: otel.CallbackOptions
@@ -127,3 +113,20 @@
         for (part, share), value in self._recorder.quantiles_ms().items():
             labels = {"part": part, "quantile": str(share)}
             yield otel.Observation(value, labels)
+
+
+def _observing(
+    values: Gauges, name: str
+) -> collections.abc.Callable[
+    [otel.CallbackOptions], collections.abc.Iterable[otel.Observation]
+]:
+    """Return what observes one metric."""
+    from opentelemetry import metrics as otel
+
+    def observe(
+        _: otel.CallbackOptions,
+    ) -> collections.abc.Iterable[otel.Observation]:
+        for label, value in values().get(name, {}).items():
+            yield otel.Observation(value, {"label": label} if label else {})
+
+    return observe
--- a/src/chiveroad/store/__init__.py
+++ b/src/chiveroad/store/__init__.py
@@ -9,6 +9,7 @@
 from chiveroad.store._base import overwrite
 from chiveroad.store._base import Store
 from chiveroad.store._base import StoredObject
+from chiveroad.store._counted import CountedStore
 from chiveroad.store._http import HttpStore
 from chiveroad.store._outcome import decode_answer
 from chiveroad.store._outcome import lost_answer
@@ -16,6 +17,7 @@
 
 __all__ = [
     "ABSENT",
+    "CountedStore",
     "Event",
     "EventType",
     "HttpStore",
--- a/src/chiveroad/traffic/_budget.py
+++ b/src/chiveroad/traffic/_budget.py
@@ -103,9 +103,12 @@
 
     def left(self, service: str) -> float:
         """Return how many retries are left in this window."""
+        now_s = self._clock()
         with self._lock:
             requests = self._window(self._requests, service)
             retries = self._window(self._retries, service)
+            requests.expire(now_s)
+            retries.expire(now_s)
             return self._allowed(requests.total) - retries.total
 
     def _allowed(self, requests: int) -> float:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -92,6 +92,8 @@
             self._recorder.count("chiveroad.entry.requests", outcome)
             took_s = time.monotonic() - request.received_s
             self._recorder.took("entry", took_s)
+            sent = request.bytes_sent
+            self._recorder.count("chiveroad.entry.bytes", "out", sent)
             if request.begun and not request.finished:
                 _log.warning("An answer of {} was cut.", request.target)
 
@@ -104,6 +106,16 @@
         """Return the upstreams of a service as this entry sees them."""
         return self._upstreams.candidates(service)
 
+    @property
+    def missing(self) -> int:
+        """Return how many daemons can't be reached."""
+        return self._upstreams.missing
+
+    def retries_left(self) -> dict[str, float]:
+        """Return what is left of the retry budget, by service."""
+        services = list(self._applied.config.services)
+        return {name: self._budget.left(name) for name in services}
+
     def tick(self) -> None:
         """Retire idle connections, and forget upstreams that are gone."""
         self._upstreams.tick()
@@ -115,6 +127,8 @@
     def _carry(self, request: serving.Request) -> None:
         call, route = self._read_call(request)
         self._budget.count(call.service)
+        size = call.body.length or 0
+        self._recorder.count("chiveroad.entry.bytes", "in", size)
         tried: list[str] = []
         sent = 0
         worst: errors.Refusal | None = None
@@ -196,6 +210,9 @@
         if route is None:
             raise errors.NoRoute(f"no route for {request.method}")
         kind = current.kind_of(route)
+        limit = current.limits.max_body_bytes
+        if limit and (request.content_length or 0) > limit:
+            raise errors.RequestTooLarge(f"the body is over {limit} bytes")
         terms = self._protocol.read_request(request)
         timeout_ms = min(terms.timeout_ms or kind.timeout_ms, kind.timeout_ms)
         if terms.depth > _call.MAX_DEPTH:
@@ -210,9 +227,6 @@
         objective_s = float("inf")
         if kind.objective_ms:
             objective_s = asked_s + kind.objective_ms / 1000
-        limit = current.limits.max_body_bytes
-        if limit and (request.content_length or 0) > limit:
-            raise errors.RequestTooLarge(f"the body is over {limit} bytes")
         call = _call.Call(
             id=terms.request_id or f"{self._id_prefix}-{next(self._ids)}",
             service=self._splitter.choose(route),
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -102,6 +102,19 @@
         :returns: the answer's status.
         :raises errors.Refusal: when nothing was answered.
         """
+        try:
+            return self._serve(request, call, extra)
+        except errors.Refusal as refusal:
+            outcome = str(refusal.code)
+            self._recorder.count("chiveroad.guard.requests", outcome)
+            raise
+
+    def _serve(
+        self,
+        request: serving.Request,
+        call: _call.Call,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> int:
         self._check_upstream(call)
         ticket = self._admit(call)
         try:
@@ -140,6 +153,15 @@
         slots = admission.limits.slots
         return (_call.LOAD, f"{admission.load} {slots} {service_ms}")
 
+    def gauges(self) -> dict[str, dict[str, float]]:
+        """Return the state of the queue as metrics."""
+        admission = self._admission
+        return {
+            "chiveroad.guard.running": {"": admission.running},
+            "chiveroad.guard.waiting": {"": len(admission.waiting)},
+            "chiveroad.guard.slots": {"": admission.limits.slots},
+        }
+
     def tick(self) -> None:
         """Refuse waiting requests that are too late, retire connections."""
         with self._lock:
@@ -197,6 +219,7 @@
             self._admission.offer(ticket, now_s)
         if not ticket.decided.is_set():
             self._wait(ticket)
+            self._recorder.took("queue", time.monotonic() - now_s)
         if ticket.refusal is not None:
             reason = ticket.refusal.reason
             _log.warning(
@@ -205,7 +228,6 @@
                 reason,
                 extra=self._log_fields(call),
             )
-            self._recorder.count("chiveroad.guard.requests", "refused")
             raise errors.Overloaded(reason, ticket.refusal.retry_after_ms)
         if self._sampler.passes():
             _log.info(
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -213,6 +213,11 @@
         with self._lock:
             track.in_flight += step
 
+    @property
+    def missing(self) -> int:
+        """Return how many daemons can't be reached."""
+        return len(self._missing)
+
     def pool(self, address: str) -> _pool.Pool:
         """Return the kept connections to a guard."""
         pool = self._pools.get(address)
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -19,6 +19,8 @@
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import logs
+from chiveroad import metrics
+from chiveroad.metrics import _export
 from chiveroad import settings
 from chiveroad import store
 from standins import capacity
@@ -242,8 +244,7 @@
 class Request:
     def answer(self, status, headers, body):
         print(body.decode())
-names = ("config.version", "config.ready", "members", "guard.load")
-gauges = {f"chiveroad.{name}": 3.0 for name in names}
+gauges = {"chiveroad.members": {"ready": 3.0, "gone": 1.0}}
 exporter = metrics.Exporter(recorder, lambda: gauges)
 exporter.page(Request())
 exporter.page(Request())
@@ -259,8 +260,30 @@
     lines = done.stdout.splitlines()
     assert "# TYPE chiveroad_entry_requests_total counter" in lines
     assert 'chiveroad_entry_requests_total{label="4004"} 1' in lines
-    assert lines.count("chiveroad_members 3.0") == 2
+    assert lines.count('chiveroad_members{label="ready"} 3.0') == 2
+    assert lines.count('chiveroad_members{label="gone"} 1.0') == 2
     assert any(
         line.startswith("chiveroad_latency_milliseconds{part=")
         for line in lines
     )
+
+
+def test_the_metrics_page_of_the_docs_names_every_metric() -> None:
+    page = (mesh.ROOT / "docs" / "METRICS.md").read_text()
+    for name in (*_export.COUNTERS, *_export.GAUGES, _export.LATENCY):
+        assert f"| `{name}` |" in page
+
+
+def test_calls_to_the_store_are_counted_by_outcome() -> None:
+    recorder = metrics.Recorder()
+    platform = store.CountedStore(fakes.FaultyStore(), recorder.count)
+    platform.put(store.Kind.MEMBERS, "a", {}, store.ABSENT)
+    platform.get(store.Kind.MEMBERS, "a")
+    with pytest.raises(errors.StoreNotFound):
+        platform.get(store.Kind.MEMBERS, "b")
+    kind = store.Kind.MEMBERS.value
+    assert recorder.counts() == {
+        ("chiveroad.store.calls", f"put {kind} ok"): 1,
+        ("chiveroad.store.calls", f"get {kind} ok"): 1,
+        ("chiveroad.store.calls", f"get {kind} 3004"): 1,
+    }
