Tests run side by side, three at a time

Cause: the suite took 445 to 460 s alone, most of it in scenarios that wait. Each scenario has its own processes and ports, and nothing in the tests bounds the machine's speed.

Ruled out: shorter waits in scenarios, which would make the verdict depend on speed.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Every target sets up what it needs; a fresh clone needs nothing first.
 PYTHON ?= python3.11
+TEST_PROCESSES ?= 3
 VENV := .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
@@ -10,7 +11,7 @@
 	$(BIN)/python -m standins.demo
 
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(TEST_PROCESSES) --dist worksteal
 
 check: $(READY)
 	$(BIN)/black --quiet --check src standins tests
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -84,7 +84,8 @@
     """Hands out loopback addresses that are free now."""
 
     def __init__(self) -> None:
-        spread = (os.getpid() * 61) % (_LAST_PORT - _FIRST_PORT - 3_000)
+        # Tests that run side by side have neighbouring process ids.
+        spread = (os.getpid() * 997) % (_LAST_PORT - _FIRST_PORT - 3_000)
         self._next = _FIRST_PORT + spread
 
     def take(self) -> str:
