--- a/src/chiveroad/clock.py
+++ b/src/chiveroad/clock.py
@@ -7,10 +7,15 @@
 from __future__ import annotations
 
 import time
+import typing
 
 _BOOT = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
+NEVER_S: typing.Final = float("inf")
+"""A point in time that doesn't come."""
+
+
 def now_s() -> float:
     """Return seconds since the machine's start, suspensions included."""
     return time.clock_gettime(_BOOT)
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import collections
-import collections.abc
 import functools
 import gc
 import itertools
@@ -15,9 +13,9 @@
 import time
 import typing
 
-from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
+from chiveroad import gauges
 from chiveroad import logs
 from chiveroad import membership
 from chiveroad import metrics
@@ -47,9 +45,6 @@
 SETTLE_S: typing.Final = 0.4
 """What is left to write of claims is small, and claims expire."""
 
-STOP_LIMIT_S: typing.Final = 0.3
-"""How long the end waits for the servers; no request is in hand by then."""
-
 LAST_CALL_S: typing.Final = 0.4
 """How long the end waits for the store to take the daemon's record back; the
 record that stays does no harm."""
@@ -86,7 +81,7 @@
         self._claims = traffic.Claims(
             self._store(CLAIM_TIMEOUT_S), options.instance
         )
-        self._exporter = metrics.Exporter(self._recorder, self._gauges)
+        self._exporter = metrics.Exporter(self._recorder, self._read_gauges)
         self._guard = traffic.Guard(
             options,
             self._node.applied,
@@ -231,23 +226,8 @@
             limits.max_head_bytes, limits.head_timeout_ms / 1000
         )
 
-    def _gauges(self) -> dict[str, metrics.Values]:
-        applied = self._node.applied
-        members = collections.Counter(
-            member.state.value for member in self._node.view.all()
-        )
-        found: dict[str, metrics.Values] = {
-            "chiveroad.config.version": {"": applied.current.number},
-            "chiveroad.config.ready": {"": float(applied.ready)},
-            "chiveroad.members": dict(members),
-            "chiveroad.members.missing": {"": self._entry.missing},
-            "chiveroad.retries.left": self._entry.retries_left(),
-            **self._guard.gauges(),
-        }
-        if applied.confirmed_s is not None:
-            age_s = clock.now_s() - applied.confirmed_s
-            found["chiveroad.config.age"] = {"": age_s}
-        return found
+    def _read_gauges(self) -> dict[str, metrics.Values]:
+        return gauges.read(self._node, self._entry, self._guard)
 
     def _probe(self) -> None:
         """Announce an upstream without heartbeats once it can be reached."""
@@ -319,7 +299,7 @@
         self._control.stopped = True
         self._peers_left.set()
         _log.info("Stopped.")
-        stop_all((*self._border_servers, *reversed(self._servers)))
+        serving.stop_all((*self._border_servers, *reversed(self._servers)))
 
     def _close_guard(self) -> None:
         self._guard.draining = True
@@ -348,24 +328,6 @@
         _log.info("The changed settings are in use.")
 
 
-def stop_all(
-    servers: collections.abc.Iterable[serving.Server],
-    limit_s: float = STOP_LIMIT_S,
-) -> None:
-    """Stop servers side by side, and leave those that take longer behind.
-
-    The library waits without a limit for a worker that doesn't come back.
-    """
-    end_s = time.monotonic() + limit_s
-    threads = [
-        threading.Thread(target=server.stop, daemon=True) for server in servers
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join(max(0.0, end_s - time.monotonic()))
-
-
 def run_file(path: pathlib.Path) -> int:
     """Run a daemon from its settings file, and return the exit code."""
     try:
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -52,19 +52,14 @@
     left_s: float = 0.0
     cold_until_s: float = 0.0
 
-    def same_life(self, heartbeat: wire.Heartbeat) -> bool:
-        """Tell whether a heartbeat is of the life that is known."""
-        mine = (self.upstream_id, self.started_at_ms)
-        return mine == (heartbeat.upstream_id, heartbeat.started_at_ms)
-
-    def overtakes(self, heartbeat: wire.Heartbeat) -> bool:
-        """Tell whether the life that is known is the later one.
+    @property
+    def life(self) -> tuple[int, str]:
+        """Return what names a life; of two lives the later is greater.
 
         Of two that started in the same millisecond the ids decide, so that
         they never take turns.
         """
-        mine = (self.started_at_ms, self.upstream_id)
-        return mine > (heartbeat.started_at_ms, heartbeat.upstream_id)
+        return (self.started_at_ms, self.upstream_id)
 
 
 def decide(
@@ -76,10 +71,11 @@
     """
     if heartbeat.address != address:
         return Verdict.FOREIGN, known
-    if not known.same_life(heartbeat):
-        if known.overtakes(heartbeat):
-            return Verdict.STALE, known
+    life = (heartbeat.started_at_ms, heartbeat.upstream_id)
+    if life > known.life:
         return Verdict.NEW_LIFE, _first(heartbeat, now_s)
+    if life < known.life:
+        return Verdict.STALE, known
     if heartbeat.sequence <= known.sequence:
         return Verdict.STALE, known
     heard = dataclasses.replace(
@@ -103,12 +99,10 @@
     """
     if known.phase is Phase.UNKNOWN:
         return recorded
-    mine = (known.started_at_ms, known.upstream_id)
-    theirs = (recorded.started_at_ms, recorded.upstream_id)
-    if theirs > mine:
+    if recorded.life > known.life:
         return recorded
     leaves = recorded.phase in (Phase.DRAINING, Phase.GONE)
-    if theirs == mine and leaves:
+    if recorded.life == known.life and leaves:
         return left(known, recorded.phase, recorded.left_s)
     return known
 
--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -8,6 +8,7 @@
 from chiveroad.serving._server import Handler
 from chiveroad.serving._server import IDLE_TIMEOUT_S
 from chiveroad.serving._server import Server
+from chiveroad.serving._server import stop_all
 from chiveroad.serving._stream import Reader
 
 __all__ = [
@@ -20,4 +21,5 @@
     "Reader",
     "Request",
     "Server",
+    "stop_all",
 ]
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -25,6 +25,9 @@
 LISTEN_GRACE_S: typing.Final = 0.5
 FULL_RETRY_MS: typing.Final = 1_000
 
+STOP_LIMIT_S: typing.Final = 0.3
+"""How long the end waits for the servers; no request is in hand by then."""
+
 _BACKLOG: typing.Final = 512
 _KEPT_CONNECTIONS: typing.Final = 4_096
 _log = logs.Logger("serving")
@@ -227,6 +230,24 @@
             _log.debug("Library message: {}.", msg)
 
 
+def stop_all(
+    servers: collections.abc.Iterable[Server],
+    limit_s: float = STOP_LIMIT_S,
+) -> None:
+    """Stop servers side by side, and leave those that take longer behind.
+
+    The library waits without a limit for a worker that doesn't come back.
+    """
+    end_s = time.monotonic() + limit_s
+    threads = [
+        threading.Thread(target=server.stop, daemon=True) for server in servers
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(max(0.0, end_s - time.monotonic()))
+
+
 def _in_use(exc: OSError) -> bool:
     return exc.errno == errno.EADDRINUSE or "Address already in use" in str(
         exc
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -12,10 +12,11 @@
 import threading
 import typing
 
+from chiveroad import clock
+
 DEFAULT_SERVICE_MS: typing.Final = 20.0
 MIN_RETRY_MS: typing.Final = 50
 SMOOTHING: typing.Final = 0.2
-NEVER_S: typing.Final = float("inf")
 MIN_OBSERVED: typing.Final = 4
 """Fewer requests in hand say little of how fast the upstream is."""
 
@@ -48,7 +49,7 @@
     weight: int
     deadline_s: float
     arrived_s: float
-    objective_s: float = NEVER_S
+    objective_s: float = clock.NEVER_S
     inner: bool = False
     decided: threading.Event = dataclasses.field(
         default_factory=threading.Event
@@ -102,7 +103,7 @@
         self.waiting: list[Ticket] = []
         self.running_by_team: dict[str, int] = {}
         self.running = 0
-        self.queued_since_s = NEVER_S
+        self.queued_since_s = clock.NEVER_S
         self._policy = policy or WeightFirst()
         self._service_ms: dict[str, float] = {}
         self._mean_ms = DEFAULT_SERVICE_MS
@@ -158,7 +159,7 @@
             self.waiting.remove(chosen)
             self._admit(chosen, now_s)
         if not self.waiting:
-            self.queued_since_s = NEVER_S
+            self.queued_since_s = clock.NEVER_S
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Take back a waiting ticket; False when it was decided already."""
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from chiveroad import clock
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import serving
@@ -143,7 +144,7 @@
     headers: list[serving.Header]
     body: Body
     caller_service: str = ""
-    objective_s: float = float("inf")
+    objective_s: float = clock.NEVER_S
     inner: bool = False
     second: _second.Second | None = None
     kept: tuple[int, list[serving.Header], bytes] | None = None
@@ -180,7 +181,7 @@
         yield KIND, write_kind(self.kind_name, self.kind)
         yield TEAM, self.team
         yield CALLER, self.caller_service
-        if self.objective_s != float("inf"):
+        if self.objective_s != clock.NEVER_S:
             left_s = self.objective_s - time.monotonic()
             yield OBJECTIVE_MS, str(int(left_s * 1000))
         if self.inner:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -13,6 +13,7 @@
 import urllib.parse
 import uuid
 
+from chiveroad import clock
 from chiveroad import config
 from chiveroad import control
 from chiveroad import errors
@@ -135,8 +136,6 @@
         while True:
             try:
                 self._try_once(request, call, tried, sent)
-                self._log_served(call, route, tried)
-                return
             except errors.Refusal as refusal:
                 worst = _worse(worst, refusal)
                 sent += refusal.reached
@@ -151,24 +150,25 @@
                     left_ms=call.left_ms(),
                     max_attempts=call.kind.max_attempts,
                 )
+                told = self._log_fields(call, route, tried)
                 if not self._try_again(call, failure, refusal):
                     _log.warning(
                         "Request {} is given up: {}.",
                         call.id,
                         worst,
-                        extra=self._log_fields(call, route, tried),
+                        extra=told,
                     )
-                    if call.kept is not None and not request.begun:
-                        if isinstance(worst, errors.UpstreamFailed):
-                            request.answer(*call.kept)
-                            return
-                    raise worst from refusal
+                    _give_up(request, call, worst)
+                    return
                 _log.info(
                     "Request {} is tried again: {}.",
                     call.id,
                     refusal,
-                    extra=self._log_fields(call, route, tried),
+                    extra=told,
                 )
+            else:
+                self._log_served(call, route, tried)
+                return
 
     def _log_served(
         self, call: _call.Call, route: config.Route, tried: list[str]
@@ -224,7 +224,7 @@
                 route.name, terms.timeout_ms
             )
             asked_s -= elapsed_ms / 1000
-        objective_s = float("inf")
+        objective_s = clock.NEVER_S
         if kind.objective_ms:
             objective_s = asked_s + kind.objective_ms / 1000
         call = _call.Call(
@@ -351,6 +351,19 @@
         return self._budget.spend(call.service)
 
 
+def _give_up(
+    request: serving.Request, call: _call.Call, worst: errors.Refusal
+) -> None:
+    """Pass on the failure that was kept back, if that is what is left.
+
+    :raises errors.Refusal: when it isn't.
+    """
+    failed = isinstance(worst, errors.UpstreamFailed)
+    if not failed or call.kept is None or request.begun:
+        raise worst
+    request.answer(*call.kept)
+
+
 def _terms(retries: settings.Retries) -> _budget.Terms:
     return _budget.Terms(retries.ratio, retries.window_s, retries.slack)
 
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -13,6 +13,7 @@
 import time
 import typing
 
+from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import logs
@@ -386,5 +387,5 @@
     """Return when the answer to an entry's request counts as late."""
     text = request.header(_call.OBJECTIVE_MS)
     if not text.removeprefix("-").isdigit():
-        return _admission.NEVER_S
+        return clock.NEVER_S
     return request.received_s + int(text) / 1000
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -14,7 +14,6 @@
 
 from chiveroad import config
 from chiveroad import control
-from chiveroad import daemon
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -350,7 +349,7 @@
         hanging.sendall(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
         time.sleep(0.2)
         started_s = time.monotonic()
-        daemon.stop_all([server], 0.3)
+        serving.stop_all([server], 0.3)
         assert time.monotonic() - started_s < 1.0
         handler.leave.set()
 
