A relay gives up a parent that no longer leads its region

A region's leader is killed and started again at its address, and meanwhile another daemon of its failure domain becomes relay. The region's lease still names the old leader's address, so the relay asks it for news; the old leader, no leader any more, follows the relay as it should. Each gets an answer to each call, so neither counts as failed, nobody contends for the region's lease, and a region serves an old version, or isn't ready, for ever.

Now: an answer says whether whoever gives it leads its region; a relay treats a planned parent that doesn't as one that failed, looks at the lease and contends for it. The table test fails without the change.

The users' platform isn't touched: there nobody leads.

--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -215,11 +215,17 @@
         hold_ms = _source.HOLD_MS if planned else STOPGAP_HOLD_MS
         hold_ms = 0 if unconfirmed else hold_ms
         try:
-            self._parent.sync(address, hold_ms, unconfirmed)
+            answer = self._parent.sync(address, hold_ms, unconfirmed)
         except errors.ChiveroadError as exc:
             _log.info("Parent {} failed: {}.", address, exc)
             self._failed_s[address] = time.monotonic()
             return
+        if planned and self._relay.acting and not answer.leads:
+            # A leader that was restarted keeps its address, and may follow
+            # this daemon now: neither has anything to tell the other.
+            _log.info("Parent {} no longer leads.", address)
+            self._failed_s[address] = time.monotonic()
+            return
         if self._parent.address != address:
             _log.info("Parent is {}.", address)
         self._parent.address = address
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -37,8 +37,8 @@
     was known to be the newest accepted, or is negative where it never was.
     ``ancestors`` are control addresses to turn to when the parent fails.
     ``wants_snapshot`` asks the child for its newer version.  ``held_ms`` is
-    how long the answer was held back, and ``revision`` the store's revision
-    of the version.
+    how long the answer was held back, ``revision`` the store's revision of
+    the version, and ``leads`` says that the parent is its region's leader.
     """
 
     source: str
@@ -54,6 +54,7 @@
     wants_snapshot: bool = False
     held_ms: int = 0
     revision: int = 0
+    leads: bool = False
 
 
 class SnapshotOffer(msgspec.Struct, frozen=True):
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -134,6 +134,7 @@
             wants_snapshot=asked.version > held.number,
             held_ms=held_ms,
             revision=held.revision,
+            leads="leader" in self._plane.roles(),
         )
 
     def _members_for(
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,15 +12,18 @@
 import pytest
 
 from chiveroad import config
+from chiveroad.control import _agent
 from chiveroad.control import _applied
 from chiveroad.control import _lease
 from chiveroad.control import _merger
+from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _plan
 from chiveroad.control import _source
 from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import membership
+from chiveroad import settings
 from chiveroad import store
 from tests import fakes
 
@@ -375,6 +378,61 @@
     assert _plan.contends(lost_s, instance, living, "a") is contends
 
 
+def test_a_relay_gives_up_a_parent_that_no_longer_leads() -> None:
+    """Soak seeds 9, 18, 22: a leader is restarted, and another is relay.
+
+    The record still named the one, who followed the other: both waited for
+    each other's news for ever, as each was answered.
+    """
+    options = settings.parse("""
+        instance = "relay"
+        service = "glade"
+        failure_domain = "wyre"
+        region = "west"
+        [listen]
+        entry = "127.0.0.1:1"
+        guard = "127.0.0.1:2"
+        control = "127.0.0.1:3"
+        [upstream]
+        address = "127.0.0.1:4"
+        [platform]
+        address = "127.0.0.1:5"
+        """)
+    node = _node.Node(fakes.member("relay"))
+    agent = _agent.Agent(options, fakes.FaultyStore(), node)
+    answer = _messages.SyncAnswer(
+        source="restarted",
+        epoch=1,
+        version=0,
+        digest="",
+        relay="relay",
+    )
+    agent._relay.acting = True
+    agent._parent = _Answering(node, answer)
+    agent._sync("127.0.0.1:9", planned=True)
+    assert "127.0.0.1:9" in agent._failed_s
+    assert agent.parent != "127.0.0.1:9"
+    agent._parent = _Answering(
+        node, msgspec.structs.replace(answer, leads=True)
+    )
+    agent._sync("127.0.0.1:9", planned=True)
+    assert "127.0.0.1:9" not in agent._failed_s
+
+
+class _Answering(_source.ParentSource):
+    """A parent that gives one answer."""
+
+    def __init__(self, node: _node.Node, answer: _messages.SyncAnswer) -> None:
+        super().__init__(node)
+        self._given = answer
+
+    def sync(
+        self, address: str, hold_ms: int, unconfirmed: bool
+    ) -> _messages.SyncAnswer:
+        """Return the answer."""
+        return self._given
+
+
 def test_the_status_of_a_large_folder_keeps_the_refused_files() -> None:
     verdicts = [
         config.Verdict(f"{number}.toml", 1, 1) for number in range(5_000)
