A soak: faults drawn at random over real processes, promises checked

Checked from what callers and upstreams saw: nothing doubled, cut or untruly refused, no answer lost without a kill, no version taken back, one content a version, every planned stop ends, service everywhere half a minute after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,13 @@
 # Every target sets up what it needs; a fresh clone needs nothing first.
 PYTHON ?= python3.11
 TEST_PROCESSES ?= 3
+SEEDS ?= 1-10
+FRESH ?= 0
 VENV := .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test check format measure capacity binary clean
+.PHONY: demo test check format measure soak capacity binary clean
 
 demo: $(READY)
 	$(BIN)/python -m standins.demo
@@ -24,6 +26,9 @@
 measure: $(READY)
 	$(BIN)/python -m standins.measure
 
+soak: $(READY)
+	$(BIN)/python -m standins.soak --jobs 2 --seeds "$(SEEDS)" --fresh $(FRESH)
+
 capacity: $(READY)
 	$(BIN)/python -m standins.pages
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -34,6 +34,7 @@
     error: str = ""
     key: str = ""
     entry: str = ""
+    ended_s: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
     def code(self) -> int:
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,9 +1,10 @@
-"""A stand-in for the link between regions: slow, narrow and counted."""
+"""A stand-in for a link: late, narrow, counted, and cut in several ways."""
 
 from __future__ import annotations
 
 import queue
 import socket
+import struct
 import threading
 import time
 import typing
@@ -11,6 +12,7 @@
 ONE_WAY_S: typing.Final = 0.012
 BITS_PER_S: typing.Final = 30_000_000
 
+_NO_LINGER: typing.Final = struct.pack("ii", 1, 0)
 _CHUNK_BYTES: typing.Final = 16 * 1024
 
 
@@ -18,10 +20,17 @@
     """Passes connections on to a target, each way late and bounded.
 
     ``bytes_toward`` counts what went to the target and ``bytes_back`` what
-    came from it.  A cut link closes its connections and takes no new ones.
+    came from it.  A cut link closes its connections and takes no new ones; a
+    silent one drops what comes, in the ways named, and tells nobody.
+
+    :param one_way_s: how long a byte is on its way.
     """
 
-    def __init__(self, address: str, target: str) -> None:
+    def __init__(
+        self, address: str, target: str, one_way_s: float = ONE_WAY_S
+    ) -> None:
+        self._one_way_s = one_way_s
+        self._silent: frozenset[str] = frozenset()
         self._address = _pair(address)
         self._target = _pair(target)
         self._listener = socket.create_server(self._address, backlog=256)
@@ -50,8 +59,20 @@
             _shut(sock)
 
     def heal(self) -> None:
-        """Heal the link."""
+        """Heal the link; what was dropped is lost."""
         self._cut = False
+        self._silent = frozenset()
+
+    def silence(self, *ways: str) -> None:
+        """Drop what comes from now on: ``toward`` the target or ``back``."""
+        self._silent = frozenset(ways)
+
+    def reset(self) -> None:
+        """Reset the connections that are open now."""
+        with self._lock:
+            open_ = list(self._open)
+        for sock in open_:
+            _reset(sock)
 
     def _accept(self) -> None:
         while True:
@@ -67,7 +88,7 @@
             ).start()
 
     def _join(self, near: socket.socket) -> None:
-        time.sleep(2 * ONE_WAY_S)
+        time.sleep(2 * self._one_way_s)
         try:
             far = socket.create_connection(self._target, 5)
         except OSError:
@@ -104,6 +125,8 @@
                 data = source.recv(_CHUNK_BYTES)
             except OSError:
                 data = b""
+            if data and way in self._silent:
+                continue
             line.put((self._due_s(len(data), way), data))
         with self._lock:
             self._open.discard(source)
@@ -117,7 +140,7 @@
             now_s = time.monotonic()
             start_s = max(now_s, self._free_at_s[way])
             self._free_at_s[way] = start_s + size * 8 / BITS_PER_S
-            return self._free_at_s[way] + ONE_WAY_S
+            return self._free_at_s[way] + self._one_way_s
 
     def _write(
         self, sink: socket.socket, line: queue.Queue[tuple[float, bytes]]
@@ -134,6 +157,14 @@
                 return
 
 
+def _reset(sock: socket.socket) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        sock.close()
+    except OSError:
+        pass
+
+
 def _shut(sock: socket.socket) -> None:
     try:
         sock.shutdown(socket.SHUT_RDWR)
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -104,6 +104,7 @@
     """A running deployment.
 
     :param options: text added to every daemon's settings.
+    :param upstream_links: puts a link before each upstream, to be cut.
     :param far_link: puts a slow, narrow, counted link between the store and
         the regions that it isn't in.
     """
@@ -114,6 +115,7 @@
         options: str = "",
         far_link: bool = False,
         cold_s: float = 0.0,
+        upstream_links: bool = False,
     ) -> None:
         self.deployment = deployment
         self._options = options
@@ -123,11 +125,15 @@
         self._ports = Ports()
         self.store_address = self._ports.take()
         self.links: dict[str, link.Link] = {}
+        self._linked: dict[str, str] = {}
         self._platform_address = {
             region: self._address_of_store(region, far_link)
             for region in deployment.regions
         }
         self.instances = {i.name: i for i in self._place()}
+        self.upstream_links: dict[str, link.Link] = {}
+        if upstream_links:
+            self._link_upstreams()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._ended_runs: dict[str, int] = {}
         self.store = store.HttpStore(self.store_address)
@@ -141,6 +147,15 @@
         self.links[region].start()
         return address
 
+    def _link_upstreams(self) -> None:
+        """Give the daemons the address of a link in place of upstreams."""
+        for name, place in self.instances.items():
+            address = self._ports.take()
+            found = link.Link(address, place.upstream, one_way_s=0.0)
+            found.start()
+            self.upstream_links[name] = found
+            self._linked[name] = address
+
     def _place(self) -> collections.abc.Iterator[Instance]:
         places = list(self.deployment.places())
         turn = 0
@@ -206,13 +221,19 @@
             f'guard = "{place.guard}"\n'
             f'control = "{place.control}"\n'
             "[upstream]\n"
-            f'address = "{place.upstream}"\n'
+            f'address = "{self._linked.get(name, place.upstream)}"\n'
             "[platform]\n"
             f'address = "{self._platform_address[place.region]}"\n'
             f'region = "{self.deployment.store_region}"\n'
             f"{self._options}"
         )
 
+    def ask_to_stop(self, name: str) -> subprocess.Popen[bytes]:
+        """Ask a process to stop as planned, and return it."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process
+
     def kill(self, name: str) -> None:
         """Kill a process at once; what an upstream had run is kept."""
         if name.startswith("upstream "):
@@ -223,9 +244,7 @@
 
     def terminate(self, name: str) -> int:
         """Ask a process to stop as planned, and return its exit code."""
-        process = self.processes.pop(name)
-        process.terminate()
-        return process.wait(timeout=60)
+        return self.ask_to_stop(name).wait(timeout=60)
 
     def freeze(self, name: str) -> None:
         """Pause a process."""
@@ -245,7 +264,7 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
-        for each in self.links.values():
+        for each in (*self.links.values(), *self.upstream_links.values()):
             each.stop()
         self._folder.cleanup()
 
--- a/tests/test_configuration_scenarios.py
+++ b/tests/test_configuration_scenarios.py
@@ -12,8 +12,8 @@
 from chiveroad import errors
 from standins import caller
 from standins import mesh
+from standins import monitor
 from tests.steps import faults
-from tests.steps import monitor
 
 pytest_bdd.scenarios("configuration.feature")
 
