--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -406,6 +406,11 @@
             f"http://{self.instances[name].upstream}/standin/mode", mode
         )
 
+    def wait_for_upstream(self, name: str) -> None:
+        """Wait until an upstream takes connections."""
+        address = self.instances[name].upstream
+        wait_for(lambda: _connects(address), f"the upstream {name}")
+
     def record(self, name: str) -> dict[str, upstream.Execution]:
         """Return what an upstream ran."""
         url = f"http://{self.instances[name].upstream}/standin/record"
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -56,10 +56,16 @@
     "a leader restarted at its address while another became relay: each "
     "followed the other for ever"
 )
+_UNMARKED_ANSWER: typing.Final = (
+    "an upstream's second answer, without an id, comes once the next request "
+    "is on the connection, and is taken for its answer"
+)
 REGRESSIONS: typing.Final = {
     9: _RESTARTED_LEADER,
     18: _RESTARTED_LEADER,
     22: _RESTARTED_LEADER,
+    37: _UNMARKED_ANSWER,
+    57: _UNMARKED_ANSWER,
 }
 """Every seed that ever found something, with its cause."""
 
@@ -183,6 +189,7 @@
         elif kind == "upstream-freeze":
             on.freeze(f"upstream {name}")
         elif kind.startswith("answers-"):
+            on.wait_for_upstream(name)
             on.set_mode(name, _mode(kind.removeprefix("answers-")))
         elif kind.startswith("link-"):
             self._harm_link(name, kind.removeprefix("link-"))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -207,6 +207,34 @@
     assert b"HTTP/1.1" not in b"".join(received[1:])
 
 
+def test_an_answer_without_an_id_from_one_that_echoes() -> None:
+    """A second answer comes once the next request is on the connection."""
+
+    def serve(sock: socket.socket) -> None:
+        sock.recv(65_536)
+        sock.sendall(WHOLE)
+        sock.recv(65_536)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        sock.sendall(WHOLE)
+
+    with upstream(serve) as address:
+        ours, theirs = socket.socketpair()
+        pool = _pool.Pool(address)
+        bodies = []
+        with ours, theirs:
+            for _ in range(2):
+                request = call()
+                answer = _exchange.ask(
+                    pool,
+                    request,
+                    request.headers,
+                    ours,
+                    platform.Protocol().read_answer,
+                )
+                bodies.append(answer.read())
+    assert bodies == [b"new", b"new"]
+
+
 def test_a_small_chunked_body_is_held_and_can_be_sent_again() -> None:
     assert call(b"x" * 100, chunked=True).body.replayable
     large = call(b"x" * 100_000, chunked=True).body
