An unnamed success isn't an answer where others are named; odd heads get 400

Ruled out: resting a connection before it is used again (a delay that is never long enough); refusing all unnamed answers (refusals may come from where nobody has read the number, and upstreams needn't name it).

Now: once a peer has named a request in an answer, a success that names none is passed over as one to another request; the stand-in upstream names them, as docs/UPSTREAM.md asks. An upstream that never does can't be told from one that answers twice. The odd head is a 400.

--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -76,6 +76,16 @@
     def __init__(self) -> None:
         self._named = False
 
+    def __call__(
+        self, rfile: typing.Any, hdict: typing.Any = None
+    ) -> typing.Any:
+        """Read a head's lines into a table."""
+        try:
+            return super().__call__(rfile, hdict)
+        except UnboundLocalError as exc:
+            # The library knows no name to continue in the first line.
+            raise ValueError("folded first header line") from exc
+
     def _transform_key(self, key_name: bytes) -> bytes:
         if not _TOKEN.fullmatch(key_name):
             raise ValueError("malformed header name")
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections.abc
+import http
 import http.client
 import itertools
 import select
@@ -29,6 +30,7 @@
 """How many answers to other requests are passed over on one connection."""
 
 _CHUNK_BYTES: typing.Final = 64 * 1024
+_FIRST_REDIRECT: typing.Final = http.HTTPStatus.MULTIPLE_CHOICES
 _BODILESS: typing.Final = (204, 304)
 _FAILURES: typing.Final = (
     OSError,
@@ -181,7 +183,8 @@
         response = connection.read_head(call.method)
         answer = Answer(pool, connection, response, call.method, read_terms)
         echoed = answer.terms.request_id
-        if not echoed or echoed == call.id:
+        pool.echoes = pool.echoes or echoed == call.id
+        if echoed == call.id or _is_unnamed(answer, pool):
             return answer
         if answer.length is None and not response.chunked:
             break
@@ -189,6 +192,16 @@
     raise errors.AnswerCrossed(f"the answer is to {echoed}")
 
 
+def _is_unnamed(answer: Answer, pool: _pool.Pool) -> bool:
+    """Tell whether an answer needn't name its request.
+
+    A refusal may come from where nobody has read the request's id.
+    """
+    succeeded = http.HTTPStatus.OK <= answer.status < _FIRST_REDIRECT
+    named = bool(answer.terms.request_id)
+    return not named and not (succeeded and pool.echoes)
+
+
 def pass_on(
     answer: Answer,
     request: serving.Request,
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -122,6 +122,9 @@
     stay warm and the others retire.
 
     :param address: ``HOST:PORT``.
+    ``echoes`` says that the peer has named the request in an answer: one
+    that doesn't may be a second answer to an earlier request.
+
     :param connect_timeout_s: how long opening a connection may take.
     """
 
@@ -132,6 +135,7 @@
         self._host = host
         self._port = int(port)
         self._connect_timeout_s = connect_timeout_s
+        self.echoes = False
         self._idle: list[Connection] = []
         self._lock = threading.Lock()
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -248,10 +248,10 @@
                 "received_bytes": len(body),
             }
         ).ljust(mode.answer_bytes)
-        headers = {"X-Request-Id": told}
         ours = self.headers.get("Chiveroad-Request", "")
         if mode.fault == "crossed":
-            headers["Chiveroad-Request"] = f"not-{ours}"
+            ours = f"not-{ours}"
+        headers = {"X-Request-Id": told, "Chiveroad-Request": ours}
         status = http.HTTPStatus.OK
         if mode.fault == "error":
             status = http.HTTPStatus.INTERNAL_SERVER_ERROR
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -327,3 +327,11 @@
         time.sleep(0.6)
         sock.sendall(b"b")
         assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_first_header_line_that_continues_nothing_is_refused(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    received = exchange(echo[0], b"GET / HTTP/1.1\r\n folded\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert b"Chiveroad-Code: 4008" in received
