--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test check format measure soak capacity binary clean
+.PHONY: demo test check format measure experiments soak capacity binary clean
 
 demo: $(READY)
 	$(BIN)/python -m standins.demo
@@ -26,6 +26,10 @@
 measure: $(READY)
 	$(BIN)/python -m standins.measure
 
+experiments: $(READY)
+	$(BIN)/python -m pip install --quiet --requirement requirements-experiments.txt
+	$(BIN)/python -m standins.experiments --plots docs/design/plots
+
 soak: $(READY)
 	$(BIN)/python -m standins.soak --jobs 2 --seeds "$(SEEDS)" --fresh $(FRESH)
 
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import heapq
 import random
 
@@ -21,40 +20,23 @@
 from chiveroad.traffic import _objective
 from chiveroad.traffic import _patience
 from chiveroad.traffic import _split
+from standins import loadmodel
 
-SLOTS = 10
-WORK_S = 0.2
-OBJECTIVE_S = 0.6
-DEADLINE_S = 2.5
-
-
-@dataclasses.dataclass
-class Tally:
-    """What became of the requests; times in seconds."""
-
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    held_s: float = 0.0
-    by_kind: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-
-    @property
-    def worth(self) -> float:
-        """Return the credit earned, late answers at 0.3."""
-        return self.in_time + 0.3 * self.late
+SLOTS = loadmodel.SLOTS
+WORK_S = loadmodel.WORK_S
+OBJECTIVE_S = loadmodel.OBJECTIVE_S
+DEADLINE_S = loadmodel.DEADLINE_S
 
 
 def play(
     policy: _admission.Policy,
     arrivals: list[tuple[float, _admission.Ticket]],
     seed: int = 1,
-) -> Tally:
+) -> loadmodel.Tally:
     """Run a pattern of load through one guard."""
     rng = random.Random(seed)
     state = _admission.Admission(_admission.Limits(SLOTS, 64), policy)
-    tally = Tally()
+    tally = loadmodel.Tally()
     ends: list[tuple[float, int, _admission.Ticket]] = []
     begun: set[int] = set()
     tickets = [ticket for _, ticket in arrivals]
