--- a/src/chiveroad/store/__init__.py
+++ b/src/chiveroad/store/__init__.py
@@ -9,6 +9,9 @@
 from chiveroad.store._base import overwrite
 from chiveroad.store._base import Store
 from chiveroad.store._base import StoredObject
+from chiveroad.store._client import Client
+from chiveroad.store._client import encode_object
+from chiveroad.store._client import encode_spec
 from chiveroad.store._counted import CountedStore
 from chiveroad.store._http import HttpStore
 from chiveroad.store._outcome import decode_answer
@@ -17,6 +20,7 @@
 
 __all__ = [
     "ABSENT",
+    "Client",
     "CountedStore",
     "Event",
     "EventType",
@@ -27,6 +31,8 @@
     "Store",
     "StoredObject",
     "decode_answer",
+    "encode_object",
+    "encode_spec",
     "lost_answer",
     "overwrite",
     "status_error",
--- /dev/null
+++ b/src/chiveroad/store/_client.py
@@ -0,0 +1,114 @@
+"""Calls to a store over HTTP, with JSON both ways."""
+
+from __future__ import annotations
+
+import collections.abc
+import http
+import typing
+import urllib.parse
+
+import msgspec
+import urllib3
+
+from chiveroad import errors
+from chiveroad.store import _base
+from chiveroad.store import _outcome
+
+_HEADERS: typing.Final = {"Content-Type": "application/json"}
+_encoder = msgspec.json.Encoder()
+
+
+class Client:
+    """Calls the objects below one URL.
+
+    :param base_url: what stands before a kind's path.
+    :param connect_timeout_s: how long opening a connection may take.
+    :param timeout_s: how long the answer to one call may take.
+    """
+
+    def __init__(
+        self, base_url: str, connect_timeout_s: float, timeout_s: float
+    ) -> None:
+        self._base_url = base_url
+        self._connect_timeout_s = connect_timeout_s
+        self._timeout_s = timeout_s
+        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
+
+    def url(
+        self,
+        kind: str,
+        name: str = "",
+        query: collections.abc.Mapping[str, object] | None = None,
+    ) -> str:
+        """Return the URL of a kind, or of one of its objects."""
+        url = f"{self._base_url}/{kind}"
+        if name:
+            url += f"/{urllib.parse.quote(name, safe='')}"
+        return f"{url}?{urllib.parse.urlencode(query)}" if query else url
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        timeout_s: float | None = None,
+    ) -> bytes:
+        """Make a call, and return its answer's body.
+
+        :raises errors.StoreError: when it had no effect or its answer is
+            lost; the subclass says which.
+        """
+        response = self.send(method, url, body, timeout_s)
+        if response.status >= http.HTTPStatus.BAD_REQUEST:
+            raise _outcome.status_error(response.status, method, response.data)
+        return response.data
+
+    def send(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        timeout_s: float | None = None,
+        stream: bool = False,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a call, and return its answer whatever its status.
+
+        :param stream: whether the body is left to be read.
+        """
+        timeout = urllib3.Timeout(
+            connect=self._connect_timeout_s,
+            read=self._timeout_s if timeout_s is None else timeout_s,
+        )
+        try:
+            return self._pool.request(
+                method,
+                url,
+                body=body,
+                headers=_HEADERS,
+                timeout=timeout,
+                preload_content=not stream,
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise errors.StoreUnavailable(f"{method}: {exc}") from exc
+        except urllib3.exceptions.HTTPError as exc:
+            raise _outcome.lost_answer(method, str(exc)) from exc
+
+
+def encode_spec(kind: _base.Kind, name: str, spec: object) -> msgspec.Raw:
+    """Return a value as it is stored.
+
+    :raises errors.StoreTooLarge: when it is over the store's limit.
+    """
+    value = _encoder.encode(spec)
+    if len(value) > _base.MAX_VALUE_BYTES:
+        raise errors.StoreTooLarge(f"{kind.value}/{name}: {len(value)} B")
+    return msgspec.Raw(value)
+
+
+def encode_object(metadata: dict[str, object], spec: msgspec.Raw) -> bytes:
+    """Return the body of a write."""
+    return _encoder.encode({"metadata": metadata, "spec": spec})
--- a/src/chiveroad/store/_http.py
+++ b/src/chiveroad/store/_http.py
@@ -5,13 +5,13 @@
 import collections.abc
 import http
 import typing
-import urllib.parse
 
 import msgspec
 import urllib3
 
 from chiveroad import errors
 from chiveroad.store import _base
+from chiveroad.store import _client
 from chiveroad.store import _outcome
 
 CONNECT_TIMEOUT_S: typing.Final = 1.0
@@ -41,12 +41,9 @@
     object: _Object
 
 
-_T = typing.TypeVar("_T")
-
 _object_decoder = msgspec.json.Decoder(_Object)
 _list_decoder = msgspec.json.Decoder(_List)
 _event_decoder = msgspec.json.Decoder(_Event)
-_encoder = msgspec.json.Encoder()
 
 
 class HttpStore(_base.Store):
@@ -59,19 +56,19 @@
     def __init__(
         self, address: str, timeout_s: float = READ_TIMEOUT_S
     ) -> None:
-        self._base_url = f"http://{address}{_PATH}"
-        self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
+        self._client = _client.Client(
+            f"http://{address}{_PATH}", CONNECT_TIMEOUT_S, timeout_s
+        )
 
     def get(self, kind: _base.Kind, name: str) -> _base.StoredObject:
         """Return an object."""
-        body = self._call("GET", self._url(kind, name))
+        body = self._client.call("GET", self._client.url(kind.value, name))
         return _stored(_outcome.decode_answer(_object_decoder, body))
 
     def list(self, kind: _base.Kind, prefix: str = "") -> _base.Listing:
         """Return the objects whose names begin with the prefix."""
-        query = urllib.parse.urlencode({"prefix": prefix})
-        body = self._call("GET", f"{self._url(kind)}?{query}")
+        url = self._client.url(kind.value, query={"prefix": prefix})
+        body = self._client.call("GET", url)
         listed = _outcome.decode_answer(_list_decoder, body)
         return _base.Listing(
             _version(listed.metadata),
@@ -82,40 +79,34 @@
         self, kind: _base.Kind, name: str, spec: object, version: int
     ) -> _base.StoredObject:
         """Write an object if its version is still the one given."""
-        value = _encoder.encode(spec)
-        if len(value) > _base.MAX_VALUE_BYTES:
-            raise errors.StoreTooLarge(f"{kind.value}/{name}: {len(value)} B")
-        metadata = {"name": name, "resourceVersion": str(version)}
-        body = _encoder.encode(
-            {"metadata": metadata, "spec": msgspec.Raw(value)}
+        value = _client.encode_spec(kind, name, spec)
+        body = _client.encode_object(
+            {"name": name, "resourceVersion": str(version)}, value
         )
-        answer = self._call("PUT", self._url(kind, name), body)
+        url = self._client.url(kind.value, name)
+        answer = self._client.call("PUT", url, body)
         written = _outcome.decode_answer(_object_decoder, answer)
-        return _base.StoredObject(
-            name, _version(written.metadata), msgspec.Raw(value)
-        )
+        return _base.StoredObject(name, _version(written.metadata), value)
 
     def delete(self, kind: _base.Kind, name: str, version: int) -> None:
         """Delete an object if its version is still the one given."""
-        query = urllib.parse.urlencode({"resourceVersion": version})
-        self._call("DELETE", f"{self._url(kind, name)}?{query}")
+        query = {"resourceVersion": version}
+        url = self._client.url(kind.value, name, query)
+        self._client.call("DELETE", url)
 
     def watch(
         self, kind: _base.Kind, version: int, timeout_s: float
     ) -> collections.abc.Iterator[_base.Event]:
         """Yield the changes after a version until the time is over."""
-        query = urllib.parse.urlencode(
-            {
-                "watch": "true",
-                "resourceVersion": version,
-                "timeoutSeconds": timeout_s,
-            }
-        )
-        response = self._send(
+        query = {
+            "watch": "true",
+            "resourceVersion": version,
+            "timeoutSeconds": timeout_s,
+        }
+        response = self._client.send(
             "GET",
-            f"{self._url(kind)}?{query}",
-            None,
-            read_timeout_s=timeout_s + WATCH_GRACE_S,
+            self._client.url(kind.value, query=query),
+            timeout_s=timeout_s + WATCH_GRACE_S,
             stream=True,
         )
         try:
@@ -132,43 +123,6 @@
             response.close()
             response.release_conn()
 
-    def _url(self, kind: _base.Kind, name: str = "") -> str:
-        url = f"{self._base_url}/{kind.value}"
-        return f"{url}/{urllib.parse.quote(name, safe='')}" if name else url
-
-    def _call(self, method: str, url: str, body: bytes | None = None) -> bytes:
-        response = self._send(method, url, body, self._timeout_s, stream=False)
-        if response.status >= http.HTTPStatus.BAD_REQUEST:
-            raise _outcome.status_error(response.status, method, response.data)
-        return response.data
-
-    def _send(
-        self,
-        method: str,
-        url: str,
-        body: bytes | None,
-        read_timeout_s: float,
-        stream: bool,
-    ) -> urllib3.BaseHTTPResponse:
-        try:
-            return self._pool.request(
-                method,
-                url,
-                body=body,
-                headers={"Content-Type": "application/json"},
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=read_timeout_s
-                ),
-                preload_content=not stream,
-                redirect=False,
-            )
-        except urllib3.exceptions.NewConnectionError as exc:
-            raise errors.StoreUnavailable(f"{method}: {exc}") from exc
-        except urllib3.exceptions.ConnectTimeoutError as exc:
-            raise errors.StoreUnavailable(f"{method}: {exc}") from exc
-        except urllib3.exceptions.HTTPError as exc:
-            raise _outcome.lost_answer(method, str(exc)) from exc
-
 
 def _events(
     response: urllib3.BaseHTTPResponse,
