--- a/src/chiveroad/control/_helper.py
+++ b/src/chiveroad/control/_helper.py
@@ -11,11 +11,10 @@
 import typing
 
 import msgspec
-import urllib3
 
-from chiveroad import config
 from chiveroad.control import _messages
 from chiveroad.control import _node
+from chiveroad.control import _peer
 from chiveroad.control import _source
 from chiveroad import errors
 from chiveroad import logs
@@ -38,7 +37,7 @@
 
     def __init__(self, node: _node.Node) -> None:
         self._node = node
-        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._peers = _peer.Peers(1, CONNECT_TIMEOUT_S)
         self._due_s: dict[str, float] = {}
         self._pause_s: dict[str, float] = {}
 
@@ -70,7 +69,9 @@
 
     def _speak_to(self, member: membership.Member) -> None:
         held = self._node.applied.current
-        hello = _messages.Hello(self._node.member, held.number)
+        hello = msgspec.json.encode(
+            _messages.Hello(self._node.member, held.number)
+        )
         answer = self._post(member, _source.HELLO_PATH, hello)
         try:
             theirs = _decoder.decode(answer).version
@@ -78,27 +79,11 @@
             raise errors.BadMessage(f"{member.instance}: {exc}") from exc
         if theirs >= held.number:
             return
-        offer = _messages.SnapshotOffer(
-            held.number, held.digest, config.pack(held.config.items)
-        )
+        offer = _peer.snapshot_offer(self._node)
         self._post(member, _source.SNAPSHOT_PATH, offer)
         _log.info("{} was given version {}.", member.instance, held.number)
 
     def _post(
-        self, member: membership.Member, path: str, message: msgspec.Struct
+        self, member: membership.Member, path: str, body: bytes
     ) -> bytes:
-        try:
-            response = self._http.request(
-                "POST",
-                f"http://{member.control}{path}",
-                body=msgspec.json.encode(message),
-                headers={"Content-Type": "application/json"},
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
-                ),
-            )
-        except urllib3.exceptions.HTTPError as exc:
-            raise errors.PeerUnavailable(f"{exc}") from exc
-        if response.status != 200:
-            raise errors.PeerUnavailable(f"{response.status}")
-        return response.data
+        return self._peers.post(member.control, path, body, READ_TIMEOUT_S)
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -7,13 +7,13 @@
 import typing
 
 import msgspec
-import urllib3
 
 from chiveroad import clock
 from chiveroad import config
 from chiveroad.control import _accept
 from chiveroad.control import _messages
 from chiveroad.control import _node
+from chiveroad.control import _peer
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
@@ -108,9 +108,8 @@
         grace_s: float = SYNC_GRACE_S,
     ) -> None:
         self._node = node
-        self._connect_timeout_s = connect_timeout_s
         self._grace_s = grace_s
-        self._http = urllib3.PoolManager(maxsize=4, retries=False)
+        self._peers = _peer.Peers(4, connect_timeout_s)
         self._lock = threading.Lock()
         self._source = ""
         self._epoch = 0
@@ -194,11 +193,7 @@
             return None
 
     def _hand_up(self, address: str) -> None:
-        held = self._node.applied.current
-        offer = _messages.SnapshotOffer(
-            held.number, held.digest, config.pack(held.config.items)
-        )
-        body = msgspec.json.encode(offer)
+        body = _peer.snapshot_offer(self._node)
         self._call(address, SNAPSHOT_PATH, body, SYNC_GRACE_S)
 
     def _post(
@@ -215,19 +210,6 @@
     def _call(
         self, address: str, path: str, body: bytes, timeout_s: float
     ) -> bytes:
-        try:
-            response = self._http.request(
-                "POST",
-                f"http://{address}{path}",
-                body=body,
-                headers={"Content-Type": "application/json"},
-                timeout=urllib3.Timeout(
-                    connect=self._connect_timeout_s, read=timeout_s
-                ),
-            )
-        except urllib3.exceptions.HTTPError as exc:
-            raise errors.PeerUnavailable(f"{address}: {exc}") from exc
-        if response.status != 200:
-            raise errors.PeerUnavailable(f"{address}: {response.status}")
-        self._node.control_bytes += len(body) + len(response.data)
-        return response.data
+        answer = self._peers.post(address, path, body, timeout_s)
+        self._node.control_bytes += len(body) + len(answer)
+        return answer
