A window's counts read in one place; the log's handler is abstract

No change of behaviour. Budget.left had copied the first half of spend; a handler that doesn't write its line fails when it is made and not when it is used, as elsewhere in the project.

--- a/src/chiveroad/logs.py
+++ b/src/chiveroad/logs.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import abc
 import collections
 import datetime
 import logging
@@ -155,7 +156,7 @@
                 self._idle.set()
 
 
-class _Handler(logging.Handler):
+class _Handler(logging.Handler, abc.ABC):
     """Formats a record in the thread that logs, and queues it."""
 
     def __init__(self, writer: Writer, level: int) -> None:
@@ -168,9 +169,9 @@
         of_note = record.levelno > logging.INFO
         self._writer.write(self.line(record) + "\n", of_note)
 
+    @abc.abstractmethod
     def line(self, record: logging.LogRecord) -> str:
         """Return the record as a line."""
-        raise NotImplementedError
 
     def _exception(self, record: logging.LogRecord) -> str:
         if not record.exc_info:
--- a/src/chiveroad/traffic/_budget.py
+++ b/src/chiveroad/traffic/_budget.py
@@ -92,10 +92,7 @@
         """Take a retry from the budget; False when it is used up."""
         now_s = self._clock()
         with self._lock:
-            requests = self._window(self._requests, service)
-            retries = self._window(self._retries, service)
-            requests.expire(now_s)
-            retries.expire(now_s)
+            requests, retries = self._counted(service, now_s)
             if retries.total + 1 > self._allowed(requests.total):
                 return False
             retries.add(now_s)
@@ -103,14 +100,18 @@
 
     def left(self, service: str) -> float:
         """Return how many retries are left in this window."""
-        now_s = self._clock()
         with self._lock:
-            requests = self._window(self._requests, service)
-            retries = self._window(self._retries, service)
-            requests.expire(now_s)
-            retries.expire(now_s)
+            requests, retries = self._counted(service, self._clock())
             return self._allowed(requests.total) - retries.total
 
+    def _counted(self, service: str, now_s: float) -> tuple[_Window, _Window]:
+        """Return a service's requests and retries of the last window."""
+        requests = self._window(self._requests, service)
+        retries = self._window(self._retries, service)
+        requests.expire(now_s)
+        retries.expire(now_s)
+        return requests, retries
+
     def _allowed(self, requests: int) -> float:
         terms = self._terms
         part = terms.slack / max(MIN_DAEMONS, self._daemons())
