--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 
 from chiveroad import errors
 from chiveroad import membership
+from chiveroad import settings
 from chiveroad import store
 from standins import memory_store
 
@@ -74,3 +75,28 @@
         f"{instance}:guard",
         f"{instance}:control",
     )
+
+
+def options(
+    instance: str = "a",
+    service: str = "glade",
+    domain: str = "d",
+    entry: str = "127.0.0.1:1",
+    guard: str = "127.0.0.1:2",
+    control: str = "127.0.0.1:3",
+) -> settings.Settings:
+    """Return settings with nothing but what they must have."""
+    return settings.parse(f"""
+        instance = "{instance}"
+        service = "{service}"
+        failure_domain = "{domain}"
+        region = "r"
+        [listen]
+        entry = "{entry}"
+        guard = "{guard}"
+        control = "{control}"
+        [upstream]
+        address = "127.0.0.1:4"
+        [platform]
+        address = "127.0.0.1:5"
+        """)
