Scenario: wait until a killed upstream takes connections again

The step starts the program and sleeps a second; loading it and opening its port may take longer beside two other test processes.

After: waits up to the usual limit, then a second as before.

--- a/tests/test_request_scenarios.py
+++ b/tests/test_request_scenarios.py
@@ -90,6 +90,7 @@
     on.kill("upstream hollow-2")
     time.sleep(2)
     on.start_upstream("hollow-2")
+    on.wait_for_upstream("hollow-2")
     time.sleep(1)
 
 
