An end binds each life of its id that began before it

The daemon took the life before for the one that left, acknowledged, and believed the late "ready" of the later life: work to an upstream that leaves.

Change: upstream and daemon read one clock, their machine's. A life of the id that began before the word was heard is taken for the one that ended, for as long as a heartbeat may be late (10 s). The record keeps the time, with the four seconds in which the word is repeated, so that a slow write isn't outdated by the next word and a daemon that is restarted knows too. A life that began after the word is believed at once, also after a leave that came before anything was known: that waited ten seconds before.

Ruled out: believing no life of the id for ten seconds, as a planned restart under one's id would cost as long; a second spaced heartbeat, as several may be late.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -154,7 +154,7 @@
             slots=known.slots,
             store_distance_ms=self._distance_ms,
         )
-        return _messages.MemberRecord(member, known.phase)
+        return _messages.MemberRecord(member, known.phase, known.ended_by_ms)
 
     # Whom to follow.
 
@@ -351,6 +351,7 @@
                 phase=record.phase,
                 started_at_ms=member.upstream_started_at_ms,
                 slots=member.slots,
+                ended_by_ms=record.ended_by_ms,
             )
         )
         self._recorder.record(0.0)
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -114,11 +114,13 @@
     """What a daemon records of itself and of the upstream beside it.
 
     ``phase`` is how far the upstream is; ``member.state`` is what others
-    are to do with it, which also depends on the daemon.
+    are to do with it, which also depends on the daemon.  ``ended_by_ms`` is
+    as in ``presence.Known``.
     """
 
     member: membership.Member
     phase: presence.Phase
+    ended_by_ms: int = 0
 
 
 class DomainMembers(msgspec.Struct, frozen=True):
--- a/src/chiveroad/presence/_local.py
+++ b/src/chiveroad/presence/_local.py
@@ -4,9 +4,9 @@
 
 import enum
 import threading
-import time
 import typing
 
+from chiveroad import clock
 from chiveroad import logs
 from chiveroad.presence import _state
 from chiveroad import wire
@@ -16,9 +16,6 @@
 daemons need to hear of it, and far below the two seconds that it serves on.
 """
 
-LATE_S: typing.Final = 10.0
-"""For how long a heartbeat of an upstream that has left may still arrive."""
-
 _log = logs.Logger("presence")
 
 
@@ -34,13 +31,19 @@
     """Holder of what is known of the upstream beside the daemon.
 
     :param address: the upstream's ``HOST:PORT``.
+    :param machine_clock: the clock that the upstream reads too.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        machine_clock: clock.Clock | None = None,
+    ) -> None:
         self._address = address
+        self._clock = machine_clock or clock.Clock()
         self._lock = threading.Lock()
         self._known = _state.Known()
-        self._left_s: dict[str, float] = {}
+        self._endings: dict[str, _state.Ending] = {}
 
     @property
     def known(self) -> _state.Known:
@@ -60,10 +63,12 @@
         """Take in a heartbeat."""
         with self._lock:
             verdict, known = _state.decide(
-                self._known, heartbeat, self._address, time.monotonic()
+                self._known, heartbeat, self._address, self._clock.steady_s()
             )
             new_life = verdict is _state.Verdict.NEW_LIFE
-            if new_life and self._has_left(heartbeat.upstream_id):
+            if new_life and self._has_ended(
+                heartbeat.upstream_id, heartbeat.started_at_ms
+            ):
                 verdict, known = _state.Verdict.STALE, self._known
             self._known = known
         if verdict in (_state.Verdict.NEW_LIFE, _state.Verdict.CHANGED):
@@ -87,12 +92,12 @@
         """Note that an upstream ends."""
         with self._lock:
             known = self._known
+            ending = _state.Ending(
+                self._clock.unix_ms(), self._clock.steady_s()
+            )
+            self._endings[upstream_id] = ending
             if known.upstream_id == upstream_id:
-                self._known = _state.left(
-                    known, _state.Phase.GONE, time.monotonic()
-                )
-            else:
-                self._left_s[upstream_id] = time.monotonic()
+                self._known = _state.ended(known, ending)
         if known.upstream_id == upstream_id:
             _log.info("Upstream {} is gone.", upstream_id)
             return Left.KNOWN
@@ -107,11 +112,15 @@
         read: what the record says of leaving goes before it.
         """
         with self._lock:
-            if self._has_left(recorded.upstream_id):
-                recorded = _state.left(
-                    recorded, _state.Phase.GONE, time.monotonic()
-                )
-            self._known = _state.recall(self._known, recorded)
+            recorded = self._recall_ending(recorded)
+            known = self._known
+            gone = known.phase is _state.Phase.GONE
+            if not gone and self._has_ended(
+                known.upstream_id, known.started_at_ms
+            ):
+                # Heard late, and believed before the record was read.
+                known = recorded
+            self._known = _state.recall(known, recorded)
             known = self._known
         _log.info(
             "Upstream {} of {} is taken for {}.",
@@ -120,9 +129,24 @@
             known.phase.value,
         )
 
-    def _has_left(self, upstream_id: str) -> bool:
-        left_s = self._left_s.get(upstream_id)
-        return left_s is not None and time.monotonic() - left_s < LATE_S
+    def _recall_ending(self, recorded: _state.Known) -> _state.Known:
+        """Join what was recorded of an end with what was heard of one."""
+        upstream_id = recorded.upstream_id
+        if recorded.phase is _state.Phase.GONE:
+            ending = _state.Ending(
+                recorded.ended_by_ms, self._clock.steady_s()
+            )
+            self._endings.setdefault(upstream_id, ending)
+            return recorded
+        if not self._has_ended(upstream_id, recorded.started_at_ms):
+            return recorded
+        return _state.ended(recorded, self._endings[upstream_id])
+
+    def _has_ended(self, upstream_id: str, started_at_ms: int) -> bool:
+        ending = self._endings.get(upstream_id)
+        if ending is None:
+            return False
+        return ending.binds(started_at_ms, self._clock.steady_s())
 
     def doubt(self, upstream_id: str) -> None:
         """Forget the upstream: another one answers at its address."""
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -10,9 +10,16 @@
 
 import dataclasses
 import enum
+import typing
 
 from chiveroad import wire
 
+LATE_S: typing.Final = 10.0
+"""For how long a heartbeat of an upstream that has left may still arrive."""
+
+REPEATED_MS: typing.Final = 4_000
+"""For how long an upstream repeats that it ends until it is acknowledged."""
+
 
 class Phase(enum.Enum):
     """How far an upstream is, as far as known."""
@@ -39,7 +46,8 @@
 
     ``heard_s`` is when it was last heard and ``left_s`` when it first said
     that it leaves, both in monotonic seconds; ``cold_until_s`` is when it
-    will have warmed up.
+    will have warmed up.  Once it was heard to end, its id's lives that began
+    by ``ended_by_ms``, in Unix milliseconds, are taken for ended too.
     """
 
     upstream_id: str = ""
@@ -51,6 +59,7 @@
     heard_s: float = 0.0
     left_s: float = 0.0
     cold_until_s: float = 0.0
+    ended_by_ms: int = 0
 
     @property
     def life(self) -> tuple[int, str]:
@@ -62,6 +71,29 @@
         return (self.started_at_ms, self.upstream_id)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """An upstream's word that it ends; it names nothing but its id.
+
+    ``at_ms`` is the Unix millisecond and ``heard_s`` the monotonic second at
+    which it was heard.
+    """
+
+    at_ms: int
+    heard_s: float
+
+    def binds(self, started_at_ms: int, now_s: float) -> bool:
+        """Tell whether it was the end of the life that began then.
+
+        A life that began before the word was heard is taken for the one that
+        ended: its heartbeats are late ones.  Upstream and daemon read one
+        clock, their machine's.  Should that clock have jumped, the word
+        binds for only as long as a heartbeat may be late.
+        """
+        late = now_s - self.heard_s < LATE_S
+        return late and started_at_ms <= self.at_ms
+
+
 def decide(
     known: Known, heartbeat: wire.Heartbeat, address: str, now_s: float
 ) -> tuple[Verdict, Known]:
@@ -103,7 +135,8 @@
         return recorded
     leaves = recorded.phase in (Phase.DRAINING, Phase.GONE)
     if recorded.life == known.life and leaves:
-        return left(known, recorded.phase, recorded.left_s)
+        gone = left(known, recorded.phase, recorded.left_s)
+        return dataclasses.replace(gone, ended_by_ms=recorded.ended_by_ms)
     return known
 
 
@@ -113,6 +146,18 @@
     return dataclasses.replace(known, phase=phase, left_s=left_s)
 
 
+def ended(known: Known, ending: Ending) -> Known:
+    """Return what is known once the upstream has said that it ends.
+
+    What it says again meanwhile changes nothing, so that a slow write of
+    the first word isn't outdated by the next.
+    """
+    if known.phase is Phase.GONE and ending.at_ms <= known.ended_by_ms:
+        return known
+    gone = left(known, Phase.GONE, ending.heard_s)
+    return dataclasses.replace(gone, ended_by_ms=ending.at_ms + REPEATED_MS)
+
+
 def _first(heartbeat: wire.Heartbeat, now_s: float) -> Known:
     leaves = heartbeat.state is wire.UpstreamState.DRAINING
     return Known(
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from chiveroad import clock
 from chiveroad import errors
 from chiveroad import presence
 from chiveroad.presence import _local
@@ -179,6 +180,59 @@
     assert phase_of(upstream) is presence.Phase.GONE
 
 
+@pytest.mark.parametrize(
+    ("started_at_ms", "after_s", "binds"),
+    [
+        (4_999, 0.0, True),
+        (5_000, 0.0, True),
+        (5_001, 0.0, False),
+        (5_000, _state.LATE_S - 0.1, True),
+        (5_000, _state.LATE_S, False),
+    ],
+)
+def test_which_lives_the_word_of_an_end_binds(
+    started_at_ms: int, after_s: float, binds: bool
+) -> None:
+    ending = _state.Ending(5_000, 100.0)
+    assert ending.binds(started_at_ms, 100.0 + after_s) is binds
+
+
+def test_a_fresh_daemon_takes_back_a_late_heartbeat_of_who_has_ended() -> None:
+    """It was heard before the record was; the record names a life before."""
+    machine = _Clock()
+    upstream = presence.LocalUpstream(HERE, machine)
+    late = dataclasses.replace(BEAT, sequence=1, started_at_ms=2_000)
+    upstream.hear(late)
+    ended = _state.ended(RECORDED, _state.Ending(2_000, 0.0))
+    upstream.recall(ended)
+    assert upstream.known == ended
+    assert upstream.hear(late) is presence.Verdict.STALE
+
+
+def test_a_word_said_again_leaves_the_record_as_it_is() -> None:
+    """Else a slow write is outdated whenever it is done."""
+    first = _state.ended(KNOWN, _state.Ending(5_000, 100.0))
+    assert _state.ended(first, _state.Ending(6_000, 101.0)) == first
+    later = _state.Ending(5_001 + _state.REPEATED_MS, 106.0)
+    assert _state.ended(first, later).ended_by_ms > first.ended_by_ms
+
+
+def test_an_upstream_that_starts_again_after_its_leave_is_believed() -> None:
+    """Also at once: it began after the leave was heard."""
+    machine = _Clock()
+    upstream = presence.LocalUpstream(HERE, machine)
+    upstream.hear(BEAT)
+    upstream.leave(BEAT.upstream_id)
+    later = dataclasses.replace(BEAT, sequence=1, started_at_ms=2_001)
+    upstream.hear(later)
+    assert phase_of(upstream) is presence.Phase.READY
+
+
+class _Clock(clock.Clock):
+    def unix_ms(self) -> int:
+        return 2_000
+
+
 def test_an_unclear_leave_is_not_acknowledged() -> None:
     handler = presence.HeartbeatHandler(
         wire.Native(),
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -16,10 +16,12 @@
 import hypothesis.strategies as st
 import pytest
 
+from chiveroad import clock
 from chiveroad import control
 from chiveroad.control import _record
 from chiveroad import errors
 from chiveroad import presence
+from chiveroad.presence import _state
 from chiveroad import store
 from chiveroad import wire
 from standins import memory_store
@@ -78,16 +80,29 @@
         )
 
 
+class Clock(clock.Clock):
+    """A clock that moves when told."""
+
+    def __init__(self) -> None:
+        self.ms = 1_000
+
+    def unix_ms(self) -> int:
+        return self.ms
+
+    def steady_s(self) -> float:
+        return self.ms / 1000
+
+
 class PresenceMachine(sf.RuleBasedStateMachine):
     """One daemon beside one address."""
 
     def __init__(self) -> None:
         super().__init__()
         self.store = LateStore()
-        self.born_ms = 1_000
-        self.upstream = Upstream("i-1", self.born_ms)
+        self.clock = Clock()
+        self.upstream = Upstream("i-1", self.clock.ms)
         self.ended = False
-        self.unclear = False
+        self.reused = False
         self.sent: list[wire.Heartbeat] = []
         self.acknowledged: set[Life] = set()
         self.recorded: tuple[Life, presence.Phase] | None = None
@@ -97,7 +112,7 @@
     def restart(self) -> None:
         """The daemon is killed and started again; it remembers nothing."""
         node = control.Node(fakes.member("daemon", 0, 0), recorded=True)
-        self.local = presence.LocalUpstream(HERE)
+        self.local = presence.LocalUpstream(HERE, self.clock)
         self.follower = control.Follower(
             fakes.options("daemon"),
             self.store,
@@ -171,24 +186,18 @@
         """The upstream says that it ends, and says nothing after that."""
         self.ended = True
         whose = self.local.leave(self.upstream.id)
-        self.unclear |= whose is not presence.Left.KNOWN
         if whose is presence.Left.KNOWN and self._recorded():
             self.acknowledged.add(self.upstream.life)
 
     @sf.rule(same_id=st.booleans(), later_ms=st.integers(1, 5_000))
     def replace(self, same_id: bool, later_ms: int) -> None:
-        """The upstream crashes, and another life has the address.
-
-        One that takes up an id right after a daemon heard that id leave,
-        and didn't know whose it was, isn't told from late heartbeats for
-        some seconds: that is left out here, and listed in docs/PROOFS.md.
-        """
-        self.born_ms += later_ms
+        """The upstream crashes, and another life has the address."""
+        self.clock.ms += later_ms
         number = len(self.upstream.id)
-        keeps = same_id and not self.unclear
-        new_id = self.upstream.id if keeps else f"i-{'x' * number}"
-        self.upstream = Upstream(new_id, self.born_ms)
-        self.ended = self.unclear = False
+        new_id = self.upstream.id if same_id else f"i-{'x' * number}"
+        self.upstream = Upstream(new_id, self.clock.ms)
+        self.ended = False
+        self.reused |= same_id
 
     def _hear(self, heartbeat: wire.Heartbeat) -> None:
         verdict = self.local.hear(heartbeat)
@@ -230,13 +239,21 @@
 
     @sf.rule()
     def calm(self) -> None:
-        """Once all works, the present upstream is known and recorded."""
+        """Once all works, the present upstream is known and recorded.
+
+        One that has taken up an id may have to wait until no heartbeat of
+        the life before may still be under way.
+        """
         self.store.lose = self.store.drop = 0
         self.store.put_off = False
         self.do_late_writes()
         self.read()
         if self.ended:
             return
+        if self.reused:
+            self.clock.ms += int(_state.LATE_S * 1000) + 1
+            self.sent.clear()
+            self.reused = False
         self._hear(self.upstream.beat())
         for _ in range(3):
             self.write()
