Records of daemons that are gone for good are removed

Cause: a daemon that is lost with its instance leaves its record behind; every entry that would use it probes it once a second, for ever, and every fresh daemon lists it. On the platform views never dropped members that are gone.

Each daemon looks once a minute after the next in its failure domain; one that takes no connection for ten minutes loses its record, by a conditional delete. A daemon whose record was removed by mistake writes it again: before, it never noticed, and nobody sent it work until its upstream changed state (a test that failed first; with the new step taken out it fails again).

Ruled out: the watcher removing them (cut off, it would take all for lost); leases (the platform's store has none).

Before: records stay for ever.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -23,6 +23,7 @@
 from chiveroad.control import _plane
 from chiveroad.control import _record
 from chiveroad.control import _source
+from chiveroad.control import _sweeper
 from chiveroad.control import _threads
 from chiveroad import errors
 from chiveroad import logs
@@ -77,6 +78,7 @@
         self._distance_ms = 0
         self._source = _source.ParentSource(node, CONNECT_TIMEOUT_S, GRACE_S)
         self._helper = _helper.Helper(node)
+        self._sweeper = _sweeper.Sweeper(platform, node)
         self._failures: dict[str, _freshness.Failure] = {}
         self._watching = True
         self._state = membership.State.READY
@@ -102,6 +104,7 @@
         _threads.start("following versions", self._follow_versions)
         _threads.start("following a parent", self._follow_parent)
         _threads.start("helping", self._help)
+        _threads.start("sweeping", self._sweep)
         self._recorder.start()
 
     def ancestors(self) -> list[str]:
@@ -194,9 +197,21 @@
     def _help(self) -> None:
         while not self.stopped:
             time.sleep(HELP_S)
+            self._keep_record()
             if self._watching and self._node.applied.ready:
                 self._helper.tick()
 
+    def _keep_record(self) -> None:
+        """Write the record again where another daemon has removed it."""
+        mine = self._node.member
+        if mine.state is membership.State.GONE:
+            self._recorder.overtaken(mine.sequence)
+
+    def _sweep(self) -> None:
+        while not self.stopped:
+            time.sleep(_sweeper.SWEEP_S)
+            self._sweeper.tick()
+
     def _judge_freshness(self) -> None:
         confirmed_s = self._node.applied.confirmed_s
         if _freshness.stale(confirmed_s, clock.now_s()):
@@ -327,7 +342,7 @@
 
     def _take_gone(self, name: str, revision: int) -> None:
         member = self._node.view.get(name)
-        if member is None or name == self._node.member.instance:
+        if member is None:
             return
         gone = msgspec.structs.replace(
             member, state=membership.State.GONE, sequence=revision
--- a/src/chiveroad/control/_judge.py
+++ b/src/chiveroad/control/_judge.py
@@ -4,6 +4,7 @@
 
 import time
 
+from chiveroad.control import _gone
 from chiveroad.control import _lease
 from chiveroad.control import _node
 from chiveroad import logs
@@ -18,7 +19,7 @@
     def __init__(self, node: _node.Node, keeper: _lease.Keeper) -> None:
         self._node = node
         self._keeper = keeper
-        self._gone_s: dict[str, float] = {}
+        self._gone = _gone.Gone(node.view, node.member.instance)
 
     def tick(self, relay: str) -> None:
         """Judge once; ``relay`` is the domain's root as far as known."""
@@ -35,7 +36,7 @@
         for name in judgement.dead:
             children.pop(name, None)
             self._declare(name)
-        self._forget(now_s)
+        self._gone.forget(now_s)
 
     def _expect(self, relay: str) -> None:
         """Track exactly those that the tree puts below this daemon."""
@@ -56,13 +57,3 @@
             return
         _log.info("Member {} fell silent and is taken for dead.", name)
         self._node.take_from_below([membership.declared_dead(member)])
-
-    def _forget(self, now_s: float) -> None:
-        gone = [m.instance for m in self._node.view.all() if not m.alive]
-        for name in gone:
-            self._gone_s.setdefault(name, now_s)
-        for name in set(self._gone_s) - set(gone):
-            del self._gone_s[name]
-        limit_s = now_s - membership.FORGET_AFTER_S
-        old = [n for n, since_s in self._gone_s.items() if since_s < limit_s]
-        self._node.view.forget(old)
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -73,6 +73,19 @@
             self._revision = revision
             self._changed.notify_all()
 
+    def overtaken(self, revision: int) -> None:
+        """Have the object read and written again if it has been deleted.
+
+        :param revision: the store's revision at which it was deleted.
+        """
+        with self._changed:
+            if not self._known or revision <= self._revision:
+                return
+            self._known = False
+            self._held = None
+            self._changed.notify_all()
+        _log.warning("The record was deleted; it is written again.")
+
     def record(self, wait_s: float) -> bool:
         """Have the present state written; tell whether it is."""
         end_s = time.monotonic() + wait_s
--- /dev/null
+++ b/src/chiveroad/control/_sweeper.py
@@ -0,0 +1,147 @@
+"""Removing the records of daemons that are gone for good.
+
+A daemon that stops as planned removes its record or comes back; one whose
+instance is lost leaves it behind, and entries would go on to probe it.  The
+daemons of a failure domain stand in a ring, in name order, and each looks
+after those that follow it, up to the first that answers: so one daemon
+watches one, and a whole rack that is lost is swept by the one before it.
+
+A record that is removed by mistake does no lasting harm: its daemon hears of
+it and writes it again.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import itertools
+import socket
+import time
+import typing
+
+from chiveroad.control import _gone
+from chiveroad.control import _node
+from chiveroad import errors
+from chiveroad import logs
+from chiveroad import membership
+from chiveroad import store
+
+SWEEP_S: typing.Final = 60.0
+"""The pause between two looks at the ring."""
+
+LOST_AFTER_S: typing.Final = 600.0
+"""A daemon that took no connection for this long is gone for good: an
+instance that restarts is back sooner."""
+
+MAX_WARDS: typing.Final = 8
+"""How many daemons are looked at in one turn, so that a turn is short."""
+
+CONNECT_TIMEOUT_S: typing.Final = 0.5
+
+_log = logs.Logger("membership")
+
+Connects = collections.abc.Callable[[str], bool]
+"""Tells whether an address takes a connection."""
+
+
+def wards(
+    mine: membership.Member,
+    members: collections.abc.Iterable[membership.Member],
+) -> list[membership.Member]:
+    """Return the recorded daemons that follow one in its domain's ring."""
+    others = sorted(
+        (
+            member
+            for member in members
+            if member.failure_domain == mine.failure_domain
+            and member.instance != mine.instance
+            and member.sequence
+        ),
+        key=lambda member: (
+            member.instance < mine.instance,
+            member.instance,
+        ),
+    )
+    return others[:MAX_WARDS]
+
+
+class Absences:
+    """Since when the daemons that were looked at have been silent."""
+
+    def __init__(self) -> None:
+        self._since_s: dict[str, float] = {}
+
+    def lost(
+        self,
+        silent: collections.abc.Collection[str],
+        asked: int,
+        now_s: float,
+    ) -> list[str]:
+        """Take in one turn, and return who is gone for good.
+
+        :param silent: those that didn't answer in this turn.
+        :param asked: how many were asked; where several were and none has
+            answered, it is rather the asking daemon that is cut off.
+        """
+        if asked > 1 and len(silent) == asked:
+            silent = ()
+        self._since_s = {
+            name: self._since_s.get(name, now_s) for name in silent
+        }
+        limit_s = now_s - LOST_AFTER_S
+        return [n for n, since_s in self._since_s.items() if since_s < limit_s]
+
+
+def connects(address: str) -> bool:
+    """Tell whether an address takes a connection."""
+    host, _, port = address.rpartition(":")
+    try:
+        found = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+    except OSError:
+        return False
+    found.close()
+    return True
+
+
+class Sweeper:
+    """One daemon's share of removing what is gone for good."""
+
+    def __init__(
+        self,
+        platform: store.Store,
+        node: _node.Node,
+        takes_connection: Connects = connects,
+    ) -> None:
+        self._store = platform
+        self._node = node
+        self._connects = takes_connection
+        self._absences = Absences()
+        self._gone = _gone.Gone(node.view, node.member.instance)
+
+    def tick(self, now_s: float | None = None) -> None:
+        """Look at the ring once."""
+        now_s = time.monotonic() if now_s is None else now_s
+        self._gone.forget(now_s)
+        asked = wards(self._node.member, self._node.view.all())
+        silent = {
+            member.instance: member
+            for member in itertools.takewhile(
+                lambda member: not self._connects(member.control), asked
+            )
+        }
+        for name in self._absences.lost(silent, len(asked), now_s):
+            self._remove(silent[name])
+
+    def _remove(self, member: membership.Member) -> None:
+        """Delete a record, unless it has been written since."""
+        try:
+            self._store.delete(
+                store.Kind.MEMBERS, member.instance, member.sequence
+            )
+        except errors.StoreError as exc:
+            _log.info("The record of {} stays: {}.", member.instance, exc)
+            return
+        _log.warning(
+            "The record of {} is removed: silent for {} s.",
+            member.instance,
+            LOST_AFTER_S,
+        )
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -402,3 +402,29 @@
 
 def _numbers(planes: dict[str, Following]) -> set[int]:
     return {plane.node.applied.current.number for plane in planes.values()}
+
+
+def test_a_record_that_was_removed_is_written_again() -> None:
+    """Whoever removes the record of a daemon that lives is put right."""
+    shared = memory_store.MemoryStore()
+    accept(shared, 1)
+    ports = mesh.Ports()
+    daemons = [Following(name, ports, shared) for name in "ab"]
+    try:
+        for found in daemons:
+            found.start()
+        views = [found.node.view for found in daemons]
+        wait_for(lambda: all(len(v.of_service("glade")) == 2 for v in views))
+        for name in "ab":
+            stored = shared.get(store.Kind.MEMBERS, name)
+            shared.delete(store.Kind.MEMBERS, name, stored.version)
+
+        def recorded() -> bool:
+            listed = shared.list(store.Kind.MEMBERS).objects
+            return [stored.name for stored in listed] == ["a", "b"]
+
+        wait_for(recorded)
+        wait_for(lambda: all(len(v.of_service("glade")) == 2 for v in views))
+    finally:
+        for found in daemons:
+            found.stop()
--- /dev/null
+++ b/tests/test_sweeper.py
@@ -0,0 +1,143 @@
+"""Removing the records of daemons that are gone for good."""
+
+from __future__ import annotations
+
+import pytest
+
+from chiveroad import control
+from chiveroad.control import _gone
+from chiveroad.control import _sweeper
+from chiveroad import errors
+from chiveroad import membership
+from chiveroad import store
+from standins import memory_store
+from tests import fakes
+
+MINUTE_S = 60.0
+
+
+@pytest.mark.parametrize(
+    ("mine", "others", "found"),
+    [
+        ("b", "abc", "ca"),
+        ("a", "abc", "bc"),
+        ("c", "abc", "ab"),
+        ("a", "a", ""),
+        ("a", "abcdefghijk", "bcdefghi"),
+    ],
+)
+def test_who_looks_after_whom(mine: str, others: str, found: str) -> None:
+    members = [fakes.member(name) for name in others]
+    elsewhere = fakes.member("bb", domain="wyre")
+    unrecorded = fakes.member("cc", sequence=0)
+    asked = _sweeper.wards(
+        fakes.member(mine), [*members, elsewhere, unrecorded]
+    )
+    assert "".join(member.instance for member in asked) == found
+
+
+@pytest.mark.parametrize(
+    ("silent_at", "asked", "lost"),
+    [
+        ({0: "b", 5: "b", 10: "b"}, 2, ""),
+        ({0: "b", 5: "b", 11: "b"}, 2, "b"),
+        ({0: "b", 5: "", 11: "b"}, 2, ""),
+        ({0: "b", 5: "bc", 11: "bc"}, 3, "b"),
+        ({0: "bc", 5: "bc", 11: "bc"}, 2, ""),
+        ({0: "b", 11: "b"}, 1, "b"),
+    ],
+)
+def test_who_is_gone_for_good(
+    silent_at: dict[int, str], asked: int, lost: str
+) -> None:
+    absences = _sweeper.Absences()
+    found: list[str] = []
+    for minute, silent in silent_at.items():
+        found = absences.lost(silent, asked, minute * MINUTE_S)
+    assert "".join(found) == lost
+
+
+class Ring:
+    """The daemons a, b and c, and what ``a`` does for the ring."""
+
+    def __init__(self) -> None:
+        self.platform = memory_store.MemoryStore()
+        self.node = control.Node(fakes.member("a", 0, 0), recorded=True)
+        self.silent: set[str] = set()
+        self.sweeper = _sweeper.Sweeper(
+            self.platform,
+            self.node,
+            lambda address: address.partition(":")[0] not in self.silent,
+        )
+        for name in "abc":
+            self.write(name, store.ABSENT)
+
+    def write(self, name: str, version: int) -> None:
+        """Write a record, and take it into the view."""
+        written = self.platform.put(store.Kind.MEMBERS, name, {}, version)
+        self.node.take([fakes.member(name, 0, written.version)])
+
+    def names(self) -> str:
+        """Return whose records the store holds."""
+        listed = self.platform.list(store.Kind.MEMBERS).objects
+        return "".join(stored.name for stored in listed)
+
+    def pass_minutes(self, first: int, last: int) -> None:
+        """Have a turn each minute."""
+        for minute in range(first, last + 1):
+            self.sweeper.tick(minute * MINUTE_S)
+
+
+def test_the_record_of_a_lost_daemon_is_removed_after_ten_minutes() -> None:
+    ring = Ring()
+    ring.silent = {"b"}
+    ring.pass_minutes(0, 10)
+    assert ring.names() == "abc"
+    ring.pass_minutes(11, 11)
+    assert ring.names() == "ac"
+
+
+def test_a_record_written_meanwhile_stays() -> None:
+    ring = Ring()
+    ring.silent = {"b"}
+    ring.pass_minutes(0, 10)
+    known = ring.platform.get(store.Kind.MEMBERS, "b").version
+    ring.platform.put(store.Kind.MEMBERS, "b", {"new": True}, known)
+    ring.pass_minutes(11, 12)
+    assert ring.names() == "abc"
+
+
+def test_a_daemon_that_reaches_nobody_removes_nothing() -> None:
+    ring = Ring()
+    ring.silent = {"b", "c"}
+    ring.pass_minutes(0, 60)
+    assert ring.names() == "abc"
+
+
+def test_a_store_that_fails_is_asked_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ring = Ring()
+    ring.silent = {"b"}
+
+    def refuse(*_: object) -> None:
+        raise errors.StoreUnavailable("down")
+
+    monkeypatch.setattr(ring.platform, "delete", refuse)
+    ring.pass_minutes(0, 11)
+    assert ring.names() == "abc"
+    monkeypatch.undo()
+    ring.pass_minutes(12, 12)
+    assert ring.names() == "ac"
+
+
+def test_members_gone_for_long_are_forgotten_but_never_oneself() -> None:
+    view = control.Node(fakes.member("a", 0, 0), recorded=True).view
+    for name in "ab":
+        view.merge([fakes.member(name, 0, 5, membership.State.GONE)])
+    gone = _gone.Gone(view, "a")
+    gone.forget(0.0)
+    gone.forget(membership.FORGET_AFTER_S)
+    assert len(view.all()) == 2
+    gone.forget(membership.FORGET_AFTER_S + 1)
+    assert [member.instance for member in view.all()] == ["a"]
