Learn how soon a peer forgets idle connections

Each guard went on losing one whenever a connection had rested.

Change: a kept connection that fails without an answer lowers the pool's limit to a quarter of its rest, down to 0.25 s; 30 s without another double it.

--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -165,6 +165,7 @@
         connection.close()
         raise
     except _FAILURES as exc:
+        pool.lost(connection)
         connection.close()
         raise errors.OutcomeUnknown(f"no answer: {exc!r}") from exc
 
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -27,8 +27,14 @@
 RETIRE_IDLE_S: typing.Final = 4.0
 """A sender retires an idle connection long before the receiver does."""
 
-MAX_IDLE: typing.Final = 64
+MIN_IDLE_S: typing.Final = 0.25
+"""However soon a peer forgets connections, one is kept for this long: pauses
+shorter than it are the rhythm of the work itself."""
+
+RELEARN_S: typing.Final = 30.0
+"""How long a peer's shorter patience is gone by before it is tried again."""
 
+MAX_IDLE: typing.Final = 64
 
 KEEPALIVE_S: typing.Final = 1
 """The kernel's first probe of a silent peer and the pause between probes."""
@@ -43,6 +49,34 @@
 ]
 
 
+class IdleLimit:
+    """How long a connection to a peer may be idle and be used again.
+
+    A peer may forget idle connections sooner than it says, and reset what is
+    sent next: a request that may run once is then unknown.  So a kept
+    connection that fails without an answer lowers the limit to a quarter of
+    the time that it had been idle, and each ``RELEARN_S`` without another
+    doubles it.
+    """
+
+    def __init__(self) -> None:
+        self._limit_s = RETIRE_IDLE_S
+        self._learnt_s = 0.0
+
+    def lost(self, idle_s: float, now_s: float) -> None:
+        """Take in that a connection failed that had been idle so long."""
+        if idle_s < MIN_IDLE_S:
+            return
+        limit_s = min(self.limit_s(now_s), idle_s / 4)
+        self._limit_s = max(MIN_IDLE_S, limit_s)
+        self._learnt_s = now_s
+
+    def limit_s(self, now_s: float) -> float:
+        """Return the limit as it is now."""
+        doublings = int((now_s - self._learnt_s) / RELEARN_S)
+        return min(RETIRE_IDLE_S, self._limit_s * 2.0 ** min(doublings, 8))
+
+
 class _KeptReader(serving.Reader):
     """A reader that outlives the answers read from it.
 
@@ -68,7 +102,8 @@
     """A connection that carries one request after the other.
 
     ``reusable`` turns False once the connection can't serve another request,
-    and ``idle_limit_s`` is how long it may be idle.
+    ``idle_limit_s`` is how long it may be idle, and ``rested_s`` for how long
+    it was idle before the present request.
     """
 
     def __init__(self, host: str, port: int, connect_timeout_s: float) -> None:
@@ -81,6 +116,7 @@
         self._reader: _KeptReader | None = None
         self.idle_since_s = 0.0
         self.idle_limit_s = RETIRE_IDLE_S
+        self.rested_s = 0.0
         self.reusable = True
 
     def connect(self) -> None:
@@ -136,6 +172,7 @@
         self._port = int(port)
         self._connect_timeout_s = connect_timeout_s
         self.echoes = False
+        self._limit = IdleLimit()
         self._idle: list[Connection] = []
         self._lock = threading.Lock()
 
@@ -146,7 +183,9 @@
         :raises urllib3.exceptions.HTTPError: likewise.
         """
         while kept := self._pop():
-            if _usable(kept, time.monotonic()):
+            now_s = time.monotonic()
+            if not self._too_old(kept, now_s) and kept.silent():
+                kept.rested_s = now_s - kept.idle_since_s
                 return kept
             kept.close()
         fresh = Connection(self._host, self._port, self._connect_timeout_s)
@@ -165,11 +204,16 @@
                 return
         connection.close()
 
+    def lost(self, connection: Connection) -> None:
+        """Learn from a connection that failed before an answer began."""
+        now_s = time.monotonic()
+        self._limit.lost(connection.rested_s, now_s)
+
     def retire(self) -> None:
         """Close the connections that have been idle for long."""
         now_s = time.monotonic()
         with self._lock:
-            old = [c for c in self._idle if _too_old(c, now_s)]
+            old = [c for c in self._idle if self._too_old(c, now_s)]
             self._idle = [c for c in self._idle if c not in old]
         for connection in old:
             connection.close()
@@ -185,10 +229,6 @@
         with self._lock:
             return self._idle.pop() if self._idle else None
 
-
-def _too_old(connection: Connection, now_s: float) -> bool:
-    return now_s - connection.idle_since_s > connection.idle_limit_s
-
-
-def _usable(connection: Connection, now_s: float) -> bool:
-    return not _too_old(connection, now_s) and connection.silent()
+    def _too_old(self, connection: Connection, now_s: float) -> bool:
+        limit_s = min(connection.idle_limit_s, self._limit.limit_s(now_s))
+        return now_s - connection.idle_since_s > limit_s
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -87,10 +87,12 @@
     )
 
 
-def ask(address: str, request: _call.Call) -> tuple[bytes, _pool.Pool]:
+def ask(
+    address: str, request: _call.Call, pool: _pool.Pool | None = None
+) -> tuple[bytes, _pool.Pool]:
     """Send a request, and return the answer's body."""
     ours, theirs = socket.socketpair()
-    pool = _pool.Pool(address)
+    pool = pool or _pool.Pool(address)
     with ours, theirs:
         answer = _exchange.ask(
             pool,
@@ -118,6 +120,26 @@
     return serve
 
 
+def test_a_peer_that_forgets_idle_connections_loses_one_request() -> None:
+    """The next one takes no connection that has rested as long."""
+    rest_s = 2 * _pool.MIN_IDLE_S
+
+    def forget(sock: socket.socket) -> None:
+        answering(WHOLE)(sock)
+        answering(b"", reset=True)(sock)
+
+    with upstream(forget) as address:
+        pool = _pool.Pool(address)
+        ask(address, call(), pool)
+        time.sleep(rest_s)
+        with pytest.raises(errors.OutcomeUnknown):
+            ask(address, call(), pool)
+        kept = pool.take()
+        pool.give_back(kept)
+        kept.idle_since_s -= rest_s
+        assert pool.take() is not kept
+
+
 @pytest.mark.parametrize(
     ("sent", "body"),
     [
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -271,6 +271,27 @@
     assert _pool.RETIRE_IDLE_S * 2 <= serving.IDLE_TIMEOUT_S
 
 
+@pytest.mark.parametrize(
+    ("losses", "now_s", "limit_s"),
+    [
+        ([], 0.0, _pool.RETIRE_IDLE_S),
+        ([(0.0, 2.0)], 0.0, 0.5),
+        ([(0.0, 2.0), (1.0, 0.5)], 1.0, _pool.MIN_IDLE_S),
+        ([(0.0, 0.2)], 0.0, _pool.RETIRE_IDLE_S),
+        ([(0.0, 0.4), (0.0, 3.0)], 0.0, _pool.MIN_IDLE_S),
+        ([(0.0, 2.0)], _pool.RELEARN_S, 1.0),
+        ([(0.0, 2.0)], 3_600.0, _pool.RETIRE_IDLE_S),
+    ],
+)
+def test_how_long_a_connection_may_be_idle_is_learnt(
+    losses: list[tuple[float, float]], now_s: float, limit_s: float
+) -> None:
+    limit = _pool.IdleLimit()
+    for at_s, idle_s in losses:
+        limit.lost(idle_s, at_s)
+    assert limit.limit_s(now_s) == limit_s
+
+
 def test_a_pool_drops_connections_that_are_old_closed_or_not_silent(
     echo: tuple[str, Echo, serving.Server],
 ) -> None:
