Daemons follow each other along a tree, and confirmations are pushed

Cause: on the platform all daemons followed the first in one order.

A parent answers as soon as it has a newer confirmation, so a child's is as old as the watcher's and the hops. A daemon whose parent is behind goes on watching, so those below needn't. After a change the watch is short once (67 asked after each change). Members' news are gathered for 0.2 s (each record written while all start was one call of every daemon that watched). Each daemon helps those below it that are silent, and those above that it couldn't follow; a parent that starts anew is told of the domain or region again.

Ruled out: more workers (memory, and it ends at some size again); a longer bound (a change is to be in force within 2 s).

Left: 33 ask once while all start, as leaders change while they come to know each other.

--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -158,9 +158,9 @@
                 return
             was_ready = self.ready
             self._confirmed_s = at_s
+            self._news.notify_all()
             if self.ready and not was_ready:
                 _log.info("Ready with version {}.", self.current.number)
-                self._news.notify_all()
 
     def earlier(self, digest: str) -> _Items | None:
         """Return the items of a recent version, to build a delta from."""
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -20,6 +20,7 @@
 from chiveroad.control import _helper
 from chiveroad.control import _messages
 from chiveroad.control import _node
+from chiveroad.control import _order
 from chiveroad.control import _plane
 from chiveroad.control import _record
 from chiveroad.control import _source
@@ -40,8 +41,19 @@
 """How long a watch of versions waits: an answer, though empty, shows that
 the store can be reached, well within ``_freshness.STALE_S``."""
 
+CONFIRM_CHANGE_S: typing.Final = 0.2
+"""How long the watch after a change waits: the answer that brought the change
+says nothing of what came after its question, which is older by then."""
+
 WATCH_MEMBERS_S: typing.Final = 2.0
-HOLD_MS: typing.Final = 400
+GATHER_MEMBERS_S: typing.Final = 0.2
+"""The pause after members have changed: when many start, each change would
+else be one call of every daemon that watches."""
+
+HOLD_MS: typing.Final = 700
+"""Longer than confirmations are apart; with ``GRACE_S``, a silent parent is
+found out within ``_freshness.STALE_S``."""
+
 CONNECT_TIMEOUT_S: typing.Final = 0.3
 GRACE_S: typing.Final = 0.4
 RETRY_S: typing.Final = 0.15
@@ -76,12 +88,16 @@
         self._upstream = upstream
         self._address = options.platform.address
         self._distance_ms = 0
-        self._source = _source.ParentSource(node, CONNECT_TIMEOUT_S, GRACE_S)
+        self._source = _source.ParentSource(
+            node, CONNECT_TIMEOUT_S, GRACE_S, confirmations=True
+        )
+        self._grown: tuple[tuple[int, int], _order.Tree] | None = None
         self._helper = _helper.Helper(node)
         self._sweeper = _sweeper.Sweeper(platform, node)
         self._failures: dict[str, _freshness.Failure] = {}
         self._watching = True
         self._state = membership.State.READY
+        self._changed = False
         self._wake = threading.Event()
         self._recorder = _record.Recorder(
             platform, options.instance, self._compose, self._recall
@@ -162,12 +178,30 @@
     # Whom to follow.
 
     def _choose(self) -> membership.Member | None:
-        mine = msgspec.structs.replace(
+        return _freshness.parent(
+            self._mine(), self._grow(), self._failures, clock.now_s()
+        )
+
+    def _mine(self) -> membership.Member:
+        return msgspec.structs.replace(
             self._node.member, store_distance_ms=self._distance_ms
         )
-        return _freshness.parent(
-            mine, self._node.view.all(), self._failures, clock.now_s()
+
+    def _grow(self) -> _order.Tree:
+        """Return the tree of the present view, made once for each epoch."""
+        made_of = (self._node.view.epoch, self._distance_ms)
+        grown = self._grown
+        if grown is not None and grown[0] == made_of:
+            return grown[1]
+        mine = self._mine()
+        others = (
+            member
+            for member in self._node.view.all()
+            if member.instance != mine.instance
         )
+        tree = _order.Tree((*others, mine))
+        self._grown = (made_of, tree)
+        return tree
 
     def _follow_parent(self) -> None:
         while not self.stopped:
@@ -181,6 +215,8 @@
 
     def _ask(self, chosen: membership.Member) -> bool:
         self._source.address = chosen.control
+        domain = self._node.member.failure_domain
+        self._source.region = chosen.failure_domain != domain
         try:
             self._source.sync(chosen.control, HOLD_MS, unconfirmed=False)
         except errors.ChiveroadError as exc:
@@ -198,8 +234,8 @@
         while not self.stopped:
             time.sleep(HELP_S)
             self._keep_record()
-            if self._watching and self._node.applied.ready:
-                self._helper.tick()
+            if self._node.applied.ready:
+                self._helper.tick(self._grow(), set(self._failures))
 
     def _keep_record(self) -> None:
         """Write the record again where another daemon has removed it."""
@@ -213,10 +249,16 @@
             self._sweeper.tick()
 
     def _judge_freshness(self) -> None:
+        """Decide from a parent's answer who asks the store.
+
+        A daemon whose parent is behind goes on to ask it, so that those
+        below needn't.
+        """
         confirmed_s = self._node.applied.confirmed_s
+        answer = self._source.answer
         if _freshness.stale(confirmed_s, clock.now_s()):
             self._watch("the version is unconfirmed")
-        elif self._watching:
+        elif self._watching and answer and _freshness.leads(answer):
             _log.info("Follows {}.", self._source.address)
             self._watching = False
 
@@ -266,16 +308,16 @@
 
     def _watch_versions(self, revision: int) -> int:
         asked_s = clock.now_s()
+        wait_s = CONFIRM_CHANGE_S if self._changed else WATCH_VERSIONS_S
         changed = False
-        for event in self._store.watch(
-            store.Kind.ACCEPTED, revision, WATCH_VERSIONS_S
-        ):
+        for event in self._store.watch(store.Kind.ACCEPTED, revision, wait_s):
             revision = max(revision, event.version)
             if event.object is not None and event.object.name == ACCEPTED:
                 self._apply(event.object)
                 changed = True
         # An empty answer was given at the end of the wait.
-        waited_s = 0.0 if changed else WATCH_VERSIONS_S
+        self._changed = changed
+        waited_s = 0.0 if changed else wait_s
         now_s = clock.now_s()
         self._node.applied.confirm(min(now_s, asked_s + waited_s))
         return revision
@@ -323,6 +365,7 @@
         return listing.version
 
     def _watch_members(self, revision: int) -> int:
+        before = revision
         for event in self._store.watch(
             store.Kind.MEMBERS, revision, WATCH_MEMBERS_S
         ):
@@ -333,6 +376,8 @@
                 self._take_gone(event.object.name, event.version)
             else:
                 self._take(event.object)
+        if revision > before:
+            time.sleep(GATHER_MEMBERS_S)
         return revision
 
     def _take(self, stored: store.StoredObject) -> None:
--- a/src/chiveroad/control/_helper.py
+++ b/src/chiveroad/control/_helper.py
@@ -1,12 +1,13 @@
 """Helping daemons that have just started while they can't ask the store.
 
 The settings name no other daemon, so one that starts during an outage of the
-store knows nobody.  Whoever watches the store notices that it is silent and
-speaks to it first: it offers itself as a parent and hands over its version.
+store knows nobody.  Its neighbours in the tree notice that it is silent and
+speak to it first: they offer themselves as parents and hand over the version.
 """
 
 from __future__ import annotations
 
+import collections.abc
 import time
 import typing
 
@@ -14,15 +15,19 @@
 
 from chiveroad.control import _messages
 from chiveroad.control import _node
+from chiveroad.control import _order
 from chiveroad.control import _peer
 from chiveroad.control import _source
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
 
-SILENT_S: typing.Final = 0.9
+SILENT_S: typing.Final = 1.5
 """A child asks at least twice in this time."""
 
+MAX_ADOPTED: typing.Final = 32
+"""How many of those below silent daemons are looked after as well."""
+
 RETRY_S: typing.Final = 0.5
 MAX_RETRY_S: typing.Final = 4.0
 CONNECT_TIMEOUT_S: typing.Final = 0.2
@@ -41,20 +46,51 @@
         self._due_s: dict[str, float] = {}
         self._pause_s: dict[str, float] = {}
 
-    def tick(self) -> None:
-        """Speak to those whose turn it is."""
+    def tick(
+        self,
+        tree: _order.Tree,
+        failed: collections.abc.Container[str] = (),
+    ) -> None:
+        """Speak to those whose turn it is.
+
+        :param failed: whom this daemon couldn't follow lately.
+        """
         now_s = time.monotonic()
-        for member in self._node.view.all():
+        silent = {
+            member.instance: member
+            for member in (
+                *self._silent_above(tree, failed),
+                *self._silent_below(tree, now_s),
+            )
+        }
+        for member in silent.values():
+            if now_s >= self._due_s.get(member.instance, 0.0):
+                self._help(member)
+        for name in set(self._pause_s) - set(silent):
+            del self._pause_s[name]
+            self._due_s.pop(name, None)
+
+    def _silent_above(
+        self, tree: _order.Tree, failed: collections.abc.Container[str]
+    ) -> list[membership.Member]:
+        above = tree.above(self._node.member)
+        return [member for member in above if member.instance in failed]
+
+    def _silent_below(
+        self, tree: _order.Tree, now_s: float
+    ) -> list[membership.Member]:
+        """Return the silent followers, and those of silent followers."""
+        silent: list[membership.Member] = []
+        left = list(tree.below(self._node.member))
+        own = len(left)
+        while left and len(silent) < own + MAX_ADOPTED:
+            member = left.pop(0)
             if self._is_silent(member, now_s):
-                if now_s >= self._due_s.get(member.instance, 0.0):
-                    self._help(member)
-            else:
-                self._pause_s.pop(member.instance, None)
+                silent.append(member)
+                left += tree.below(member)
+        return silent
 
     def _is_silent(self, member: membership.Member, now_s: float) -> bool:
-        mine = self._node.member
-        if member.instance == mine.instance or not member.alive:
-            return False
         child = self._node.children.get(member.instance)
         return child is None or now_s - child.heard_s > SILENT_S
 
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -16,6 +16,7 @@
     ``hold_ms`` is how long the parent may hold the answer back while there
     is nothing new.  ``unconfirmed`` asks for a confirmation.  ``behind``
     names daemons below that run an older version, as far as known.
+    ``confirmations`` says that a newer confirmation alone is news.
     """
 
     member: membership.Member
@@ -27,6 +28,7 @@
     unconfirmed: bool = False
     members: list[membership.Member] = []
     behind: list[str] = []
+    confirmations: bool = False
 
 
 class SyncAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -21,11 +21,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Child:
-    """A daemon that asks this one for news."""
+    """A daemon that asks this one for news.
+
+    ``confirmed_s`` is the confirmation that it was told of last.
+    """
 
     heard_s: float
     version: int = 0
     behind: collections.abc.Sequence[str] = ()
+    confirmed_s: float | None = None
 
 
 class Node:
@@ -103,12 +107,13 @@
                 if self._upward.get(member.instance) == member:
                     del self._upward[member.instance]
 
-    def tell_domain_again(self) -> None:
-        """Queue all of the own domain, for a parent that is new."""
-        domain = self._member.failure_domain
+    def tell_again(self, region: bool = False) -> None:
+        """Queue all of the own domain, or region, for a parent that is new."""
+        mine = self._member
         with self.news:
             for member in self.view.all():
-                if member.failure_domain == domain:
+                same = member.failure_domain == mine.failure_domain
+                if same or (region and member.region == mine.region):
                     self._upward[member.instance] = member
 
     def behind(self) -> list[str]:
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -24,6 +24,9 @@
 MAX_MESSAGE_BYTES: typing.Final = 64 * 1024 * 1024
 MAX_HOLD_MS: typing.Final = 5_000
 GATHER_S: typing.Final = 0.05
+CONFIRMED_STEP_S: typing.Final = 0.2
+"""By how much a confirmation is newer than the last before it is sent."""
+
 STATUS_PATH: typing.Final = "/control/v1/status"
 
 _T = typing.TypeVar("_T")
@@ -80,20 +83,21 @@
         if asked.unconfirmed:
             self._plane.confirm(clock.now_s())
         else:
-            self._hold(asked)
+            self._hold(asked, child)
         node.heard(asked.member.instance)
+        child.confirmed_s = node.applied.confirmed_s
         held_ms = int((time.monotonic() - request.received_s) * 1000)
         answer = msgspec.json.encode(self._answer(asked, held_ms))
         request.answer(http.HTTPStatus.OK, _JSON, answer)
 
-    def _hold(self, asked: _messages.SyncRequest) -> None:
+    def _hold(self, asked: _messages.SyncRequest, child: _node.Child) -> None:
         hold_ms = min(asked.hold_ms, MAX_HOLD_MS)
         end_s = time.monotonic() + hold_ms / 1000
         node = self._node
         with node.news:
             while not self._is_news(asked) and not self.stopped:
                 left_s = end_s - time.monotonic()
-                if left_s <= 0:
+                if left_s <= 0 or self._is_confirmed(asked, child):
                     return
                 node.news.wait(left_s)
             if node.applied.current.number == asked.version:
@@ -106,6 +110,17 @@
             return True
         return asked.source != self._source or node.view.epoch > asked.epoch
 
+    def _is_confirmed(
+        self, asked: _messages.SyncRequest, child: _node.Child
+    ) -> bool:
+        """Tell whether a confirmation came that the child waits for."""
+        confirmed_s = self._node.applied.confirmed_s
+        if not asked.confirmations or confirmed_s is None:
+            return False
+        if child.confirmed_s is None:
+            return True
+        return confirmed_s - child.confirmed_s >= CONFIRMED_STEP_S
+
     def _answer(
         self, asked: _messages.SyncRequest, held_ms: int
     ) -> _messages.SyncAnswer:
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -97,8 +97,12 @@
 class ParentSource(Source):
     """A parent in the tree, asked over HTTP.
 
+    ``region`` says that the parent leads daemons of other failure domains,
+    and so is told of the whole region when it is new.
+
     :param connect_timeout_s: how long opening a connection may take.
     :param grace_s: how much longer than it is held an answer may take.
+    :param confirmations: a newer confirmation alone ends a hold.
     """
 
     def __init__(
@@ -106,9 +110,12 @@
         node: _node.Node,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         grace_s: float = SYNC_GRACE_S,
+        confirmations: bool = False,
     ) -> None:
         self._node = node
         self._grace_s = grace_s
+        self._confirmations = confirmations
+        self.region = False
         self._peers = _peer.Peers(4, connect_timeout_s)
         self._lock = threading.Lock()
         self._source = ""
@@ -138,7 +145,7 @@
         """
         node = self._node
         if address != self._told_to:
-            node.tell_domain_again()
+            node.tell_again(self.region)
         upward = node.upward()
         current = node.applied.current
         request = _messages.SyncRequest(
@@ -151,11 +158,14 @@
             unconfirmed=unconfirmed,
             members=upward,
             behind=node.behind(),
+            confirmations=self._confirmations,
         )
         asked_s = clock.now_s()
         answer = self._post(address, request, hold_ms)
         node.told(upward)
-        self._told_to = address
+        # Another source at the address is a new life of the parent.
+        again = address == self._told_to and answer.source != self._source
+        self._told_to = "" if again else address
         self._take(answer, asked_s)
         if answer.wants_snapshot:
             self._hand_up(address)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -14,6 +14,7 @@
 from chiveroad.control import _backoff
 from chiveroad.control import _freshness
 from chiveroad.control import _messages
+from chiveroad.control import _order
 from chiveroad.control import _record
 from chiveroad import errors
 from chiveroad import membership
@@ -63,18 +64,21 @@
     chosen: str | None,
 ) -> None:
     members = [daemon(name) for name in others]
-    found = _freshness.parent(daemon(mine), members, failures, now_s)
+    tree = _order.Tree(members)
+    found = _freshness.parent(daemon(mine), tree, failures, now_s)
     assert (found.instance if found else None) == chosen
 
 
 def test_a_daemon_never_follows_an_older_record_of_itself() -> None:
-    assert _freshness.parent(daemon("c", 40), [daemon("c")], {}, 0.0) is None
+    tree = _order.Tree([daemon("c")])
+    assert _freshness.parent(daemon("c", 40), tree, {}, 0.0) is None
 
 
 def test_the_neighbours_of_the_store_are_followed_first() -> None:
     members = [daemon("a", 40), daemon("b", 3)]
-    assert _freshness.parent(daemon("c", 41), members, {}, 0.0) == members[1]
-    assert _freshness.parent(members[1], members, {}, 0.0) is None
+    tree = _order.Tree(members)
+    assert _freshness.parent(daemon("c", 41), tree, {}, 0.0) == members[1]
+    assert _freshness.parent(members[1], tree, {}, 0.0) is None
 
 
 names = st.sampled_from("abcdef")
@@ -89,6 +93,7 @@
 ) -> None:
     """Whoever each of them believes to have failed."""
     members = [daemon(name, far) for name, far in distances.items()]
+    tree = _order.Tree(members)
     for member in members:
         seen = {member.instance}
         current = member
@@ -97,7 +102,7 @@
                 name: _freshness.Failure(0.0, count)
                 for name, count in failed.get(current.instance, {}).items()
             }
-            above = _freshness.parent(current, members, failures, 1.0)
+            above = _freshness.parent(current, tree, failures, 1.0)
             if above is None:
                 break
             assert above.instance not in seen
--- /dev/null
+++ b/tests/test_order.py
@@ -0,0 +1,148 @@
+"""The tree that daemons follow each other along."""
+
+from __future__ import annotations
+
+import collections
+
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+
+from chiveroad.control import _helper
+from chiveroad.control import _node
+from chiveroad.control import _order
+from chiveroad import membership
+from tests import fakes
+
+REGIONS = {"sherwood": "east", "wyre": "west", "cannock": "west"}
+LETTER_DOMAINS = 16
+LETTER_REGIONS = 5
+LETTER_DAEMONS = 5_700
+
+
+def daemon(
+    name: str, domain: str, region: str, distance_ms: int = 0
+) -> membership.Member:
+    """Return a daemon at a place."""
+    return msgspec.structs.replace(
+        fakes.member(name, 0, 1, domain=domain),
+        region=region,
+        store_distance_ms=distance_ms,
+    )
+
+
+def fleet(count: int) -> list[membership.Member]:
+    """Return daemons dealt out over the letter's places."""
+    found = []
+    for number in range(count):
+        domain = number % LETTER_DOMAINS
+        region = domain % LETTER_REGIONS
+        found.append(
+            daemon(f"i-{number:05}", f"d{domain}", f"r{region}", 15 * region)
+        )
+    return found
+
+
+fleets = st.lists(
+    st.builds(
+        lambda number, domain, distance_ms: daemon(
+            f"i-{number:03}", domain, REGIONS[domain], distance_ms
+        ),
+        st.integers(0, 99),
+        st.sampled_from(sorted(REGIONS)),
+        st.integers(0, 40),
+    ),
+    unique_by=lambda member: member.instance,
+    min_size=1,
+    max_size=60,
+)
+
+
+@hypothesis.given(fleets)
+def test_all_but_the_first_follow_one_that_stands_before_them(
+    members: list[membership.Member],
+) -> None:
+    tree = _order.Tree(members)
+    assert not tree.above(tree.order[0])
+    for member in tree.order[1:]:
+        above = tree.above(member)
+        assert above[-1] == tree.order[0]
+        assert all(_order.rank(one) < _order.rank(member) for one in above)
+        assert member in tree.below(above[0])
+
+
+@hypothesis.given(fleets)
+def test_each_follower_has_one_parent(
+    members: list[membership.Member],
+) -> None:
+    tree = _order.Tree(members)
+    followers = [m.instance for one in members for m in tree.below(one)]
+    assert sorted(followers) == sorted(m.instance for m in tree.order[1:])
+
+
+def test_nobody_has_too_many_followers_at_the_letters_size() -> None:
+    tree = _order.Tree(fleet(LETTER_DAEMONS))
+    most = max(len(tree.below(member)) for member in tree.order)
+    depth = max(len(tree.above(member)) for member in tree.order)
+    assert most <= 48
+    assert depth <= 4
+
+
+def test_one_that_joins_moves_few() -> None:
+    members = fleet(1_600)
+    first = _order.Tree(members)
+    late = daemon("i-99999", "d3", "r3", 45)
+    then = _order.Tree([*members, late])
+    moved = [m for m in members if first.above(m) != then.above(m)]
+    assert len(moved) <= 16
+
+
+def test_the_gone_are_not_followed() -> None:
+    members = fleet(40)
+    gone = msgspec.structs.replace(members[0], state=membership.State.GONE)
+    tree = _order.Tree([gone, *members[1:]])
+    assert gone not in tree.order
+    assert all(gone not in tree.above(member) for member in members)
+
+
+def test_a_chain_crosses_each_border_once() -> None:
+    """The link between regions carries one stream a region."""
+    tree = _order.Tree(fleet(400))
+    crossings: collections.Counter[str] = collections.Counter()
+    for member in tree.order[1:]:
+        if tree.above(member)[0].region != member.region:
+            crossings[member.region] += 1
+    assert set(crossings.values()) == {1}
+
+
+class Helping(_helper.Helper):
+    """Notes whom it would speak to."""
+
+    def __init__(self, node: _node.Node) -> None:
+        super().__init__(node)
+        self.spoken_to: list[str] = []
+
+    def _help(self, member: membership.Member) -> None:
+        self.spoken_to.append(member.instance)
+
+
+def helped(
+    members: list[membership.Member], mine: int, failed: set[str]
+) -> list[str]:
+    """Return whom one daemon helps that hears nobody."""
+    node = _node.Node(members[mine], recorded=True)
+    node.take(members)
+    helper = Helping(node)
+    helper.tick(_order.Tree(members), failed)
+    return sorted(helper.spoken_to)
+
+
+def test_the_silent_below_are_helped_and_those_above_that_failed() -> None:
+    members = [daemon(f"i-{n}", "sherwood", "east") for n in range(4)]
+    members += [daemon(f"w-{n}", "wyre", "west", 20) for n in range(3)]
+    everyone = [member.instance for member in members[1:]]
+    assert helped(members, 0, set()) == everyone
+    assert helped(members, 4, set()) == ["w-1", "w-2"]
+    assert helped(members, 4, {"i-0"}) == ["i-0", "w-1", "w-2"]
+    assert helped(members, 5, {"i-0"}) == ["i-0"]
+    assert helped(members, 6, set()) == []
