--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import collections.abc
+import threading
 import time
 
 import hypothesis
 import hypothesis.strategies as st
 import pytest
 
+from chiveroad import clock
 from chiveroad import config
 from chiveroad import control
 from chiveroad.control import _backoff
@@ -16,6 +18,7 @@
 from chiveroad.control import _messages
 from chiveroad.control import _order
 from chiveroad.control import _record
+from chiveroad.control import _source
 from chiveroad import errors
 from chiveroad import membership
 from chiveroad import presence
@@ -409,6 +412,79 @@
     return {plane.node.applied.current.number for plane in planes.values()}
 
 
+@pytest.mark.parametrize(
+    ("ago_ms", "leads"),
+    [(-1.0, False), (0.0, True), (1_100.0, True), (1_101.0, False)],
+)
+def test_a_parent_that_is_behind_is_not_relied_on(
+    ago_ms: float, leads: bool
+) -> None:
+    answer = _messages.SyncAnswer("s", 1, 1, "d", "", ago_ms)
+    assert _freshness.leads(answer) is leads
+
+
+@pytest.fixture
+def parent() -> collections.abc.Iterator[Following]:
+    """Yield a daemon that only answers."""
+    found = Following("a", mesh.Ports(), memory_store.MemoryStore())
+    found.server.open()
+    yield found
+    found.stop()
+
+
+def child_of(parent: Following) -> tuple[control.Node, _source.ParentSource]:
+    """Return a node below a daemon, and its way to it."""
+    node = control.Node(daemon("b"), recorded=True)
+    return node, _source.ParentSource(node, confirmations=True)
+
+
+def test_a_newer_confirmation_ends_a_hold(parent: Following) -> None:
+    node, source = child_of(parent)
+    now_s = clock.now_s()
+    parent.node.applied.confirm(now_s - 10.0)
+    source.sync(parent.address, 0, unconfirmed=False)
+    confirm = parent.node.applied.confirm
+    threading.Timer(0.2, confirm, [now_s - 1.0]).start()
+    started_s = time.monotonic()
+    source.sync(parent.address, 4_000, unconfirmed=False)
+    assert 0.1 < time.monotonic() - started_s < 3.0
+    confirmed_s = node.applied.confirmed_s
+    assert confirmed_s is not None and confirmed_s > now_s - 5.0
+
+
+def test_a_confirmation_that_is_hardly_newer_ends_no_hold(
+    parent: Following,
+) -> None:
+    _, source = child_of(parent)
+    now_s = clock.now_s()
+    parent.node.applied.confirm(now_s)
+    source.sync(parent.address, 0, unconfirmed=False)
+    threading.Timer(0.1, parent.node.applied.confirm, [now_s + 0.1]).start()
+    started_s = time.monotonic()
+    source.sync(parent.address, 500, unconfirmed=False)
+    assert time.monotonic() - started_s >= 0.5
+
+
+def test_a_new_life_of_a_parent_is_told_of_the_domain(
+    parent: Following,
+) -> None:
+    node, source = child_of(parent)
+    node.take([daemon("c")])
+    source.sync(parent.address, 0, unconfirmed=False)
+    assert parent.node.view.get("c") is not None
+    parent.server.stop()
+    again = control.Node(daemon("a"), recorded=True)
+    handler = control.ControlHandler(again, parent.plane)
+    server = serving.Server(parent.address, handler, 8)
+    server.open()
+    try:
+        for _ in range(2):
+            source.sync(parent.address, 0, unconfirmed=False)
+        assert again.view.get("c") is not None
+    finally:
+        server.stop()
+
+
 def test_a_record_that_was_removed_is_written_again() -> None:
     """Whoever removes the record of a daemon that lives is put right."""
     shared = memory_store.MemoryStore()
