The three traces of the operators' page can be typed after make demo

The demo now provokes the three kinds of failure in its first deployment, leaves logs and request ids in build/demo, and traces each; a test does the same and looks at the causes. chiveroad trace shows a guard's load.

Before: the lines could be read, not typed.

--- a/src/chiveroad/cli/_trace.py
+++ b/src/chiveroad/cli/_trace.py
@@ -23,6 +23,16 @@
     tried: list[str] = []
     left_ms: int = 0
     unlogged: int = 0
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+
+    @property
+    def load(self) -> str:
+        """Return what a guard said of its load, or nothing."""
+        if not self.slots:
+            return ""
+        return f"{self.running} of {self.slots} run, {self.waiting} wait"
 
 
 class Found(msgspec.Struct):
@@ -64,6 +74,7 @@
             each.line.message,
             str(each.line.version or ""),
             f"{each.line.left_ms} ms",
+            each.line.load,
         ]
         for each in found
     ]
@@ -76,7 +87,15 @@
     return _output.Report(
         value=found,
         title=f"Request {request}",
-        columns=("time", "log", "part", "message", "version", "time left"),
+        columns=(
+            "time",
+            "log",
+            "part",
+            "message",
+            "version",
+            "time left",
+            "load",
+        ),
         rows=rows,
         notes=notes,
     )
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -9,6 +9,7 @@
 import typing
 
 from standins import caller
+from standins import failures
 from standins import mesh
 
 BAD_FILE: typing.Final = 'team = "rival"\n[service.{service}]\nslots = 0\n'
@@ -25,6 +26,7 @@
     moved: str
     moved_file: str
     service: str
+    explains: bool = False
 
 
 TOURS: typing.Final = (
@@ -39,6 +41,7 @@
             'service = "{service}"\nkind = "{kind}"\n'
         ),
         service="glade",
+        explains=True,
     ),
     Tour(
         deployment="aspen-coulee",
@@ -78,7 +81,8 @@
     started_s = time.monotonic()
     for tour in TOURS:
         print(f"{tour.deployment}:", flush=True)
-        with mesh.Mesh(mesh.read_deployment(tour.deployment)) as running:
+        deployment = mesh.read_deployment(tour.deployment)
+        with mesh.Mesh(deployment, failures.JSON_LOGS) as running:
             running.start()
             _show(running, tour, seen)
     took_s = time.monotonic() - started_s
@@ -93,6 +97,25 @@
     _post_twice(running, tour, seen)
     _move_a_route(running, tour, seen)
     _refuse_a_bad_file(running, tour, seen)
+    if tour.explains:
+        _leave_failures(running, seen)
+
+
+def _leave_failures(running: mesh.Mesh, seen: Expectations) -> None:
+    """Leave logs of failed requests, to be explained by hand."""
+    for name, request in failures.leave(running).items():
+        command = [sys.executable, "-m", "chiveroad", "trace", request]
+        traced = subprocess.run(
+            [*command, *map(str, failures.logs())],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        seen.expect(
+            traced.returncode == 0 and "No line" not in traced.stdout,
+            f"{name}: chiveroad trace $(cat build/demo/{name}.id) "
+            "build/demo/*.log",
+        )
 
 
 def _push_example(running: mesh.Mesh, tour: Tour, seen: Expectations) -> None:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -9,6 +9,8 @@
 
 from chiveroad.cli import _trace
 from chiveroad import errors
+from standins import failures
+from standins import mesh
 
 
 def line(time: str, request: str, **more: object) -> str:
@@ -41,6 +43,43 @@
     assert _trace.report("q-3", _trace.find("q-3", [first])).notes
 
 
+@pytest.mark.parametrize(
+    ("more", "load"),
+    [
+        ({}, ""),
+        (
+            {"slots": 12, "running": 11, "waiting": 3},
+            "11 of 12 run, 3 wait",
+        ),
+    ],
+)
+def test_a_guards_load_is_shown(
+    tmp_path: pathlib.Path, more: dict[str, object], load: str
+) -> None:
+    log = tmp_path / "a.log"
+    log.write_text(line("01.000000", "q-1", **more))
+    report = _trace.report("q-1", _trace.find("q-1", [log]))
+    assert report.rows[0][-1] == load
+
+
+def test_the_failures_of_the_operators_page_can_be_traced(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Each from its id to its cause, in the logs that the demo leaves."""
+    folder = tmp_path / "demo"
+    with mesh.running("woodland-circle", failures.JSON_LOGS) as running:
+        ids = failures.leave(running, folder)
+    logs = failures.logs(folder)
+    told = {
+        name: [each.line for each in _trace.find(request, logs)]
+        for name, request in ids.items()
+    }
+    assert any(each.slots for each in told["overload"])
+    assert "E4004" in told["overload"][-1].message
+    assert "E4020" in told["unknown"][-1].message
+    assert told["old-version"][-1].version > 0
+
+
 def test_a_log_that_cannot_be_read_is_an_error(tmp_path: pathlib.Path) -> None:
     with pytest.raises(errors.UsageError):
         _trace.find("q-1", [tmp_path / "missing.log"])
