One check of an address, one count of how long; plainer names

- Four copies of "does this address take a connection" (sweeper, follower, daemon, stand-ins) are chiveroad/connection.py.
- Members gone for long and neighbours silent for long kept the same map of times: control/_since.py.
- The order's tree says once who stands before a daemon; the exclusion of its own older record stood in two places.
- The scope in which a new parent is told is an argument, not state of the way.
- _freshness.leads meant something else than SyncAnswer.leads: is_current.
- Names and words: successors for wards, notice for word; sources of constants.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import socket
 import threading
 import time
 import typing
@@ -15,6 +14,7 @@
 
 from chiveroad import clock
 from chiveroad import config
+from chiveroad import connection
 from chiveroad.control import _backoff
 from chiveroad.control import _freshness
 from chiveroad.control import _helper
@@ -91,7 +91,7 @@
         self._source = _source.ParentSource(
             node, CONNECT_TIMEOUT_S, GRACE_S, confirmations=True
         )
-        self._grown: tuple[tuple[int, int], _order.Tree] | None = None
+        self._tree: tuple[tuple[int, int], _order.Tree] | None = None
         self._helper = _helper.Helper(node)
         self._sweeper = _sweeper.Sweeper(platform, node)
         self._failures: dict[str, _freshness.Failure] = {}
@@ -179,7 +179,7 @@
 
     def _choose(self) -> membership.Member | None:
         return _freshness.parent(
-            self._mine(), self._grow(), self._failures, clock.now_s()
+            self._mine(), self._present_tree(), self._failures, clock.now_s()
         )
 
     def _mine(self) -> membership.Member:
@@ -187,12 +187,12 @@
             self._node.member, store_distance_ms=self._distance_ms
         )
 
-    def _grow(self) -> _order.Tree:
+    def _present_tree(self) -> _order.Tree:
         """Return the tree of the present view, made once for each epoch."""
         made_of = (self._node.view.epoch, self._distance_ms)
-        grown = self._grown
-        if grown is not None and grown[0] == made_of:
-            return grown[1]
+        known = self._tree
+        if known is not None and known[0] == made_of:
+            return known[1]
         mine = self._mine()
         others = (
             member
@@ -200,7 +200,7 @@
             if member.instance != mine.instance
         )
         tree = _order.Tree((*others, mine))
-        self._grown = (made_of, tree)
+        self._tree = (made_of, tree)
         return tree
 
     def _follow_parent(self) -> None:
@@ -216,9 +216,13 @@
     def _ask(self, chosen: membership.Member) -> bool:
         self._source.address = chosen.control
         domain = self._node.member.failure_domain
-        self._source.region = chosen.failure_domain != domain
         try:
-            self._source.sync(chosen.control, HOLD_MS, unconfirmed=False)
+            self._source.sync(
+                chosen.control,
+                HOLD_MS,
+                unconfirmed=False,
+                region=chosen.failure_domain != domain,
+            )
         except errors.ChiveroadError as exc:
             failed = self._failures.get(chosen.instance)
             count = failed.count + 1 if failed else 1
@@ -235,7 +239,7 @@
             time.sleep(HELP_S)
             self._keep_record()
             if self._node.applied.ready:
-                self._helper.tick(self._grow(), set(self._failures))
+                self._helper.tick(self._present_tree(), self._failures)
 
     def _keep_record(self) -> None:
         """Write the record again where another daemon has removed it."""
@@ -258,7 +262,7 @@
         answer = self._source.answer
         if _freshness.stale(confirmed_s, clock.now_s()):
             self._watch("the version is unconfirmed")
-        elif self._watching and answer and _freshness.leads(answer):
+        elif self._watching and answer and _freshness.is_current(answer):
             _log.info("Follows {}.", self._source.address)
             self._watching = False
 
@@ -427,10 +431,7 @@
 
 def _distance_ms(address: str) -> int:
     """Return how long opening a connection to the store takes, in ms."""
-    host, _, port = address.rpartition(":")
     started_s = time.monotonic()
-    try:
-        socket.create_connection((host, int(port)), PROBE_TIMEOUT_S).close()
-    except OSError:
+    if not connection.connects(address, PROBE_TIMEOUT_S):
         return int(PROBE_TIMEOUT_S * 1000)
     return int((time.monotonic() - started_s) * 1000)
--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -54,20 +54,15 @@
     the first in the order.  Only daemons that stand before this one are
     followed, so that no two wait for each other.
     """
-    before = itertools.takewhile(
-        lambda member: _order.rank(member) < _order.rank(mine), tree.order
-    )
-    for member in itertools.chain(tree.above(mine), before):
-        if member.instance == mine.instance:
-            continue
+    for member in itertools.chain(tree.above(mine), tree.before(mine)):
         failure = failures.get(member.instance)
         if failure is None or not failure.avoided(now_s):
             return member
     return None
 
 
-def leads(answer: _messages.SyncAnswer) -> bool:
-    """Tell whether a parent's answer shows that it needn't be helped out."""
+def is_current(answer: _messages.SyncAnswer) -> bool:
+    """Tell whether a parent knew its version to be the newest, or nearly."""
     return 0 <= answer.confirmed_ago_ms <= 1000 * STALE_S
 
 
--- a/src/chiveroad/control/_helper.py
+++ b/src/chiveroad/control/_helper.py
@@ -26,7 +26,8 @@
 """A child asks at least twice in this time."""
 
 MAX_ADOPTED: typing.Final = 32
-"""How many of those below silent daemons are looked after as well."""
+"""How many of those below silent daemons are looked after as well: two
+branches' worth, as each costs up to ``CONNECT_TIMEOUT_S`` in turn."""
 
 RETRY_S: typing.Final = 0.5
 MAX_RETRY_S: typing.Final = 4.0
@@ -49,7 +50,7 @@
     def tick(
         self,
         tree: _order.Tree,
-        failed: collections.abc.Container[str] = (),
+        failed: collections.abc.Container[str],
     ) -> None:
         """Speak to those whose turn it is.
 
--- a/src/chiveroad/control/_order.py
+++ b/src/chiveroad/control/_order.py
@@ -20,7 +20,8 @@
 """Daemons whose distance to the store differs by less count as equal."""
 
 FAN_OUT: typing.Final = 16
-"""How many daemons a branch has below it, about."""
+"""How many daemons a branch has below it, about; as in the native tree, see
+``membership._tree``."""
 
 _Members = collections.abc.Sequence[membership.Member]
 
@@ -30,6 +31,12 @@
     return member.store_distance_ms // DISTANCE_STEP_MS, member.instance
 
 
+def _stands_before(member: membership.Member, mine: membership.Member) -> bool:
+    # The records may still have an older place of the daemon itself.
+    other = member.instance != mine.instance
+    return other and rank(member) < rank(mine)
+
+
 class Tree:
     """The tree of the daemons that take part.
 
@@ -58,10 +65,14 @@
         if mine.region in self._leaders:
             found.append(self._leaders[mine.region])
         found += self.order[:1]
-        before = {m.instance: m for m in found if rank(m) < rank(mine)}
-        # The records may still have an older place of its own.
-        before.pop(mine.instance, None)
-        return list(before.values())
+        nearest = {m.instance: m for m in found if _stands_before(m, mine)}
+        return list(nearest.values())
+
+    def before(
+        self, mine: membership.Member
+    ) -> collections.abc.Iterator[membership.Member]:
+        """Yield all that a daemon may follow, in the order."""
+        return (m for m in self.order if _stands_before(m, mine))
 
     def below(self, mine: membership.Member) -> list[membership.Member]:
         """Return those that follow a daemon; found once for each tree."""
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -25,7 +25,8 @@
 MAX_HOLD_MS: typing.Final = 5_000
 GATHER_S: typing.Final = 0.05
 CONFIRMED_STEP_S: typing.Final = 0.2
-"""By how much a confirmation is newer than the last before it is sent."""
+"""By how much a confirmation is newer than the last before it is sent: a
+third of the pause between two of the watcher's, see ``_follower``."""
 
 STATUS_PATH: typing.Final = "/control/v1/status"
 
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -97,9 +97,6 @@
 class ParentSource(Source):
     """A parent in the tree, asked over HTTP.
 
-    ``region`` says that the parent leads daemons of other failure domains,
-    and so is told of the whole region when it is new.
-
     :param connect_timeout_s: how long opening a connection may take.
     :param grace_s: how much longer than it is held an answer may take.
     :param confirmations: a newer confirmation alone ends a hold.
@@ -115,7 +112,6 @@
         self._node = node
         self._grace_s = grace_s
         self._confirmations = confirmations
-        self.region = False
         self._peers = _peer.Peers(4, connect_timeout_s)
         self._lock = threading.Lock()
         self._source = ""
@@ -136,16 +132,22 @@
                 _log.debug("No confirmation: {}.", exc)
 
     def sync(
-        self, address: str, hold_ms: int, unconfirmed: bool
+        self,
+        address: str,
+        hold_ms: int,
+        unconfirmed: bool,
+        region: bool = False,
     ) -> _messages.SyncAnswer:
         """Ask a parent for news once, and take them in.
 
+        :param region: a parent that is new is told of the whole region: it
+            stands above other failure domains than this daemon's.
         :raises errors.PeerUnavailable: when it doesn't answer.
         :raises errors.BadMessage: when its answer can't be read.
         """
         node = self._node
         if address != self._told_to:
-            node.tell_again(self.region)
+            node.tell_again(region)
         upward = node.upward()
         current = node.applied.current
         request = _messages.SyncRequest(
--- a/src/chiveroad/control/_sweeper.py
+++ b/src/chiveroad/control/_sweeper.py
@@ -14,12 +14,13 @@
 
 import collections.abc
 import itertools
-import socket
 import time
 import typing
 
+from chiveroad import connection
 from chiveroad.control import _gone
 from chiveroad.control import _node
+from chiveroad.control import _since
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -32,18 +33,19 @@
 """A daemon that took no connection for this long is gone for good: an
 instance that restarts is back sooner."""
 
-MAX_WARDS: typing.Final = 8
+MAX_SUCCESSORS: typing.Final = 8
 """How many daemons are looked at in one turn, so that a turn is short."""
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
+"""Far above a round trip within a failure domain, also on a busy day."""
 
 _log = logs.Logger("membership")
 
-Connects = collections.abc.Callable[[str], bool]
-"""Tells whether an address takes a connection."""
+Connects = collections.abc.Callable[[str, float], bool]
+"""Tells whether an address takes a connection within some seconds."""
 
 
-def wards(
+def successors(
     mine: membership.Member,
     members: collections.abc.Iterable[membership.Member],
 ) -> list[membership.Member]:
@@ -61,14 +63,14 @@
             member.instance,
         ),
     )
-    return others[:MAX_WARDS]
+    return others[:MAX_SUCCESSORS]
 
 
 class Absences:
     """Since when the daemons that were looked at have been silent."""
 
     def __init__(self) -> None:
-        self._since_s: dict[str, float] = {}
+        self._since = _since.Since()
 
     def lost(
         self,
@@ -84,22 +86,7 @@
         """
         if asked > 1 and len(silent) == asked:
             silent = ()
-        self._since_s = {
-            name: self._since_s.get(name, now_s) for name in silent
-        }
-        limit_s = now_s - LOST_AFTER_S
-        return [n for n, since_s in self._since_s.items() if since_s < limit_s]
-
-
-def connects(address: str) -> bool:
-    """Tell whether an address takes a connection."""
-    host, _, port = address.rpartition(":")
-    try:
-        found = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
-    except OSError:
-        return False
-    found.close()
-    return True
+        return self._since.longer(silent, now_s, LOST_AFTER_S)
 
 
 class Sweeper:
@@ -109,11 +96,11 @@
         self,
         platform: store.Store,
         node: _node.Node,
-        takes_connection: Connects = connects,
+        connects: Connects = connection.connects,
     ) -> None:
         self._store = platform
         self._node = node
-        self._connects = takes_connection
+        self._connects = connects
         self._absences = Absences()
         self._gone = _gone.Gone(node.view, node.member.instance)
 
@@ -121,11 +108,14 @@
         """Look at the ring once."""
         now_s = time.monotonic() if now_s is None else now_s
         self._gone.forget(now_s)
-        asked = wards(self._node.member, self._node.view.all())
+        asked = successors(self._node.member, self._node.view.all())
         silent = {
             member.instance: member
             for member in itertools.takewhile(
-                lambda member: not self._connects(member.control), asked
+                lambda member: not self._connects(
+                    member.control, CONNECT_TIMEOUT_S
+                ),
+                asked,
             )
         }
         for name in self._absences.lost(silent, len(asked), now_s):
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -7,12 +7,12 @@
 import itertools
 import pathlib
 import signal
-import socket
 import sys
 import threading
 import time
 import typing
 
+from chiveroad import connection
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import gauges
@@ -238,7 +238,8 @@
             )
         )
         while not self._stop.is_set():
-            if _connects(self._options.upstream.address):
+            address = self._options.upstream.address
+            if connection.connects(address, PROBE_TIMEOUT_S):
                 self._plane.announce(membership.State.READY)
                 _log.info("The upstream takes connections.")
                 return
@@ -368,12 +369,3 @@
         guard=options.listen.guard,
         control=options.listen.control,
     )
-
-
-def _connects(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        socket.create_connection((host, int(port)), PROBE_TIMEOUT_S).close()
-    except OSError:
-        return False
-    return True
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -73,7 +73,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ending:
-    """An upstream's word that it ends; it names nothing but its id.
+    """An upstream's notice that it ends; it names nothing but its id.
 
     ``at_ms`` is the Unix millisecond and ``heard_s`` the monotonic second at
     which it was heard.
@@ -85,9 +85,9 @@
     def binds(self, started_at_ms: int, now_s: float) -> bool:
         """Tell whether it was the end of the life that began then.
 
-        A life that began before the word was heard is taken for the one that
-        ended: its heartbeats are late ones.  Upstream and daemon read one
-        clock, their machine's.  Should that clock have jumped, the word
+        A life that began before the notice was heard is taken for the one
+        that ended: its heartbeats are late ones.  Upstream and daemon read
+        one clock, their machine's.  Should that clock have jumped, the notice
         binds for only as long as a heartbeat may be late.
         """
         late = now_s - self.heard_s < LATE_S
@@ -150,7 +150,7 @@
     """Return what is known once the upstream has said that it ends.
 
     What it says again meanwhile changes nothing, so that a slow write of
-    the first word isn't outdated by the next.
+    the first notice isn't outdated by the next.
     """
     if known.phase is Phase.GONE and ending.at_ms <= known.ended_by_ms:
         return known
--- a/standins/failures.py
+++ b/standins/failures.py
@@ -24,7 +24,11 @@
 """The settings of the daemons whose logs are read."""
 
 ENTRY: typing.Final = "glade-1"
+"""Whose entry is asked."""
+
 MANY: typing.Final = 200
+"""So many requests at once that the service can't do them in time."""
+
 SAMPLED_S: typing.Final = 1.1
 """After this long the log takes lines on requests that go well again."""
 
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -23,6 +23,7 @@
 import msgspec
 import urllib3
 
+from chiveroad import connection
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import store
@@ -38,6 +39,7 @@
 
 _FIRST_PORT: typing.Final = 18_000
 _LAST_PORT: typing.Final = 32_000
+CONNECT_S: typing.Final = 0.5
 _BLOCK: typing.Final = 200
 """More ports than the meshes of the tests take."""
 
@@ -224,7 +226,10 @@
         """Start the object API."""
         port = self.store_address.rpartition(":")[2]
         self._spawn("store", "-m", "standins.object_api", "--port", port)
-        wait_for(lambda: _connects(self.store_address), "the store")
+        wait_for(
+            lambda: connection.connects(self.store_address, CONNECT_S),
+            "the store",
+        )
 
     def start_upstream(self, name: str) -> None:
         """Start one upstream."""
@@ -446,7 +451,10 @@
     def wait_for_upstream(self, name: str) -> None:
         """Wait until an upstream takes connections."""
         address = self.instances[name].upstream
-        wait_for(lambda: _connects(address), f"the upstream {name}")
+        wait_for(
+            lambda: connection.connects(address, CONNECT_S),
+            f"the upstream {name}",
+        )
 
     def record(self, name: str) -> dict[str, upstream.Execution]:
         """Return what an upstream ran."""
@@ -518,12 +526,3 @@
             return value
         time.sleep(_POLL_S)
     raise TimeoutError(f"waited {limit_s} s for {what}")
-
-
-def _connects(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        socket.create_connection((host, int(port)), 0.5).close()
-    except OSError:
-        return False
-    return True
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -413,7 +413,11 @@
         self._given = answer
 
     def sync(
-        self, address: str, hold_ms: int, unconfirmed: bool
+        self,
+        address: str,
+        hold_ms: int,
+        unconfirmed: bool,
+        region: bool = False,
     ) -> _messages.SyncAnswer:
         """Return the answer."""
         return self._given
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -413,14 +413,14 @@
 
 
 @pytest.mark.parametrize(
-    ("ago_ms", "leads"),
+    ("ago_ms", "current"),
     [(-1.0, False), (0.0, True), (1_100.0, True), (1_101.0, False)],
 )
 def test_a_parent_that_is_behind_is_not_relied_on(
-    ago_ms: float, leads: bool
+    ago_ms: float, current: bool
 ) -> None:
     answer = _messages.SyncAnswer("s", 1, 1, "d", "", ago_ms)
-    assert _freshness.leads(answer) is leads
+    assert _freshness.is_current(answer) is current
 
 
 @pytest.fixture
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -190,7 +190,7 @@
         (5_000, _state.LATE_S, False),
     ],
 )
-def test_which_lives_the_word_of_an_end_binds(
+def test_which_lives_the_notice_of_an_end_binds(
     started_at_ms: int, after_s: float, binds: bool
 ) -> None:
     ending = _state.Ending(5_000, 100.0)
@@ -209,7 +209,7 @@
     assert upstream.hear(late) is presence.Verdict.STALE
 
 
-def test_a_word_said_again_leaves_the_record_as_it_is() -> None:
+def test_a_repeated_notice_leaves_the_record_as_it_is() -> None:
     """Else a slow write is outdated whenever it is done."""
     first = _state.ended(KNOWN, _state.Ending(5_000, 100.0))
     assert _state.ended(first, _state.Ending(6_000, 101.0)) == first
--- a/tests/test_sweeper.py
+++ b/tests/test_sweeper.py
@@ -30,7 +30,7 @@
     members = [fakes.member(name) for name in others]
     elsewhere = fakes.member("bb", domain="wyre")
     unrecorded = fakes.member("cc", sequence=0)
-    asked = _sweeper.wards(
+    asked = _sweeper.successors(
         fakes.member(mine), [*members, elsewhere, unrecorded]
     )
     assert "".join(member.instance for member in asked) == found
@@ -67,7 +67,7 @@
         self.sweeper = _sweeper.Sweeper(
             self.platform,
             self.node,
-            lambda address: address.partition(":")[0] not in self.silent,
+            lambda address, _: address.partition(":")[0] not in self.silent,
         )
         for name in "abc":
             self.write(name, store.ABSENT)
