--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -45,6 +45,10 @@
 """How long the watch after a change waits: the answer that brought the change
 says nothing of what came after its question, which is older by then."""
 
+CONFIRM_DOUBTFUL_S: typing.Final = 0.05
+"""How long the watch of a doubtful version waits: those below this daemon wait
+for its confirmation, and would ask the store themselves."""
+
 WATCH_MEMBERS_S: typing.Final = 2.0
 GATHER_MEMBERS_S: typing.Final = 0.2
 """The pause after members have changed: when many start, each change would
@@ -223,16 +227,26 @@
         try:
             self._source.sync(
                 chosen.control,
-                HOLD_MS,
+                self._hold_ms(),
                 unconfirmed=False,
                 region=chosen.failure_domain != domain,
             )
         except errors.ChiveroadError as exc:
             self._put_aside(chosen, f"failed: {exc}")
             return False
-        self._failures.pop(chosen.instance, None)
         return True
 
+    def _hold_ms(self) -> int:
+        """Return how long a parent may hold its answer back.
+
+        One that learns nothing new answers in time for the next to be asked,
+        and that one in time for the store.
+        """
+        left_s = self._bounds.hold_s(
+            self._node.applied.confirmed_s, clock.now_s()
+        )
+        return min(HOLD_MS, int(1000 * left_s))
+
     def _put_aside(self, parent: membership.Member, reason: str) -> None:
         """Leave a parent out for a while; the next above is asked."""
         failed = self._failures.get(parent.instance)
@@ -269,7 +283,9 @@
             self._watch("the version is unconfirmed")
         if self._bounds.doubtful(confirmed_s, now_s):
             self._put_aside(parent, "is behind")
-        elif self._watching and answer and self._bounds.is_current(answer):
+            return
+        self._failures.pop(parent.instance, None)
+        if self._watching and answer and self._bounds.is_current(answer):
             _log.info("Follows {}.", self._source.address)
             self._watching = False
 
@@ -323,7 +339,7 @@
 
     def _watch_versions(self, revision: int) -> int:
         asked_s = clock.now_s()
-        wait_s = CONFIRM_CHANGE_S if self._changed else WATCH_VERSIONS_S
+        wait_s = self._watch_s(asked_s)
         newest: store.StoredObject | None = None
         for event in self._store.watch(store.Kind.ACCEPTED, revision, wait_s):
             revision = max(revision, event.version)
@@ -339,6 +355,12 @@
         self._node.applied.confirm(min(now_s, asked_s + waited_s))
         return revision
 
+    def _watch_s(self, now_s: float) -> float:
+        """Return how long the next watch may wait for a change."""
+        if self._bounds.doubtful(self._node.applied.confirmed_s, now_s):
+            return CONFIRM_DOUBTFUL_S
+        return CONFIRM_CHANGE_S if self._changed else WATCH_VERSIONS_S
+
     def _apply(self, stored: store.StoredObject) -> None:
         version = self._protocol.read_version(stored.spec)
         digest = config.digest(version.items)
--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -36,6 +36,11 @@
 """A parent that failed is left out for this long, twice as long each time."""
 
 
+MAX_FIRST: typing.Final = 4
+"""How many of the first in the order are asked once all above have failed:
+while the store is down, everybody asks them."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
     """How long a version may go unconfirmed.
@@ -69,6 +74,12 @@
             return 0.0
         return max(0.0, confirmed_s + self.stale_s - now_s)
 
+    def hold_s(self, confirmed_s: float | None, now_s: float) -> float:
+        """Return how long an answer without a confirmation may take."""
+        left_s = self.left_s(confirmed_s, now_s)
+        until_doubtful_s = left_s - (1 - DOUBT_SHARE) * self.stale_s
+        return until_doubtful_s if until_doubtful_s > 0 else left_s
+
     def is_current(self, answer: _messages.SyncAnswer) -> bool:
         """Tell whether a parent knew its version to be nearly the newest."""
         return 0 <= answer.confirmed_ago_ms <= 1000 * self.stale_s
@@ -96,10 +107,11 @@
     """Return the daemon to follow, or None for the one that watches.
 
     That is the nearest above in the tree that hasn't just failed, or else
-    the first in the order.  Only daemons that stand before this one are
+    one of the first in the order.  Only daemons that stand before this one are
     followed, so that no two wait for each other.
     """
-    for member in itertools.chain(tree.above(mine), tree.before(mine)):
+    first = itertools.islice(tree.before(mine), MAX_FIRST)
+    for member in itertools.chain(tree.above(mine), first):
         failure = failures.get(member.instance)
         if failure is None or not failure.avoided(now_s):
             return member
--- a/src/chiveroad/control/_order.py
+++ b/src/chiveroad/control/_order.py
@@ -19,6 +19,9 @@
 DISTANCE_STEP_MS: typing.Final = 12
 """Daemons whose distance to the store differs by less count as equal."""
 
+CAPACITY_STEP_PERCENT: typing.Final = 50
+"""Daemons whose capacity differs by less than half a core count as equal."""
+
 FAN_OUT: typing.Final = 16
 """How many daemons a branch has below it, about; as in the native tree, see
 ``membership._tree``."""
@@ -26,9 +29,17 @@
 _Members = collections.abc.Sequence[membership.Member]
 
 
-def rank(member: membership.Member) -> tuple[int, str]:
-    """Return a daemon's place in the order, the store's neighbours first."""
-    return member.store_distance_ms // DISTANCE_STEP_MS, member.instance
+def rank(member: membership.Member) -> tuple[int, int, str]:
+    """Return a daemon's place in the order.
+
+    The store's neighbours come first, and among them those with the most
+    capacity: the others follow these.
+    """
+    return (
+        member.store_distance_ms // DISTANCE_STEP_MS,
+        -(member.capacity_percent // CAPACITY_STEP_PERCENT),
+        member.instance,
+    )
 
 
 def _stands_before(member: membership.Member, mine: membership.Member) -> bool:
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -399,4 +399,5 @@
         entry=options.listen.entry,
         guard=options.listen.guard,
         control=options.listen.control,
+        capacity_percent=options.capacity.percent,
     )
--- a/src/chiveroad/logs.py
+++ b/src/chiveroad/logs.py
@@ -30,8 +30,8 @@
 SAMPLED_LINES_PER_S: typing.Final = 20
 FLUSH_S: typing.Final = 1.0
 GATHER_S: typing.Final = 0.2
-"""How long lines on what went well wait for others: each write wakes a thread
-and is a system call.  It bounds what a killed process leaves untold."""
+"""How long a line waits for others: each write wakes a thread and is a system
+call.  It bounds what a killed process leaves untold."""
 
 _ROOT: typing.Final = "chiveroad"
 _Extra: typing.TypeAlias = dict[str, object] | None
@@ -127,7 +127,7 @@
         self._stream = stream
         self._lines: collections.deque[str] = collections.deque()
         self._filled = threading.Event()
-        self._of_note = threading.Event()
+        self._flushing = threading.Event()
         self._idle = threading.Event()
         self._idle.set()
         self.dropped = 0
@@ -141,21 +141,19 @@
             return
         self._idle.clear()
         self._lines.append(text)
-        if of_note:
-            self._of_note.set()
         if not self._filled.is_set():
             self._filled.set()
 
     def flush(self) -> None:
         """Wait a moment for what is queued."""
-        self._of_note.set()
+        self._flushing.set()
         self._idle.wait(FLUSH_S)
 
     def _run(self) -> None:
         while True:
             self._filled.wait()
-            self._of_note.wait(GATHER_S)
-            self._of_note.clear()
+            self._flushing.wait(GATHER_S)
+            self._flushing.clear()
             self._filled.clear()
             while self._lines:
                 count = len(self._lines)
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -30,6 +30,7 @@
     the same start.  The addresses are ``HOST:PORT``.  ``upstream_id`` and
     ``upstream_started_at_ms`` name the life of the upstream, where it tells
     them, and ``store_distance_ms`` is how far the store is from the daemon.
+    ``capacity_percent`` is what its instance has for it, in percent of a core.
     """
 
     instance: str
@@ -46,6 +47,7 @@
     upstream_started_at_ms: int = 0
     slots: int = 0
     store_distance_ms: int = 0
+    capacity_percent: int = 0
 
     def order(self) -> tuple[int, int, bool]:
         """Return what decides between two words on the same instance."""
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -3,8 +3,8 @@
 The subclasses here close what the library leaves open: repeated or odd
 framing headers, folded header lines, trailers, and plain-text refusals
 without a code.  A connection that has just been used is watched by its own
-worker for a moment, which saves two thread hand-overs for each request of a
-busy connection.
+worker for a moment if its last request came soon after an answer, which saves
+two thread hand-overs for each request of a busy connection.
 """
 
 from __future__ import annotations
@@ -170,6 +170,28 @@
             return
 
 
+class Rhythm:
+    """How soon after an answer a connection's next request comes.
+
+    ``busy`` says that it came so soon the last time that it pays for the
+    worker to wait for the next one.
+    """
+
+    def __init__(self) -> None:
+        self.busy = False
+        self._answered_s: float | None = None
+
+    def asked(self, now_s: float) -> None:
+        """Note that a request has come."""
+        if self._answered_s is not None:
+            pause_ms = 1000 * (now_s - self._answered_s)
+            self.busy = pause_ms <= LINGER_MS
+
+    def answered(self, now_s: float) -> None:
+        """Note that it was answered."""
+        self._answered_s = now_s
+
+
 class HttpConnection(cheroot_server.HTTPConnection):
     """A connection that stays with its worker while it is busy."""
 
@@ -181,16 +203,22 @@
         sock.settimeout(READ_TIMEOUT_S)
         super().__init__(server, sock, _stream.make_file)
         self._open = True
+        self._rhythm = Rhythm()
         server.opened()
 
     def communicate(self) -> bool:
         """Serve requests until the connection is quiet or over."""
+        self._rhythm.asked(time.monotonic())
         while self._serve_one():
-            if not self.server.may_linger():
+            self._rhythm.answered(time.monotonic())
+            if self.rfile.has_data():
+                continue
+            if not (self._rhythm.busy and self.server.may_linger()):
                 return True
             with self.server.lingering():
                 active = self._readable(LINGER_MS)
             if not active:
+                self._rhythm.busy = False
                 return True
         return False
 
@@ -223,8 +251,6 @@
         return bool(super().communicate())  # type: ignore[no-untyped-call]
 
     def _readable(self, timeout_ms: int) -> bool:
-        if self.rfile.has_data():
-            return True
         poll = select.poll()
         poll.register(self.socket, select.POLLIN)
         return bool(poll.poll(timeout_ms))
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -24,6 +24,11 @@
 Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 
 
+MBPS_PER_CORE: typing.Final = 20.0
+"""What a core of requests and their answers takes of a link, in Mbit/s: 250
+requests a second with 10 KB each."""
+
+
 class _Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A table whose keys are all known."""
 
@@ -72,6 +77,29 @@
     protocol: typing.Literal["native", "platform"] = "native"
 
 
+class Capacity(_Table, frozen=True):
+    """What the instance has for the daemon.
+
+    ``cpu_share`` is a share of a processor that is ``cores`` times as fast
+    as one core, ``link_mbps`` its link in Mbit/s.  Daemons with more of it
+    stand above others in the tree, see ``control``.
+    """
+
+    cpu_share: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    cores: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    link_mbps: typing.Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
+
+    @property
+    def percent(self) -> int:
+        """Return what can be used of it, in percent of a core.
+
+        >>> Capacity(cpu_share=2.0, link_mbps=10.0).percent
+        50
+        """
+        processor = 100 * self.cpu_share * self.cores
+        return int(min(processor, 100 * self.link_mbps / MBPS_PER_CORE))
+
+
 class Log(_Table, frozen=True):
     """The log, written to the standard error stream."""
 
@@ -157,6 +185,7 @@
     traffic: Traffic = Traffic()
     retries: Retries = Retries()
     metrics: Metrics = Metrics()
+    capacity: Capacity = Capacity()
 
 
 _LIVE: typing.Final = frozenset({"service", "retries"})
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -87,7 +87,7 @@
         if kind and service_ms:
             self.service_ms[kind] = service_ms
 
-    def completion_ms(self, kind: str, now_s: float) -> float:
+    def completion_ms(self, kind: str, outstanding: int) -> float:
         """Return how long a request would probably take here.
 
         It is the time that one takes alone, longer by what the requests
@@ -95,7 +95,7 @@
         not known yet counts as fast, so that it is tried.
         """
         service_ms = self.service_ms.get(kind, UNKNOWN_SERVICE_MS)
-        turns = (self.outstanding(now_s) + 1) / self.slots
+        turns = (outstanding + 1) / self.slots
         crowded = max(0.0, turns - 1.0)
         return service_ms * (1.0 + turns * CROWDING + crowded)
 
@@ -131,19 +131,23 @@
         """Note that the guard refuses new work for a while."""
         self.blocked_until_s = max(self.blocked_until_s, now_s + for_s)
 
-    def load(self, now_s: float) -> float:
+    def load(self, outstanding: int, now_s: float) -> float:
         """Return the load, where 1 means that every slot is taken."""
-        known = self.outstanding(now_s)
-        return (known + 1) / (self.slots * self._ramp(now_s)) - 1 / self.slots
+        room = self.slots * self._ramp(now_s)
+        return (outstanding + 1) / room - 1 / self.slots
 
     def _ramp(self, now_s: float) -> float:
         warm = (now_s - self.since_s) / SLOW_START_S
         return min(1.0, max(SLOW_START_FLOOR, warm))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Candidate:
-    """An upstream that could be chosen, as it stands now."""
+    """An upstream that could be chosen, as it stands now.
+
+    It isn't frozen, as some are made for every request, and a frozen one
+    takes three times as long to make.
+    """
 
     instance: str
     distance: Distance
@@ -178,14 +182,15 @@
     reach: _reach.State = _reach.State.REACHED,
 ) -> Candidate:
     """Return a candidate as its track says."""
+    outstanding = track.outstanding(now_s)
     return Candidate(
         instance,
         distance,
-        track.load(now_s),
+        track.load(outstanding, now_s),
         track.ejected_until_s > now_s,
         track.blocked_until_s > now_s,
         track.reported,
-        track.completion_ms(wanted.kind, now_s),
+        track.completion_ms(wanted.kind, outstanding),
         wanted.objective_ms,
         wanted.answer_bytes,
         reach,
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -40,8 +40,13 @@
     ValueError,
 )
 
+FIRST_WAKE_MS: typing.Final = 300
+"""A peer isn't given up sooner: it may be silent for ``_reach.QUIET_S`` before
+the first of two probes, which are ``_reach.PROBE_PAUSE_S`` apart."""
+
 WAKE_MS: typing.Final = 100
-"""How often a request that may be repeated looks whether its peer lives."""
+"""How often a request that may be repeated looks, after that, whether its peer
+lives."""
 
 ReadTerms = collections.abc.Callable[
     [int, collections.abc.Callable[[str, str], str]], wire.AnswerTerms
@@ -369,9 +374,11 @@
     poll = select.poll()
     poll.register(sock, select.POLLIN)
     poll.register(caller, select.POLLIN | select.POLLRDHUP)
+    wake_ms = FIRST_WAKE_MS
     while True:
         left_ms = call.left_ms()
-        wait_ms = min(left_ms, WAKE_MS) if abandon else left_ms
+        wait_ms = min(left_ms, wake_ms) if abandon else left_ms
+        wake_ms = WAKE_MS
         if connection.has_data():
             wait_ms = 0.0
         ready = dict(poll.poll(max(0, wait_ms)))
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -49,6 +49,9 @@
         self._applied = applied
         self._view = view
         self._tracks: dict[str, _balancer.Track] = {}
+        self._recent: dict[str, tuple[membership.Member, _balancer.Track]] = {}
+        """Tracks by the very records that they were last looked up for."""
+
         self._pools: dict[str, _pool.Pool] = {}
         self._reaches: dict[str, _reach.Reach] = {}
         self._missing: dict[str, _reach.Reach] = {}
@@ -161,8 +164,19 @@
         self, near: _Near, tried: collections.abc.Container[str]
     ) -> _Near:
         """Return those that can be reached, or else the doubtful ones."""
-        if not self._missing:
+        missing = self._missing
+        if not missing:
             return near
+        left = {
+            distance: [
+                member
+                for member in members
+                if member.guard not in missing and member.instance not in tried
+            ]
+            for distance, members in near.items()
+        }
+        if any(left.values()):
+            return left
         left = {
             distance: [m for m in members if m.instance not in tried]
             for distance, members in near.items()
@@ -195,6 +209,9 @@
 
     def track(self, member: membership.Member) -> _balancer.Track:
         """Return what is learnt of one start of an upstream."""
+        recent = self._recent.get(member.instance)
+        if recent is not None and recent[0] is member:
+            return recent[1]
         name = _track_name(member)
         track = self._tracks.get(name)
         if track is None:
@@ -203,6 +220,7 @@
             slots = service.slots if service is not None else 0
             track.slots = slots or member.slots or track.slots
             self._tracks[name] = track
+        self._recent[member.instance] = (member, track)
         return track
 
     def wanted(self, call: _call.Call) -> _balancer.Wanted:
@@ -250,6 +268,9 @@
         known = {_track_name(member) for member in members}
         for name in set(self._tracks) - known:
             self._tracks.pop(name, None)
+        instances = {member.instance for member in members}
+        for instance in set(self._recent) - instances:
+            self._recent.pop(instance, None)
 
     def _by_distance(self, service: str) -> _Near:
         members = self._view.of_service(service)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -380,6 +380,34 @@
             plane.stop()
 
 
+def test_one_asks_the_store_for_all_below_a_parent_that_is_behind() -> None:
+    """Their parent answers, but is cut off from the store."""
+    shared = memory_store.MemoryStore()
+    accept(shared, 3)
+    ports = mesh.Ports()
+    names = "abcdef"
+    ways = {name: Way(shared) for name in names}
+    planes = {name: Following(name, ports, ways[name]) for name in names}
+    for plane in planes.values():
+        plane.start()
+    try:
+        wait_for(
+            lambda: all(len(p.node.view.all()) == 6 for p in planes.values())
+        )
+        wait_for(lambda: all(not planes[n].plane.roles() for n in names[1:]))
+        before = {name: way.watches for name, way in ways.items()}
+        ways["a"].cut = True
+        wait_for(lambda: planes["b"].plane.roles() == ["watcher"])
+        accept(shared, 4)
+        wait_for(lambda: _numbers(planes) == {4})
+        time.sleep(2 * _freshness.Bounds(2.0).stale_s)
+        asked = [n for n in names[2:] if ways[n].watches > before[n]]
+        assert len(asked) <= 1
+    finally:
+        for plane in planes.values():
+            plane.stop()
+
+
 def test_a_daemon_that_starts_cut_off_from_the_store_is_helped() -> None:
     shared = memory_store.MemoryStore()
     accept(shared, 3)
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -21,13 +21,18 @@
 
 
 def daemon(
-    name: str, domain: str, region: str, distance_ms: int = 0
+    name: str,
+    domain: str,
+    region: str,
+    distance_ms: int = 0,
+    capacity_percent: int = 0,
 ) -> membership.Member:
     """Return a daemon at a place."""
     return msgspec.structs.replace(
         fakes.member(name, 0, 1, domain=domain),
         region=region,
         store_distance_ms=distance_ms,
+        capacity_percent=capacity_percent,
     )
 
 
@@ -45,12 +50,13 @@
 
 fleets = st.lists(
     st.builds(
-        lambda number, domain, distance_ms: daemon(
-            f"i-{number:03}", domain, REGIONS[domain], distance_ms
+        lambda number, domain, distance_ms, capacity: daemon(
+            f"i-{number:03}", domain, REGIONS[domain], distance_ms, capacity
         ),
         st.integers(0, 99),
         st.sampled_from(sorted(REGIONS)),
         st.integers(0, 40),
+        st.sampled_from([0, 43, 86, 215]),
     ),
     unique_by=lambda member: member.instance,
     min_size=1,
@@ -88,6 +94,28 @@
     assert depth <= 4
 
 
+def test_small_instances_have_nobody_below_them() -> None:
+    """Woodland Circle at 195: a few in each domain have five times as much.
+
+    Nobody on less than half a core stands above others where a larger
+    instance is in the same domain.
+    """
+    members = [
+        daemon(
+            f"i-{number:03}",
+            f"d{number % 8}",
+            f"r{number % 2}",
+            15 * (number % 2),
+            capacity_percent=215 if number // 8 in (3, 9, 17) else 43,
+        )
+        for number in range(195)
+    ]
+    tree = _order.Tree(members)
+    above = {m.instance: m for m in members if tree.below(m)}
+    assert {m.capacity_percent for m in above.values()} == {215}
+    assert len(above) >= 16
+
+
 def test_one_that_joins_moves_few() -> None:
     members = fleet(1_600)
     first = _order.Tree(members)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -224,6 +224,9 @@
         "bounds.retry_window_s": "10",
         "bounds.budget_slack": "60",
         "bounds.config_apply_s": "3",
+        "limits.cpu_share": "0.43",
+        "limits.cores": "1",
+        "limits.link_mbps": "7.0",
     }
     for port, name in enumerate(("inbound", "outbound", "ready", "control")):
         values[f"listen_addresses.{name}"] = f"10.0.0.1:{port + 1}"
@@ -231,4 +234,5 @@
     found = settings.parse(filled)
     assert found.control.source == "accepted"
     assert found.control.apply_within_s == 3.0
+    assert found.capacity.percent == 35
     assert found.retries.ratio == 0.2
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -14,6 +14,7 @@
 
 from chiveroad import errors
 from chiveroad import serving
+from chiveroad.serving import _http
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _pool
 from standins import mesh
@@ -358,3 +359,28 @@
     received = exchange(echo[0], b"GET / HTTP/1.1\r\n folded\r\n\r\n")
     assert received.startswith(b"HTTP/1.1 400 ")
     assert b"Chiveroad-Code: 4008" in received
+
+
+@pytest.mark.parametrize(
+    ("pauses_ms", "busy"),
+    [
+        ([], False),
+        ([500.0], False),
+        ([5.0], True),
+        ([5.0, 500.0], False),
+        ([500.0, 5.0], True),
+    ],
+)
+def test_a_worker_waits_only_on_connections_in_quick_use(
+    pauses_ms: list[float], busy: bool
+) -> None:
+    """A second of calm callers would else wake each worker for nothing."""
+    rhythm = _http.Rhythm()
+    now_s = 1.0
+    rhythm.asked(now_s)
+    rhythm.answered(now_s)
+    for pause_ms in pauses_ms:
+        now_s += pause_ms / 1000
+        rhythm.asked(now_s)
+        rhythm.answered(now_s)
+    assert rhythm.busy is busy
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -82,12 +82,19 @@
 
 def test_a_track_fades_ramps_and_ejects() -> None:
     track = _balancer.Track(since_s=0.0, slots=10)
-    cold = track.load(0.0)
-    warm = track.load(_balancer.SLOW_START_S)
+    cold = track.load(track.outstanding(0.0), 0.0)
+    warm = track.load(
+        track.outstanding(_balancer.SLOW_START_S), _balancer.SLOW_START_S
+    )
     assert cold > 0.5 > warm == 0.0
     track.learn(10, 10, 20.0)
-    assert track.load(20.0) >= 1.0
-    assert track.load(20.0 + _balancer.FADE_S) == 0.0
+    assert track.load(track.outstanding(20.0), 20.0) >= 1.0
+    assert (
+        track.load(
+            track.outstanding(20.0 + _balancer.FADE_S), 20.0 + _balancer.FADE_S
+        )
+        == 0.0
+    )
     for _ in range(_balancer.EJECT_AFTER_FAILURES):
         track.failed(30.0)
     assert _balancer.candidate("a", NEAR, track, 30.0).ejected
