--- a/standins/pure.py
+++ b/standins/pure.py
@@ -79,12 +79,14 @@
     after = config.merge(changed, merged.sources)
     delta = config.pack_delta(config.diff(merged.items, after.items))
     unpacked = config.unpack_delta(delta)
+    held = config.Config(merged.items)
     work: dict[str, collections.abc.Callable[[], object]] = {
         "merge_ms": lambda: config.merge(changed, merged.sources),
         "digest_ms": lambda: config.digest(merged.items),
         "diff_ms": lambda: config.diff(merged.items, after.items),
         "patch_ms": lambda: config.patch(merged.items, unpacked),
         "compile_ms": lambda: config.Config(merged.items),
+        "compile_change_ms": lambda: config.Config(after.items, like=held),
         "pack_ms": lambda: config.pack(merged.items),
     }
     for figure, step in work.items():
@@ -92,8 +94,8 @@
     _emit("delta_bytes", count, len(delta), "B", "services")
     packed = config.pack(merged.items)
     _emit("snapshot_bytes", count, len(packed), "B", "services")
-    held = _memory_mb(lambda: config.Config(dict(merged.items)))
-    _emit("config_mb", count, held, "MB", "services")
+    memory_mb = _memory_mb(lambda: config.Config(dict(merged.items)))
+    _emit("config_mb", count, memory_mb, "MB", "services")
 
 
 def _changed(source: config.Source) -> config.Source:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -12,6 +12,7 @@
 
 from chiveroad import clock
 from chiveroad import config
+from chiveroad.config import _delta
 from chiveroad import control
 from chiveroad.control import _backoff
 from chiveroad.control import _follower
@@ -482,6 +483,45 @@
     return node, _source.ParentSource(node, confirmations=True)
 
 
+def test_a_change_costs_one_digest_and_what_changed(
+    parent: Following, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A storm of changes to 1,560 routes: a daemon compiles each once."""
+    service = config.Service(
+        "glade", "t", 0, 10, 10, ("*",), {"k": config.Kind(1, True, 900)}
+    )
+    routes = [
+        config.Route(f"r{n}", "t", f"/{n}", ("*",), "glade", "k", f"h{n % 40}")
+        for n in range(1_560)
+    ]
+    items = dict(
+        sorted([config.service_item(service), *map(config.route_item, routes)])
+    )
+    parent.node.applied.offer(1, config.digest(items), items)
+    node, source = child_of(parent)
+    source.sync(parent.address, 0, unconfirmed=False)
+    first = node.applied.config
+    moved = config.Route("r7", "t", "/moved", ("*",), "glade", "k", "h7")
+    items = {**items, **dict([config.route_item(moved)])}
+    parent.node.applied.offer(2, config.digest(items), items)
+    digests = []
+    whole = config.digest
+
+    def counted(found: config.Items) -> str:
+        digests.append(len(found))
+        return whole(found)
+
+    monkeypatch.setattr(config, "digest", counted)
+    monkeypatch.setattr(_delta, "digest", counted)
+    source.sync(parent.address, 0, unconfirmed=False)
+    assert node.applied.current.number == 2
+    assert digests == [1_561]
+    second = node.applied.config
+    kept = [n for n, r in second.routes.items() if r is first.routes[n]]
+    assert len(kept) == 1_559
+    assert second.match("GET", "/moved", "h7") == moved
+
+
 def test_a_newer_confirmation_ends_a_hold(parent: Following) -> None:
     node, source = child_of(parent)
     now_s = clock.now_s()
