--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -56,8 +56,12 @@
 
     @property
     def stale_s(self) -> float:
-        """Return the time after which the store is asked."""
-        return self.apply_within_s - STORE_S
+        """Return the time after which the store is asked.
+
+        Where the bound leaves less than twice the time of the store's
+        answer, half of it.
+        """
+        return max(self.apply_within_s - STORE_S, self.apply_within_s / 2)
 
     def stale(self, confirmed_s: float | None, now_s: float) -> bool:
         """Tell whether the store must be asked whatever a parent says."""
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -119,7 +119,7 @@
     """
 
     source: typing.Literal["folder", "accepted"] = "folder"
-    apply_within_s: typing.Annotated[float, msgspec.Meta(ge=1.5, le=600)] = 2.0
+    apply_within_s: typing.Annotated[float, msgspec.Meta(gt=0, le=600)] = 2.0
     distribution: typing.Literal["tree", "direct"] = "tree"
     start_spread_ms: Milliseconds = 300
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -208,6 +208,17 @@
     assert config.Config({}).limits == config.Limits()
 
 
+def _filled(text: str, values: dict[str, str]) -> str:
+    """Fill a template in as the platform does."""
+
+    def section(match: re.Match[str]) -> str:
+        value = values.get(match[1])
+        return match[2].replace("{{.}}", value) if value else ""
+
+    text = re.sub(r"{{#([a-z0-9_.]+)}}(.*?){{/\1}}", section, text)
+    return re.sub(r"{{([a-z0-9_.]+)}}", lambda m: values[m[1]], text)
+
+
 def test_the_settings_template_gives_valid_settings() -> None:
     """Each placeholder stands where a value of its kind is expected."""
     text = (ROOT / "deploy" / "settings.toml").read_text()
@@ -230,9 +241,15 @@
     }
     for port, name in enumerate(("inbound", "outbound", "ready", "control")):
         values[f"listen_addresses.{name}"] = f"10.0.0.1:{port + 1}"
-    filled = re.sub(r"{{([a-z0-9_.]+)}}", lambda m: values[m[1]], text)
-    found = settings.parse(filled)
+    found = settings.parse(_filled(text, values))
     assert found.control.source == "accepted"
     assert found.control.apply_within_s == 3.0
     assert found.capacity.percent == 35
+    optional = re.findall(r"{{#([a-z0-9_.]+)}}", text)
+    assert len(optional) == 4
+    for name in optional:
+        del values[name]
+    bare = settings.parse(_filled(text, values))
+    assert bare.control == settings.Control(source="accepted")
+    assert bare.capacity == settings.Capacity()
     assert found.retries.ratio == 0.2
