--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -124,11 +124,11 @@
     assert bounds.left_s(10.0, 12.0) == bounds.left_s(None, 0.0) == 0.0
 
 
-@pytest.mark.parametrize("apply_within_s", [2.0, 3.0, 13.0])
 def test_a_short_bound_leaves_half_of_it_for_the_store() -> None:
     assert _freshness.Bounds(1.0).stale_s == 0.5
 
 
+@pytest.mark.parametrize("apply_within_s", [2.0, 3.0, 13.0])
 def test_the_store_is_asked_while_its_answer_can_be_in_time(
     apply_within_s: float,
 ) -> None:
