A daemon that starts reads its version from its parent

Now a daemon that finds others above it in the members' records waits up to 0.4 s for a parent's answer before it reads from the store. A fleet that starts at once has nobody above that answers with a version, and goes on as before. test_a_daemon_that_starts_beside_others_reads_from_its_parent failed before.

Not proved: that this is what keeps the far region behind.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -67,6 +67,14 @@
 MAX_RETRY_MEMBERS_S: typing.Final = 1.0
 HELP_S: typing.Final = 0.3
 TICK_S: typing.Final = 0.1
+PARENT_LIST_S: typing.Final = 0.2
+"""How long a daemon that starts waits for the members: a call to the store
+across regions, several times over."""
+
+PARENT_ANSWER_S: typing.Final = 0.4
+"""How long it waits for a parent's answer: one that can't be reached is known
+after ``CONNECT_TIMEOUT_S``."""
+
 MAX_SLEEP_S: typing.Final = 0.5
 """How long a thread that has nothing to do may overlook a stop."""
 
@@ -107,6 +115,7 @@
         self._state = membership.State.READY
         self._changed = False
         self._watch_changed = threading.Condition()
+        self._listed = threading.Event()
         self._recorder = _record.Recorder(
             platform, options.instance, self._compose, self._recall
         )
@@ -314,6 +323,7 @@
         revision = 0
         gap = False
         backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_VERSIONS_S)
+        self._wait_for_parent()
         while not self.stopped:
             self._wait_until_watching()
             revision = max(revision, self._node.applied.current.revision)
@@ -330,6 +340,24 @@
                 _log.debug("No version from the store: {}.", exc)
                 backoff.wait()
 
+    def _wait_for_parent(self) -> None:
+        """Give a parent the time to hand over its version.
+
+        That is a twentieth of the bytes that the store sends, and a daemon
+        often starts where others run: in a rolling restart the store and the
+        link between regions would be busy with whole configurations.
+        """
+        self._listed.wait(PARENT_LIST_S)
+        end_s = clock.now_s() + PARENT_ANSWER_S
+        node = self._node
+        with node.news:
+            while (
+                node.applied.confirmed_s is None
+                and (left_s := end_s - clock.now_s()) > 0
+                and self._choose() is not None
+            ):
+                node.news.wait(min(left_s, TICK_S))
+
     def _read_version(self) -> int:
         asked_s = clock.now_s()
         stored = self._store.get(store.Kind.ACCEPTED, ACCEPTED)
@@ -384,6 +412,7 @@
                     revision = self._watch_members(revision)
                 else:
                     revision = self._list_members()
+                self._listed.set()
                 backoff.reset()
             except errors.StoreExpired:
                 revision = 0
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -304,9 +304,11 @@
         self._shared = shared
         self.cut = False
         self.watches = 0
+        self.whole_reads = 0
 
     def get(self, kind: store.Kind, name: str) -> store.StoredObject:
         """Return an object."""
+        self.whole_reads += kind is store.Kind.ACCEPTED
         return self._open().get(kind, name)
 
     def list(self, kind: store.Kind, prefix: str = "") -> store.Listing:
@@ -385,6 +387,26 @@
             plane.stop()
 
 
+def test_a_daemon_that_starts_beside_others_reads_from_its_parent() -> None:
+    """A rolling restart must not read whole configurations from the store."""
+    shared = memory_store.MemoryStore()
+    accept(shared, 3)
+    ports = mesh.Ports()
+    ways = {name: Way(shared) for name in "ab"}
+    first, late = (Following(name, ports, ways[name]) for name in "ab")
+    first.start()
+    try:
+        wait_for(lambda: first.node.applied.ready)
+        wait_for(lambda: first.plane.record(0.1))
+        late.start()
+        wait_for(lambda: late.node.applied.current.number == 3)
+        wait_for(lambda: late.plane.roles() == [])
+        assert ways["b"].whole_reads == 0
+    finally:
+        first.stop()
+        late.stop()
+
+
 def test_one_asks_the_store_for_all_below_a_parent_that_is_behind() -> None:
     """Their parent answers, but is cut off from the store."""
     shared = memory_store.MemoryStore()
