--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -35,7 +35,6 @@
 MAX_AVOID_S: typing.Final = 16.0
 """A parent that failed is left out for this long, twice as long each time."""
 
-
 MAX_FIRST: typing.Final = 4
 """How many of the first in the order are asked once all above have failed:
 while the store is down, everybody asks them."""
@@ -63,14 +62,18 @@
         """
         return max(self.apply_within_s - STORE_S, self.apply_within_s / 2)
 
+    @property
+    def doubt_s(self) -> float:
+        """Return the time after which another parent is asked."""
+        return DOUBT_SHARE * self.stale_s
+
     def stale(self, confirmed_s: float | None, now_s: float) -> bool:
         """Tell whether the store must be asked whatever a parent says."""
         return confirmed_s is None or now_s - confirmed_s > self.stale_s
 
     def doubtful(self, confirmed_s: float | None, now_s: float) -> bool:
         """Tell whether another parent is to be asked."""
-        limit_s = DOUBT_SHARE * self.stale_s
-        return confirmed_s is None or now_s - confirmed_s > limit_s
+        return confirmed_s is None or now_s - confirmed_s > self.doubt_s
 
     def left_s(self, confirmed_s: float | None, now_s: float) -> float:
         """Return the time until the store must be asked."""
@@ -81,7 +84,7 @@
     def hold_s(self, confirmed_s: float | None, now_s: float) -> float:
         """Return how long an answer without a confirmation may take."""
         left_s = self.left_s(confirmed_s, now_s)
-        until_doubtful_s = left_s - (1 - DOUBT_SHARE) * self.stale_s
+        until_doubtful_s = left_s - (self.stale_s - self.doubt_s)
         return until_doubtful_s if until_doubtful_s > 0 else left_s
 
     def is_current(self, answer: _messages.SyncAnswer) -> bool:
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -25,8 +25,8 @@
 
 
 MBPS_PER_CORE: typing.Final = 20.0
-"""What a core of requests and their answers takes of a link, in Mbit/s: 250
-requests a second with 10 KB each."""
+"""What a core of requests and their answers takes of a link, in Mbit/s, if it
+carries 250 requests a second with 10 KB each; assumed, not measured."""
 
 
 class _Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
