A caller accepted before its request has arrived is not cut

A full server refused a connection at its accept; where the request's bytes had not arrived yet, the read before the answer raised, the answer was skipped and the connection closed: the caller was cut unanswered. Where more of the request came after the answer, closing reset the connection and took the answer along.

Ruled out: a fault of the test, and load alone.

Now a connection that asks nothing yet is kept until it does, and is then served or refused; after a refusal the sending side is closed first and what still arrives is thrown away for up to a second.

--- /dev/null
+++ b/src/chiveroad/serving/_farewell.py
@@ -0,0 +1,98 @@
+"""Last answers on connections whose requests nobody reads to their end.
+
+Closing a connection over data that wasn't read resets it, and the reset takes
+an answer along that the peer hasn't read yet.  So the sending side is closed
+first, and what still arrives is thrown away until the peer closes, too.
+"""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import threading
+import time
+import typing
+
+FAREWELL_S: typing.Final = 1.0
+"""How long a peer may take to read its last answer and to close."""
+
+_MOST: typing.Final = 512
+"""How many connections are kept for it; those above are closed at once."""
+
+_ROUND_S: typing.Final = 0.05
+_READ_BYTES: typing.Final = 64 * 1024
+
+
+class _Connection(typing.Protocol):
+    socket: socket.socket
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class Farewells:
+    """The connections of a server that have been sent their last answer.
+
+    A thread looks after them while there are any.
+    """
+
+    def __init__(self) -> None:
+        self._new: list[_Connection] = []
+        self._count = 0
+        self._lock = threading.Lock()
+
+    def send(self, conn: _Connection, answer: bytes) -> None:
+        """Send a whole answer without waiting, and see the peer off."""
+        try:
+            conn.socket.settimeout(0)
+            conn.socket.recv(_READ_BYTES)
+            conn.socket.send(answer)
+            conn.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            conn.close()
+            return
+        with self._lock:
+            if self._count >= _MOST:
+                conn.close()
+                return
+            self._count += 1
+            self._new.append(conn)
+            if self._count > 1:
+                return
+        threading.Thread(
+            target=self._look_after, name="farewells", daemon=True
+        ).start()
+
+    def _look_after(self) -> None:
+        ends_s: dict[_Connection, float] = {}
+        with selectors.DefaultSelector() as selector:
+            while True:
+                with self._lock:
+                    new, self._new = self._new, []
+                    self._count = len(ends_s) + len(new)
+                    if not self._count:
+                        return
+                now_s = time.monotonic()
+                for conn in new:
+                    ends_s[conn] = now_s + FAREWELL_S
+                    selector.register(conn.socket, selectors.EVENT_READ, conn)
+                ended = [
+                    key.data
+                    for key, _ in selector.select(_ROUND_S)
+                    if _has_left(key.data)
+                ]
+                ended += [c for c, end_s in ends_s.items() if end_s <= now_s]
+                for conn in set(ended):
+                    del ends_s[conn]
+                    selector.unregister(conn.socket)
+                    conn.close()
+
+
+def _has_left(conn: _Connection) -> bool:
+    """Throw away what has arrived; tell whether the peer has closed."""
+    try:
+        return not conn.socket.recv(_READ_BYTES)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -222,23 +222,26 @@
                 return True
         return False
 
-    def refuse_unread(self, refusal: errors.Refusal) -> None:
-        """Answer without reading the request, and close.
-
-        What has arrived is thrown away first: closing over unread data would
-        reset the connection and take the answer with it.
-        """
+    def has_arrived(self) -> bool:
+        """Tell whether a request's first bytes, or the end, have arrived."""
+        if self.rfile.has_data():
+            return True
+        self.socket.settimeout(0)
         try:
-            self.socket.settimeout(0)
-            self.socket.recv(_stream.READ_BUFFER_BYTES)
-            fractional = self.server.fractional_retry
-            self.socket.send(
-                whole_refusal(refusal.status, refusal, fractional)
-            )
-            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
         except OSError:
-            pass
-        self.close()
+            return True
+        finally:
+            self.socket.settimeout(READ_TIMEOUT_S)
+        return True
+
+    def refuse_unread(self, refusal: errors.Refusal) -> None:
+        """Answer a request that has arrived, without reading it."""
+        fractional = self.server.fractional_retry
+        answer = whole_refusal(refusal.status, refusal, fractional)
+        self.server.farewells.send(self, answer)
 
     def close(self) -> None:
         """Close the connection."""
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -15,6 +15,7 @@
 
 from chiveroad import errors
 from chiveroad import logs
+from chiveroad.serving import _farewell
 from chiveroad.serving import _http
 from chiveroad.serving import _request
 from chiveroad.serving import _workers
@@ -101,6 +102,7 @@
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), _Gateway, minthreads=threads)
         self.requests = _workers.Workers(self, few_threads or threads, threads)
+        self.farewells = _farewell.Farewells()
         self.handler = handler
         self.timeout = idle_timeout_s
         self.expiration_interval = expire_s
@@ -125,10 +127,17 @@
         ).start()
 
     def process_conn(self, conn: _http.HttpConnection) -> None:
-        """Hand a connection to a worker, or refuse it when all are taken."""
+        """Hand a connection to a worker, or refuse it when all are taken.
+
+        A connection is often accepted before its request has arrived: one
+        that asks nothing yet is refused nothing, it is kept until it does.
+        """
         try:
             self.requests.put(conn)
         except queue.Full:
+            if not conn.has_arrived():
+                self._connections.put(conn)
+                return
             full = errors.Overloaded("all workers are taken", FULL_RETRY_MS)
             conn.refuse_unread(full)
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import http.client
 import socket
 import threading
@@ -251,6 +252,61 @@
         assert response.getheader("Retry-After") == "1"
 
 
+@contextlib.contextmanager
+def full(
+    echo: tuple[str, Echo, serving.Server],
+) -> collections.abc.Iterator[None]:
+    """Keep all workers of a server, and all places before them, taken."""
+    address, handler, server = echo
+    clients = []
+    for _ in range(2 * server.requests.min):
+        client = http.client.HTTPConnection(address, timeout=5)
+        client.request("GET", "/slow")
+        clients.append(client)
+        time.sleep(0.02)
+    yield
+    handler.leave.set()
+    assert {client.getresponse().status for client in clients} == {200}
+
+
+def test_a_caller_accepted_before_its_request_came_is_not_cut(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    """A full server takes a connection whose caller hasn't sent yet."""
+    with full(echo):
+        client = http.client.HTTPConnection(echo[0], timeout=5)
+        client.connect()
+        time.sleep(0.2)
+        client.request("GET", "/late")
+        assert client.getresponse().status == 503
+
+
+def test_a_caller_accepted_before_its_request_came_is_served_when_it_can_be(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    with full(echo):
+        client = http.client.HTTPConnection(echo[0], timeout=5)
+        client.connect()
+        time.sleep(0.2)
+    client.request("GET", "/late")
+    assert client.getresponse().status == 200
+
+
+def test_a_refused_caller_that_is_still_sending_reads_its_refusal(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    """A reset would take the refusal, and leave the outcome unknown."""
+    with full(echo):
+        host, _, port = echo[0].rpartition(":")
+        with socket.create_connection((host, int(port)), 5) as sock:
+            sock.sendall(b"POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n")
+            time.sleep(0.2)
+            for _ in range(20):
+                sock.sendall(b"a" * 10_000)
+                time.sleep(0.01)
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 503 ")
+
+
 @pytest.mark.parametrize(
     ("sent", "closed", "gone"),
     [(b"", False, False), (b"more", False, False), (b"", True, True)],
