A change of parent costs the records that are news, not the whole view

A daemon now says up to which revision of the store it knows all records, and is sent those after it. It tells a parent that knows less what is missing.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -434,6 +434,7 @@
             known = member.sequence and member.sequence <= listing.version
             if known and member.instance not in names:
                 self._take_gone(member.instance, listing.version)
+        self._node.knows_all(listing.version)
         return listing.version
 
     def _watch_members(self, revision: int) -> int:
@@ -448,6 +449,7 @@
                 self._take_gone(event.object.name, event.version)
             else:
                 self._take(event.object)
+        self._node.knows_all(revision)
         if revision > before:
             time.sleep(GATHER_MEMBERS_S)
         return revision
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -17,6 +17,8 @@
     is nothing new.  ``unconfirmed`` asks for a confirmation.  ``behind``
     names daemons below that run an older version, as far as known.
     ``confirmations`` says that a newer confirmation alone is news.
+    ``as_of`` is the store's revision up to which the child knows all records
+    of members; 0 where members aren't recorded.
     """
 
     member: membership.Member
@@ -29,6 +31,7 @@
     members: list[membership.Member] = []
     behind: list[str] = []
     confirmations: bool = False
+    as_of: int = 0
 
 
 class SyncAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -41,6 +44,7 @@
     ``wants_snapshot`` asks the child for its newer version.  ``held_ms`` is
     how long the answer was held back, ``revision`` the store's revision of
     the version, and ``leads`` says that the parent is its region's leader.
+    ``as_of`` is as in ``SyncRequest``, for the parent.
     """
 
     source: str
@@ -57,6 +61,7 @@
     held_ms: int = 0
     revision: int = 0
     leads: bool = False
+    as_of: int = 0
 
 
 class SnapshotOffer(msgspec.Struct, frozen=True):
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -38,6 +38,8 @@
     :param member: the daemon's first word on itself.
     :param recorded: whether members, this one too, are what the store's
         records say, rather than what they tell each other.
+
+    ``as_of`` is the store's revision up to which the view holds all records.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         self.view = membership.View(self.news)
         self.children: dict[str, Child] = {}
         self.control_bytes = 0
+        self.as_of = 0
         self._member = member
         self._upward: dict[str, membership.Member] = {}
         self.view.merge([member])
@@ -107,11 +110,21 @@
                 if self._upward.get(member.instance) == member:
                     del self._upward[member.instance]
 
-    def tell_again(self, region: bool = False) -> None:
-        """Queue all of the own domain, or region, for a parent that is new."""
+    def knows_all(self, as_of: int) -> None:
+        """Note that the view holds all records up to a revision."""
+        with self.news:
+            self.as_of = max(self.as_of, as_of)
+
+    def tell_again(self, region: bool = False, after: int = -1) -> None:
+        """Queue all of the own domain, or region, for a parent that is new.
+
+        :param after: the sequence number up to which the parent knows them.
+        """
         mine = self._member
         with self.news:
             for member in self.view.all():
+                if member.sequence <= after:
+                    continue
                 same = member.failure_domain == mine.failure_domain
                 if same or (region and member.region == mine.region):
                     self._upward[member.instance] = member
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -131,8 +131,14 @@
         if confirmed_s is not None:
             ago_ms = (clock.now_s() - confirmed_s) * 1000
         held = node.applied.current
-        known = asked.epoch if asked.source == self._source else 0
-        changes = node.view.since(known)
+        # Read before the view: what it says must be in what is sent.
+        as_of = node.as_of
+        if asked.source == self._source:
+            changes = node.view.since(asked.epoch)
+        elif asked.as_of:
+            changes = node.view.since_revision(asked.as_of)
+        else:
+            changes = node.view.since(0)
         delta = snapshot = b""
         if held.number > asked.version:
             delta, snapshot = self._news_of_config(asked.digest)
@@ -151,6 +157,7 @@
             held_ms=held_ms,
             revision=held.revision,
             leads="leader" in self._plane.roles(),
+            as_of=as_of,
         )
 
     def _members_for(
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -117,6 +117,7 @@
         self._source = ""
         self._epoch = 0
         self._told_to = ""
+        self._told_records = ("", 0)
         self.address = ""
         self.answer: _messages.SyncAnswer | None = None
 
@@ -146,7 +147,7 @@
         :raises errors.BadMessage: when its answer can't be read.
         """
         node = self._node
-        if address != self._told_to:
+        if address != self._told_to and not node.as_of:
             node.tell_again(region)
         upward = node.upward()
         current = node.applied.current
@@ -161,6 +162,7 @@
             members=upward,
             behind=node.behind(),
             confirmations=self._confirmations,
+            as_of=node.as_of,
         )
         asked_s = clock.now_s()
         answer = self._post(address, request, hold_ms)
@@ -169,13 +171,30 @@
         again = address == self._told_to and answer.source != self._source
         self._told_to = "" if again else address
         self._take(answer, asked_s)
+        self._tell_records(answer, region)
         if answer.wants_snapshot:
             self._hand_up(address)
         return answer
 
+    def _tell_records(
+        self, answer: _messages.SyncAnswer, region: bool
+    ) -> None:
+        """Queue the records that the parent has not heard of from the store.
+
+        One that started while the store is down knows none.
+        """
+        as_of = self._node.as_of
+        source, told = self._told_records
+        known = max(answer.as_of, told if source == answer.source else 0)
+        if known < as_of:
+            self._node.tell_again(region, after=known)
+        self._told_records = (answer.source, max(known, as_of))
+
     def _take(self, answer: _messages.SyncAnswer, asked_s: float) -> None:
         node = self._node
         node.take(answer.members)
+        # What was left out are records that this daemon had named as known.
+        node.knows_all(answer.as_of)
         self._source = answer.source
         self._epoch = answer.epoch
         self.answer = answer
--- a/src/chiveroad/membership/_view.py
+++ b/src/chiveroad/membership/_view.py
@@ -61,6 +61,20 @@
             )
             return Changes(self.epoch, members)
 
+    def since_revision(self, revision: int) -> Changes:
+        """Return what one who knows all records up to a revision may lack.
+
+        Where members are recorded, their sequence numbers are revisions, and
+        those without a record have none.
+        """
+        with self._news:
+            members = tuple(
+                member
+                for member in self._members.values()
+                if member.sequence > revision or not member.sequence
+            )
+            return Changes(self.epoch, members)
+
     def get(self, instance: str) -> _member.Member | None:
         """Return a member by its name."""
         return self._members.get(instance)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -8,6 +8,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import msgspec
 import pytest
 
 from chiveroad import clock
@@ -595,6 +596,47 @@
         server.stop()
 
 
+def test_a_change_of_parent_costs_the_records_that_are_news(
+    parent: Following, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In a deployment all of a region turn to a new leader at once."""
+    records = [recorded(f"m{n}", revision=n + 1) for n in range(228)]
+    parent.node.take(records)
+    parent.node.knows_all(228)
+    node, source = child_of(parent)
+    node.take(records[:226])
+    node.knows_all(226)
+    source.sync(parent.address, 0, unconfirmed=False, region=True)
+    assert source.answer is not None
+    heard = {member.instance for member in source.answer.members}
+    # The parent's own first word has no record yet.
+    assert heard == {"a", "m226", "m227"}
+    assert node.as_of == 228
+    assert node.upward() == []
+
+
+def test_a_parent_that_knows_no_records_is_told_of_them_once(
+    parent: Following,
+) -> None:
+    """It started while the store was down."""
+    node, source = child_of(parent)
+    node.take([recorded(f"m{n}", revision=n + 1) for n in range(3)])
+    node.knows_all(3)
+    source.sync(parent.address, 0, unconfirmed=False)
+    told = {member.instance for member in node.upward()}
+    assert told >= {"m0", "m1", "m2"}
+    source.sync(parent.address, 0, unconfirmed=False)
+    assert parent.node.view.get("m2") is not None
+    assert node.upward() == []
+    source.sync(parent.address, 0, unconfirmed=False)
+    assert node.upward() == []
+
+
+def recorded(name: str, revision: int) -> membership.Member:
+    """Return a daemon as its record says."""
+    return msgspec.structs.replace(daemon(name), sequence=revision)
+
+
 def test_a_record_that_was_removed_is_written_again() -> None:
     """Whoever removes the record of a daemon that lives is put right."""
     shared = memory_store.MemoryStore()
