New daemons lead nobody yet, and a region asks the store in turn

Machines of a release stood first the moment they were recorded; a region's leader turned to one that had no version newer than its own. Once unconfirmed for 2.1 s all 112 daemons of the far region read whole configurations, 180 KB each and every version since (three by then): 60 MB over a link of 75 Mbit/s, so that nobody there learnt of a version for four seconds, and their leaves weren't acknowledged.

Ruled out: the root, which had each version 0.1 s after its acceptance, and the near region, where all had it within 20 ms.

Now one that was first heard of less than 3 s ago is followed only by those whose version is doubtful; a region asks the store one after the other, its first before the bound; in a storm the newest version is read, not all since; a parent that is behind is asked again sooner where all others failed. Whom to follow moved to _parents.py.

Before: the new tests failed.

--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -90,6 +90,8 @@
             collections.OrderedDict()
         )
         self.current = _nothing()
+        self.changed_s = 0.0
+        """When the version in force was put there, by ``clock``."""
 
     @property
     def config(self) -> config.Config:
@@ -148,6 +150,7 @@
             self.current = Version(
                 number, digest, ready_made, time.time() * 1000, revision
             )
+            self.changed_s = clock.now_s()
             self._news.notify_all()
         _log.info(
             "Version {} in force, {} services, {} routes.",
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -20,7 +20,7 @@
 from chiveroad.control import _helper
 from chiveroad.control import _messages
 from chiveroad.control import _node
-from chiveroad.control import _order
+from chiveroad.control import _parents
 from chiveroad.control import _plane
 from chiveroad.control import _record
 from chiveroad.control import _source
@@ -106,10 +106,10 @@
         self._source = _source.ParentSource(
             node, CONNECT_TIMEOUT_S, GRACE_S, confirmations=True
         )
-        self._tree: tuple[tuple[int, int], _order.Tree] | None = None
+        self._parents = _parents.Parents(self._mine, node.view)
+        self._answered_s = 0.0
         self._helper = _helper.Helper(node)
         self._sweeper = _sweeper.Sweeper(platform, node)
-        self._failures: dict[str, _freshness.Failure] = {}
         self._bounds = _freshness.Bounds(options.control.apply_within_s)
         self._watching = True
         self._state = membership.State.READY
@@ -195,36 +195,22 @@
     # Whom to follow.
 
     def _choose(self) -> membership.Member | None:
-        return _freshness.parent(
-            self._mine(), self._present_tree(), self._failures, clock.now_s()
+        doubtful = self._bounds.doubtful(
+            self._node.applied.confirmed_s, clock.now_s()
         )
+        return self._parents.choose(confirmed=not doubtful)
 
     def _mine(self) -> membership.Member:
         return msgspec.structs.replace(
             self._node.member, store_distance_ms=self._distance_ms
         )
 
-    def _present_tree(self) -> _order.Tree:
-        """Return the tree of the present view, made once for each epoch."""
-        made_of = (self._node.view.epoch, self._distance_ms)
-        known = self._tree
-        if known is not None and known[0] == made_of:
-            return known[1]
-        mine = self._mine()
-        others = (
-            member
-            for member in self._node.view.all()
-            if member.instance != mine.instance
-        )
-        tree = _order.Tree((*others, mine))
-        self._tree = (made_of, tree)
-        return tree
-
     def _follow_parent(self) -> None:
         while not self.stopped:
             chosen = self._choose()
             if chosen is None:
-                self._watch("no daemon stands before this one")
+                if self._parents.place() < _freshness.MAX_FIRST:
+                    self._watch("no daemon before this one helps")
                 time.sleep(TICK_S)
                 continue
             if self._ask(chosen):
@@ -241,8 +227,9 @@
                 region=chosen.failure_domain != domain,
             )
         except errors.ChiveroadError as exc:
-            self._put_aside(chosen, f"failed: {exc}")
+            self._parents.put_aside(chosen, f"failed: {exc}")
             return False
+        self._answered_s = clock.now_s()
         return True
 
     def _hold_ms(self) -> int:
@@ -256,21 +243,13 @@
         )
         return min(HOLD_MS, int(1000 * left_s))
 
-    def _put_aside(self, parent: membership.Member, reason: str) -> None:
-        """Leave a parent out for a while; the next above is asked."""
-        failed = self._failures.get(parent.instance)
-        count = failed.count + 1 if failed else 1
-        self._failures[parent.instance] = _freshness.Failure(
-            clock.now_s(), count
-        )
-        _log.info("Parent {} {}.", parent.instance, reason)
-
     def _help(self) -> None:
         while not self.stopped:
             time.sleep(HELP_S)
             self._keep_record()
             if self._node.applied.ready:
-                self._helper.tick(self._present_tree(), self._failures)
+                parents = self._parents
+                self._helper.tick(parents.tree(), parents.failures)
 
     def _keep_record(self) -> None:
         """Write the record again where another daemon has removed it."""
@@ -288,12 +267,12 @@
         confirmed_s = self._node.applied.confirmed_s
         now_s = clock.now_s()
         answer = self._source.answer
-        if self._bounds.stale(confirmed_s, now_s):
+        if not self._left_s():
             self._watch("the version is unconfirmed")
         if self._bounds.doubtful(confirmed_s, now_s):
-            self._put_aside(parent, "is behind")
+            self._parents.put_aside(parent, "is behind", behind=True)
             return
-        self._failures.pop(parent.instance, None)
+        self._parents.rely_on(parent)
         if self._watching and answer and self._bounds.is_current(answer):
             _log.info("Follows {}.", self._source.address)
             self._watching = False
@@ -305,11 +284,18 @@
             self._watching = True
             self._watch_changed.notify_all()
 
+    def _left_s(self) -> float:
+        """Return the time until it is this daemon's turn at the store."""
+        now_s = clock.now_s()
+        bounds = self._bounds
+        lonely = now_s - self._answered_s > bounds.stale_s
+        turn_s = bounds.turn_s(self._parents.place(), lonely)
+        return bounds.left_s(self._node.applied.confirmed_s, now_s, turn_s)
+
     def _wait_until_watching(self) -> None:
         """Wait until this daemon is to ask the store."""
         while not self._watching and not self.stopped:
-            confirmed_s = self._node.applied.confirmed_s
-            left_s = self._bounds.left_s(confirmed_s, clock.now_s())
+            left_s = self._left_s()
             if not left_s:
                 self._watch("the version is unconfirmed")
                 return
@@ -328,7 +314,7 @@
             self._wait_until_watching()
             revision = max(revision, self._node.applied.current.revision)
             try:
-                if revision and not gap:
+                if revision and not gap and not self._likely_missed():
                     revision = self._watch_versions(revision)
                 else:
                     revision = self._read_version()
@@ -340,6 +326,13 @@
                 _log.debug("No version from the store: {}.", exc)
                 backoff.wait()
 
+    def _likely_missed(self) -> bool:
+        """Tell whether a watch would bring several versions, each whole."""
+        applied = self._node.applied
+        return self._bounds.likely_missed(
+            applied.changed_s, applied.confirmed_s, clock.now_s()
+        )
+
     def _wait_for_parent(self) -> None:
         """Give a parent the time to hand over its version.
 
@@ -412,6 +405,7 @@
                     revision = self._watch_members(revision)
                 else:
                     revision = self._list_members()
+                    self._parents.settle()
                 self._listed.set()
                 backoff.reset()
             except errors.StoreExpired:
--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -8,7 +8,8 @@
 the next one above while its version goes unconfirmed, and asks the store
 itself before it could be late: whatever holds those above it up, the store
 bounds how old its version gets.  The store's answer is the whole
-configuration, so it is the last to be asked.
+configuration, so it is the last to be asked, and in turn: hundreds that ask
+in the same moment would fill the link that the first of them needs.
 """
 
 from __future__ import annotations
@@ -35,9 +36,23 @@
 MAX_AVOID_S: typing.Final = 16.0
 """A parent that failed is left out for this long, twice as long each time."""
 
+BEHIND_S: typing.Final = 0.4
+"""One that answers, but is behind, is asked again after this time where all
+others are left out as well."""
+
 MAX_FIRST: typing.Final = 4
-"""How many of the first in the order are asked once all above have failed:
-while the store is down, everybody asks them."""
+"""How many of the first of the own region, and then of all, are asked once
+all above have failed: while the store is down, everybody asks them."""
+
+NEXT_TURN_S: typing.Final = 0.05
+"""By how much later each daemon of a region asks the store than the one that
+stands before it, but for the first ``MAX_FIRST``: about the time that a whole
+configuration takes between regions, so that those who wait for a parent that
+is behind don't fill the link which it needs to catch up."""
+
+NEXT_LONELY_TURN_S: typing.Final = 0.01
+"""The same where no daemon has answered for as long as a version may go
+unconfirmed: then the store is all there is."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,11 +90,43 @@
         """Tell whether another parent is to be asked."""
         return confirmed_s is None or now_s - confirmed_s > self.doubt_s
 
-    def left_s(self, confirmed_s: float | None, now_s: float) -> float:
-        """Return the time until the store must be asked."""
+    def likely_missed(
+        self, changed_s: float, confirmed_s: float | None, now_s: float
+    ) -> bool:
+        """Tell whether a doubtful version has likely been replaced.
+
+        It has where the last confirmation came sooner after the last change
+        than it is old by now: changes come faster than that.
+
+        :param changed_s: when the version was put in force.
+        """
+        if confirmed_s is None or not self.doubtful(confirmed_s, now_s):
+            return False
+        return now_s - confirmed_s >= confirmed_s - changed_s
+
+    def left_s(
+        self, confirmed_s: float | None, now_s: float, turn_s: float = 0.0
+    ) -> float:
+        """Return the time until the store must be asked.
+
+        :param turn_s: see ``turn_s``.
+        """
         if confirmed_s is None:
             return 0.0
-        return max(0.0, confirmed_s + self.stale_s - now_s)
+        return max(0.0, confirmed_s + self.stale_s + turn_s - now_s)
+
+    def turn_s(self, place: int, lonely: bool) -> float:
+        """Return how much later than the bound a daemon asks the store.
+
+        The first of a region asks sooner: all others wait for it.
+
+        :param place: how many of its region stand before it.
+        :param lonely: whether no other daemon answers it.
+        """
+        if not place:
+            return self.doubt_s - self.stale_s
+        turn_s = NEXT_LONELY_TURN_S if lonely else NEXT_TURN_S
+        return turn_s * max(0, place - MAX_FIRST + 1)
 
     def hold_s(self, confirmed_s: float | None, now_s: float) -> float:
         """Return how long an answer without a confirmation may take."""
@@ -98,6 +145,7 @@
 
     at_s: float
     count: int
+    behind: bool = False
 
     def avoided(self, now_s: float) -> bool:
         """Tell whether the parent is still left out."""
@@ -111,15 +159,21 @@
     failures: collections.abc.Mapping[str, Failure],
     now_s: float,
 ) -> membership.Member | None:
-    """Return the daemon to follow, or None for the one that watches.
+    """Return the daemon to follow, or None where there is none at present.
 
     That is the nearest above in the tree that hasn't just failed, or else
-    one of the first in the order.  Only daemons that stand before this one are
-    followed, so that no two wait for each other.
+    one of the first of its region, or of all.  Only daemons that stand before
+    this one are followed, so that no two wait for each other.
     """
+    near = (m for m in tree.before(mine) if m.region == mine.region)
     first = itertools.islice(tree.before(mine), MAX_FIRST)
-    for member in itertools.chain(tree.above(mine), first):
+    behind: list[tuple[float, membership.Member]] = []
+    for member in itertools.chain(
+        tree.above(mine), itertools.islice(near, MAX_FIRST), first
+    ):
         failure = failures.get(member.instance)
         if failure is None or not failure.avoided(now_s):
             return member
-    return None
+        if failure.behind and now_s - failure.at_s >= BEHIND_S:
+            behind.append((failure.at_s, member))
+    return min(behind, key=lambda found: found[0])[1] if behind else None
--- /dev/null
+++ b/src/chiveroad/control/_parents.py
@@ -0,0 +1,148 @@
+"""Whom a daemon follows, as far as it knows the others.
+
+A deployment starts many daemons at once, and some of them stand before those
+that run.  What has just been heard of leads nobody yet: it has no connection,
+perhaps no version, and all of a region would turn to it in the same moment.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import threading
+import time
+import typing
+
+from chiveroad import clock
+from chiveroad.control import _freshness
+from chiveroad.control import _order
+from chiveroad import logs
+from chiveroad import membership
+
+SETTLE_S: typing.Final = 3.0
+"""How long after a daemon was first heard of it is followed; the time in
+which one that starts has read its version and followed others itself."""
+
+_log = logs.Logger("control")
+
+
+class Parents:
+    """Those that stand before a daemon.
+
+    :param mine: returns the daemon as it is at present.
+    :param view: all members.
+    """
+
+    def __init__(
+        self,
+        mine: collections.abc.Callable[[], membership.Member],
+        view: membership.View,
+    ) -> None:
+        self.failures: dict[str, _freshness.Failure] = {}
+        self._mine = mine
+        self._view = view
+        self._lock = threading.RLock()
+        self._heard_s: dict[tuple[str, int], float] = {}
+        self._settled_at_s = 0.0
+        self._made_of: tuple[int, int] | None = None
+        self._whole = _order.Tree(())
+        self._settled = _order.Tree(())
+
+    def tree(self) -> _order.Tree:
+        """Return the tree of those that have settled."""
+        self._update()
+        return self._settled
+
+    def choose(self, confirmed: bool) -> membership.Member | None:
+        """Return whom to ask next, or None.
+
+        :param confirmed: whether the version is known to be the newest; one
+            that isn't is asked for from daemons that haven't settled, too.
+        """
+        self._update()
+        mine = self._mine()
+        now_s = clock.now_s()
+        trees = [self._settled] if confirmed else [self._settled, self._whole]
+        for tree in trees:
+            found = _freshness.parent(mine, tree, self.failures, now_s)
+            if found is not None:
+                return found
+        return None
+
+    def place(self) -> int:
+        """Return how many of the own region stand before this daemon."""
+        self._update()
+        mine = self._mine()
+        return sum(
+            member.region == mine.region
+            for member in self._settled.before(mine)
+        )
+
+    def rely_on(self, parent: membership.Member) -> None:
+        """Note that a parent has answered well."""
+        self.failures.pop(parent.instance, None)
+        key = (parent.instance, parent.incarnation)
+        with self._lock:
+            if self._heard_s.get(key):
+                self._heard_s[key] = 0.0
+                self._made_of = None
+
+    def settle(self) -> None:
+        """Note that all known so far were there before this daemon."""
+        with self._lock:
+            self._update()
+            self._heard_s = dict.fromkeys(self._heard_s, 0.0)
+            self._made_of = None
+
+    def put_aside(
+        self, parent: membership.Member, reason: str, behind: bool = False
+    ) -> None:
+        """Leave a parent out for a while; the next one is asked.
+
+        :param behind: whether it answers, but knows nothing newer.
+        """
+        failed = self.failures.get(parent.instance)
+        count = failed.count + 1 if failed and not behind else 1
+        self.failures[parent.instance] = _freshness.Failure(
+            clock.now_s(), count, behind
+        )
+        _log.info("Parent {} {}.", parent.instance, reason)
+
+    def _update(self) -> None:
+        """Make the trees anew where the view has changed, or who settled."""
+        with self._lock:
+            self._make_trees()
+
+    def _make_trees(self) -> None:
+        now_s = time.monotonic()
+        mine = self._mine()
+        made_of = (self._view.epoch, mine.store_distance_ms)
+        if made_of == self._made_of and now_s < self._settled_at_s:
+            return
+        others = [
+            member
+            for member in self._view.all()
+            if member.instance != mine.instance
+        ]
+        known = self._heard_s
+        self._heard_s = {
+            key: known.get(key, now_s)
+            for key in ((m.instance, m.incarnation) for m in others)
+        }
+        settled = [
+            member for member in others if self._settles_s(member) <= now_s
+        ]
+        waiting = (
+            at_s for at_s in map(self._settles_s, others) if at_s > now_s
+        )
+        self._settled_at_s = min(waiting, default=float("inf"))
+        self._whole = _order.Tree((*others, mine))
+        self._settled = (
+            self._whole
+            if len(settled) == len(others)
+            else _order.Tree((*settled, mine))
+        )
+        self._made_of = made_of
+
+    def _settles_s(self, member: membership.Member) -> float:
+        heard_s = self._heard_s[member.instance, member.incarnation]
+        return heard_s + SETTLE_S if heard_s else 0.0
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -125,6 +125,18 @@
     assert bounds.left_s(10.0, 12.0) == bounds.left_s(None, 0.0) == 0.0
 
 
+@pytest.mark.parametrize(
+    ("changed_s", "now_s", "missed"),
+    [(9.5, 10.5, False), (9.5, 11.0, True), (8.0, 11.0, False)],
+)
+def test_in_a_storm_the_newest_is_read_and_not_all_since(
+    changed_s: float, now_s: float, missed: bool
+) -> None:
+    """A watch brings every version since, 180 KB each."""
+    bounds = _freshness.Bounds(2.0)
+    assert bounds.likely_missed(changed_s, 10.0, now_s) is missed
+
+
 def test_a_short_bound_leaves_half_of_it_for_the_store() -> None:
     assert _freshness.Bounds(1.0).stale_s == 0.5
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import collections
+import threading
+import time
 
 import hypothesis
 import hypothesis.strategies as st
 import msgspec
+import pytest
 
+from chiveroad import clock
+from chiveroad.control import _freshness
 from chiveroad.control import _helper
 from chiveroad.control import _node
 from chiveroad.control import _order
+from chiveroad.control import _parents
 from chiveroad import membership
 from tests import fakes
 
@@ -19,6 +25,12 @@
 LETTER_REGIONS = 5
 LETTER_DAEMONS = 5_700
 
+LINK_MB_PER_S = 75 / 8
+"""Between the two regions of woodcircle-large, for all traffic together."""
+
+CONFIGURATION_MB = 0.18
+"""About 860 routes, as the store sends them."""
+
 
 def daemon(
     name: str,
@@ -174,3 +186,105 @@
     assert helped(members, 4, {"i-0"}) == ["i-0", "w-1", "w-2"]
     assert helped(members, 5, {"i-0"}) == ["i-0"]
     assert helped(members, 6, set()) == []
+
+
+class Standing:
+    """Those that stand before one daemon, and a clock that is moved."""
+
+    def __init__(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        mine: membership.Member,
+        others: list[membership.Member],
+    ) -> None:
+        self.clock = fakes.Clock()
+        monkeypatch.setattr(time, "monotonic", self.clock)
+        monkeypatch.setattr(clock, "now_s", self.clock)
+        self.view = membership.View(threading.Condition())
+        self.view.merge(others)
+        self.parents = _parents.Parents(lambda: mine, self.view)
+        self.parents.settle()
+
+    def chosen(self, confirmed: bool = True) -> str | None:
+        """Return whom the daemon would ask now."""
+        found = self.parents.choose(confirmed)
+        return found.instance if found else None
+
+
+def test_those_of_a_release_lead_nobody_until_they_have_settled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They stand first as soon as they are recorded, with no version yet."""
+    old = daemon("i-5", "sherwood", "east")
+    mine = daemon("i-7", "sherwood", "east")
+    standing = Standing(monkeypatch, mine, [old])
+    assert standing.chosen() == "i-5"
+    standing.view.merge([daemon("i-1", "sherwood", "east")])
+    assert standing.chosen() == "i-5"
+    assert standing.parents.tree().order[0].instance == "i-5"
+    standing.clock.now_s += _parents.SETTLE_S
+    assert standing.chosen() == "i-1"
+
+
+def test_one_that_was_restarted_must_settle_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    first = daemon("i-1", "sherwood", "east")
+    others = [first, daemon("i-5", "sherwood", "east")]
+    mine = daemon("i-7", "sherwood", "east")
+    standing = Standing(monkeypatch, mine, others)
+    assert standing.chosen() == "i-1"
+    again = msgspec.structs.replace(first, incarnation=9)
+    standing.view.merge([again])
+    assert standing.chosen() == "i-5"
+    standing.clock.now_s += _parents.SETTLE_S
+    assert standing.chosen() == "i-1"
+
+
+def test_an_unconfirmed_version_is_asked_of_those_that_have_just_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """When a whole fleet starts nobody has settled."""
+    mine = daemon("i-7", "sherwood", "east")
+    standing = Standing(monkeypatch, mine, [])
+    new = daemon("i-1", "sherwood", "east")
+    standing.view.merge([new])
+    assert standing.chosen(confirmed=True) is None
+    assert standing.chosen(confirmed=False) == "i-1"
+    standing.parents.rely_on(new)
+    assert standing.chosen(confirmed=True) == "i-1"
+
+
+def test_one_that_is_behind_is_asked_again_where_all_are_left_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    behind = daemon("i-1", "sherwood", "east")
+    silent = daemon("i-2", "sherwood", "east")
+    mine = daemon("i-7", "sherwood", "east")
+    standing = Standing(monkeypatch, mine, [behind, silent])
+    standing.parents.put_aside(behind, "is behind", behind=True)
+    assert standing.chosen() == "i-2"
+    standing.parents.put_aside(silent, "failed")
+    assert standing.chosen() is None
+    standing.clock.now_s += _freshness.BEHIND_S
+    assert standing.chosen() == "i-1"
+
+
+def test_a_region_asks_the_store_in_turn_and_its_first_before_the_bound() -> (
+    None
+):
+    """112 whole configurations at once filled the link between regions."""
+    bounds = _freshness.Bounds(3.0)
+    left_s = [
+        bounds.left_s(0.0, 0.0, bounds.turn_s(place, lonely=False))
+        for place in range(112)
+    ]
+    assert left_s[0] == pytest.approx(bounds.doubt_s)
+    assert left_s[1:4] == [bounds.stale_s] * 3
+    assert left_s == sorted(left_s)
+    for at_s in left_s:
+        asking = [other for other in left_s if at_s <= other < at_s + 0.5]
+        asked_mb = len(asking) * CONFIGURATION_MB
+        assert asked_mb <= 0.5 * LINK_MB_PER_S / 2
+    lonely = bounds.left_s(0.0, 0.0, bounds.turn_s(111, lonely=True))
+    assert lonely <= bounds.stale_s + 1.2
