--- a/src/chiveroad/control/_parents.py
+++ b/src/chiveroad/control/_parents.py
@@ -46,6 +46,7 @@
         self._made_of: tuple[int, int] | None = None
         self._whole = _order.Tree(())
         self._settled = _order.Tree(())
+        self._place = 0
 
     def tree(self) -> _order.Tree:
         """Return the tree of those that have settled."""
@@ -71,11 +72,7 @@
     def place(self) -> int:
         """Return how many of the own region stand before this daemon."""
         self._update()
-        mine = self._mine()
-        return sum(
-            member.region == mine.region
-            for member in self._settled.before(mine)
-        )
+        return self._place
 
     def rely_on(self, parent: membership.Member) -> None:
         """Note that a parent has answered well."""
@@ -141,6 +138,10 @@
             if len(settled) == len(others)
             else _order.Tree((*settled, mine))
         )
+        self._place = sum(
+            member.region == mine.region
+            for member in self._settled.before(mine)
+        )
         self._made_of = made_of
 
     def _settles_s(self, member: membership.Member) -> float:
