A start beside others costs two calls of the store

Of 228 daemons that started 95 watched the store for more than three seconds, as nobody before them had settled, and each watched the members at once after it had listed them.

Ruled out: storms (a delta from the tree each, no call), the steady state (two calls a second in all).

A daemon that has just started follows others that have, too, and waits for a parent's answer before it watches. A start is a listing and a record.

Before: the new tests failed (3 calls; nobody followed). After: they pass.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -275,7 +275,9 @@
         self._parents.rely_on(parent)
         if self._watching and answer and self._bounds.is_current(answer):
             _log.info("Follows {}.", self._source.address)
-            self._watching = False
+            with self._watch_changed:
+                self._watching = False
+                self._watch_changed.notify_all()
 
     def _watch(self, reason: str) -> None:
         if not self._watching:
@@ -303,6 +305,13 @@
                 if not self._watching:
                     self._watch_changed.wait(min(left_s, MAX_SLEEP_S))
 
+    def _wait_until_following(self) -> None:
+        """Give a parent the time to answer before the store is watched."""
+        with self._watch_changed:
+            self._watch_changed.wait_for(
+                lambda: not self._watching, PARENT_ANSWER_S
+            )
+
     # The accepted version.
 
     def _follow_versions(self) -> None:
@@ -406,6 +415,7 @@
                 else:
                     revision = self._list_members()
                     self._parents.settle()
+                    self._wait_until_following()
                 self._listed.set()
                 backoff.reset()
             except errors.StoreExpired:
--- a/src/chiveroad/control/_parents.py
+++ b/src/chiveroad/control/_parents.py
@@ -47,6 +47,7 @@
         self._whole = _order.Tree(())
         self._settled = _order.Tree(())
         self._place = 0
+        self._started_s = time.monotonic()
 
     def tree(self) -> _order.Tree:
         """Return the tree of those that have settled."""
@@ -56,13 +57,19 @@
     def choose(self, confirmed: bool) -> membership.Member | None:
         """Return whom to ask next, or None.
 
+        Daemons that haven't settled are asked where this one hasn't, either:
+        a whole fleet may have started.
+
         :param confirmed: whether the version is known to be the newest; one
             that isn't is asked for from daemons that haven't settled, too.
         """
         self._update()
         mine = self._mine()
         now_s = clock.now_s()
-        trees = [self._settled] if confirmed else [self._settled, self._whole]
+        young = time.monotonic() - self._started_s < SETTLE_S
+        trees = [self._settled]
+        if young or not confirmed:
+            trees.append(self._whole)
         for tree in trees:
             found = _freshness.parent(mine, tree, self.failures, now_s)
             if found is not None:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import functools
 import threading
 import time
 
@@ -316,6 +317,7 @@
     def __init__(self, shared: store.Store) -> None:
         self._shared = shared
         self.cut = False
+        self.calls = 0
         self.watches = 0
         self.whole_reads = 0
 
@@ -346,6 +348,7 @@
         yield from self._open().watch(kind, version, timeout_s)
 
     def _open(self) -> store.Store:
+        self.calls += 1
         if self.cut:
             raise errors.StoreUnavailable("cut off")
         return self._shared
@@ -420,6 +423,29 @@
         late.stop()
 
 
+def test_a_start_beside_others_costs_two_calls_of_the_store() -> None:
+    """All members are listed once, and the own record is written."""
+    shared = memory_store.MemoryStore()
+    accept(shared, 3)
+    ports = mesh.Ports()
+    ways = {name: Way(shared) for name in "abcd"}
+    planes = {name: Following(name, ports, ways[name]) for name in "abcd"}
+    try:
+        for name in "abc":
+            planes[name].start()
+            applied = planes[name].node.applied
+            wait_for(functools.partial(getattr, applied, "ready"))
+            wait_for(functools.partial(planes[name].plane.record, 0.1))
+        planes["d"].start()
+        wait_for(lambda: planes["d"].plane.record(0.1))
+        wait_for(lambda: planes["d"].plane.roles() == [])
+        time.sleep(1.0)
+        assert ways["d"].calls == 2
+    finally:
+        for plane in planes.values():
+            plane.stop()
+
+
 def test_one_asks_the_store_for_all_below_a_parent_that_is_behind() -> None:
     """Their parent answers, but is cut off from the store."""
     shared = memory_store.MemoryStore()
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -247,6 +247,7 @@
     """When a whole fleet starts nobody has settled."""
     mine = daemon("i-7", "sherwood", "east")
     standing = Standing(monkeypatch, mine, [])
+    standing.clock.now_s += _parents.SETTLE_S
     new = daemon("i-1", "sherwood", "east")
     standing.view.merge([new])
     assert standing.chosen(confirmed=True) is None
@@ -255,6 +256,16 @@
     assert standing.chosen(confirmed=True) == "i-1"
 
 
+def test_when_a_fleet_starts_those_that_started_first_are_followed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """195 that ask the store until somebody has settled cost 2,000 calls."""
+    mine = daemon("i-7", "sherwood", "east")
+    standing = Standing(monkeypatch, mine, [])
+    standing.view.merge([daemon("i-1", "sherwood", "east")])
+    assert standing.chosen(confirmed=True) == "i-1"
+
+
 def test_one_that_is_behind_is_asked_again_where_all_are_left_out(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
