The answer to a body that isn't read to its end is not lost to a reset

A refused body with more than a megabyte left was closed over unread data; the reset broke the caller's send and took the 413 along, so it could not know that nothing had run.

Now such a connection is seen off like a refused one: the sending side closes, and what still arrives is thrown away for up to a second.

Before: the new test failed (broken pipe). After: it passes.

--- a/src/chiveroad/serving/_farewell.py
+++ b/src/chiveroad/serving/_farewell.py
@@ -41,12 +41,10 @@
         self._count = 0
         self._lock = threading.Lock()
 
-    def send(self, conn: _Connection, answer: bytes) -> None:
-        """Send a whole answer without waiting, and see the peer off."""
+    def see_off(self, conn: _Connection) -> None:
+        """Close a connection once its peer has left, or had the time to."""
         try:
             conn.socket.settimeout(0)
-            conn.socket.recv(_READ_BYTES)
-            conn.socket.send(answer)
             conn.socket.shutdown(socket.SHUT_WR)
         except OSError:
             conn.close()
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -202,6 +202,9 @@
     ) -> None:
         sock.settimeout(READ_TIMEOUT_S)
         super().__init__(server, sock, _stream.make_file)
+        self.body_left = False
+        """Whether the last request was answered before its body was read."""
+
         self._open = True
         self._rhythm = Rhythm()
         server.opened()
@@ -241,10 +244,19 @@
         """Answer a request that has arrived, without reading it."""
         fractional = self.server.fractional_retry
         answer = whole_refusal(refusal.status, refusal, fractional)
-        self.server.farewells.send(self, answer)
+        try:
+            _stream.send_now(self.socket, answer)
+        except OSError:
+            self.close()
+            return
+        self.server.farewells.see_off(self)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, once a peer that still sends has left."""
+        if self.body_left:
+            self.body_left = False
+            self.server.farewells.see_off(self)
+            return
         if self._open:
             self._open = False
             self.server.closed()
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -127,8 +127,9 @@
         self.begun = True
         if getattr(raw.rfile, "remaining", 0) > DISCARD_BYTES:
             # Less than that the library reads and throws away, so that the
-            # answer isn't lost to a reset.
+            # answer isn't lost to a reset; more is left to the farewell.
             raw.close_connection = True
+            raw.conn.body_left = True
         if not raw.server.keeps_connections:
             raw.close_connection = True
         raw.conn.wfile.hold()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -307,6 +307,20 @@
             assert sock.recv(65_536).startswith(b"HTTP/1.1 503 ")
 
 
+def test_a_refusal_of_a_large_body_is_read_while_the_body_is_sent(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    """More is left of the body than is read and thrown away in passing."""
+    host, _, port = echo[0].rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(b"POST / HTTP/1.1\r\n" + HOST)
+        sock.sendall(b"Content-Length: 30000000\r\n\r\n")
+        for _ in range(40):
+            sock.sendall(b"a" * 100_000)
+            time.sleep(0.005)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 413 ")
+
+
 @pytest.mark.parametrize(
     ("sent", "closed", "gone"),
     [(b"", False, False), (b"more", False, False), (b"", True, True)],
