--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -76,15 +76,19 @@
         mine = self._member
         for member in fresh:
             if member.instance != mine.instance:
-                _log.info(
-                    "Member {} is {}.", member.instance, member.state.value
-                )
+                self._log_news(member)
             elif self._recorded:
                 self._member = member
             elif member.order() > mine.order():
                 self._refute(member)
         return fresh
 
+    def _log_news(self, member: membership.Member) -> None:
+        """Log what a neighbour does; those of other domains log their own."""
+        near = member.failure_domain == self._member.failure_domain
+        log = _log.info if near else _log.debug
+        log("Member {} is {}.", member.instance, member.state.value)
+
     def take_from_below(
         self, heard: collections.abc.Iterable[membership.Member]
     ) -> None:
