One that answers twice without naming requests gets no kept connection

An upstream that names no requests and answers twice: its copy comes once the next request is on the connection, and is read as that request's answer.

Ruled out: targets that name requests (copies are read past), and copies that come while the connection rests (it is dropped).

Once a peer has spoken on a resting connection, and names no requests, each request gets a connection of its own. The very first copy of all, if it comes in the middle of a request, still can't be told from an answer.

Before: the new test failed: callers a, b, c, d were given a, b, b, d. After: a, b, c, d.

--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -149,6 +149,15 @@
             return False
         return not (self._reader.has_data() or self._poll.poll(0))
 
+    def spoke(self) -> bool:
+        """Tell whether an idle peer has sent anything but its end."""
+        if self.sock is None or self.has_data():
+            return self.sock is not None
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def readable(self) -> bool:
         """Tell whether a part of an answer has arrived."""
         return not self.silent()
@@ -163,7 +172,10 @@
 
     :param address: ``HOST:PORT``.
     ``echoes`` says that the peer has named the request in an answer: one
-    that doesn't may be a second answer to an earlier request.
+    that doesn't may be a second answer to an earlier request.  ``trusted``
+    turns False once the peer has spoken without being asked: if its answers
+    name no requests, nothing tells the next second answer from the one
+    awaited, and each request gets a connection of its own.
 
     :param connect_timeout_s: how long opening a connection may take.
     """
@@ -176,6 +188,7 @@
         self._port = int(port)
         self._connect_timeout_s = connect_timeout_s
         self.echoes = False
+        self.trusted = True
         self._limit = IdleLimit()
         self._idle: list[Connection] = []
         self._lock = threading.Lock()
@@ -191,6 +204,7 @@
             if not self._too_old(kept, now_s) and kept.silent():
                 kept.rested_s = now_s - kept.idle_since_s
                 return kept
+            self.trusted = self.trusted and not kept.spoke()
             kept.close()
         fresh = Connection(self._host, self._port, self._connect_timeout_s)
         fresh.connect()
@@ -199,7 +213,9 @@
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose answer was read whole."""
         # What arrives from now on is seen before the next request.
-        if not connection.reusable or connection.has_data():
+        self.trusted = self.trusted and not connection.has_data()
+        known = self.trusted or self.echoes
+        if not (known and connection.reusable) or connection.has_data():
             connection.close()
             return
         connection.idle_since_s = time.monotonic()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -250,6 +250,45 @@
     assert bodies == [b"new", b"new"]
 
 
+def test_one_that_answers_twice_unnamed_gets_no_kept_connection() -> None:
+    """Its copies come late, once the next request may be under way."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def serve(sock: socket.socket) -> None:
+        with sock, contextlib.suppress(OSError):
+            while head := sock.recv(65_536):
+                body = head.split()[1][-1:]
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body
+                time.sleep(0.1)
+                sock.sendall(answer)
+                threading.Timer(0.15, _send, [sock, answer]).start()
+
+    def run() -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                accepted, _ = listener.accept()
+                threading.Thread(
+                    target=serve, args=[accepted], daemon=True
+                ).start()
+
+    threading.Thread(target=run, daemon=True).start()
+    pool = _pool.Pool(address)
+    bodies = []
+    for name, pause_s in (("a", 0.3), ("b", 0.1), ("c", 0.1), ("d", 0.1)):
+        request = call()
+        request.target = f"/{name}"
+        bodies.append(ask(address, request, pool)[0])
+        time.sleep(pause_s)
+    listener.close()
+    assert bodies == [b"a", b"b", b"c", b"d"]
+
+
+def _send(sock: socket.socket, data: bytes) -> None:
+    with contextlib.suppress(OSError):
+        sock.sendall(data)
+
+
 def test_a_small_chunked_body_is_held_and_can_be_sent_again() -> None:
     assert call(b"x" * 100, chunked=True).body.replayable
     large = call(b"x" * 100_000, chunked=True).body
