A caller accepted in a planned stop has the time to ask

A stop ends all idle connections at once; one that was accepted a moment ago, while all workers were taken, counted as idle and was closed with its request on the way.

Before: the new test failed three times of three. After: it passes.

--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -26,6 +26,9 @@
 EXPIRE_S: typing.Final = 0.5
 """A planned stop waits this long for the connections that nobody uses."""
 
+FIRST_REQUEST_S: typing.Final = 1.0
+"""How long a new connection may take to ask, whatever ends idle ones."""
+
 LISTEN_GRACE_S: typing.Final = 0.5
 FULL_RETRY_MS: typing.Final = 1_000
 
@@ -136,11 +139,16 @@
             self.requests.put(conn)
         except queue.Full:
             if not conn.has_arrived():
-                self._connections.put(conn)
+                self._keep_until_asked(conn)
                 return
             full = errors.Overloaded("all workers are taken", FULL_RETRY_MS)
             conn.refuse_unread(full)
 
+    def _keep_until_asked(self, conn: _http.HttpConnection) -> None:
+        self._connections.put(conn)
+        # A stop ends idle connections at once, but this one has just begun.
+        conn.last_used = time.time() + FIRST_REQUEST_S
+
     def limit_heads(self, max_bytes: int, timeout_s: float) -> None:
         """Bound the heads of requests, and how long they may take."""
         self.max_request_header_size = max_bytes
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -292,6 +292,21 @@
     assert client.getresponse().status == 200
 
 
+def test_a_caller_accepted_in_a_stop_has_the_time_to_ask(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    """A planned stop ends idle connections; this one has just begun."""
+    with full(echo):
+        client = http.client.HTTPConnection(echo[0], timeout=5)
+        client.connect()
+        drain = threading.Thread(target=echo[2].drain, args=(3, 0.0))
+        drain.start()
+        time.sleep(0.8)
+        client.request("GET", "/late")
+        assert client.getresponse().status == 503
+    drain.join()
+
+
 def test_a_refused_caller_that_is_still_sending_reads_its_refusal(
     echo: tuple[str, Echo, serving.Server],
 ) -> None:
