A farewell survives a connection that was closed elsewhere

Cause: reading the new module again: where a descriptor was closed elsewhere and given to the next connection, registering that one failed, the thread ended, and no later connection of the server would have been closed.

Before: the new test failed, twice of two. After: it passes.

--- a/src/chiveroad/serving/_farewell.py
+++ b/src/chiveroad/serving/_farewell.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import selectors
 import socket
 import threading
@@ -19,7 +20,7 @@
 _MOST: typing.Final = 512
 """How many connections are kept for it; those above are closed at once."""
 
-_ROUND_S: typing.Final = 0.05
+ROUND_S: typing.Final = 0.05
 _READ_BYTES: typing.Final = 64 * 1024
 
 
@@ -72,20 +73,35 @@
                         return
                 now_s = time.monotonic()
                 for conn in new:
-                    ends_s[conn] = now_s + FAREWELL_S
-                    selector.register(conn.socket, selectors.EVENT_READ, conn)
+                    if _watch(selector, conn):
+                        ends_s[conn] = now_s + FAREWELL_S
                 ended = [
                     key.data
-                    for key, _ in selector.select(_ROUND_S)
+                    for key, _ in selector.select(ROUND_S)
                     if _has_left(key.data)
                 ]
                 ended += [c for c, end_s in ends_s.items() if end_s <= now_s]
                 for conn in set(ended):
                     del ends_s[conn]
-                    selector.unregister(conn.socket)
+                    with contextlib.suppress(KeyError, ValueError):
+                        selector.unregister(conn.socket)
                     conn.close()
 
 
+def _watch(selector: selectors.BaseSelector, conn: _Connection) -> bool:
+    """Wait for a peer, too; False where its connection is closed already."""
+    try:
+        selector.register(conn.socket, selectors.EVENT_READ, conn)
+    except KeyError:
+        # Whoever had this descriptor before was closed elsewhere.
+        selector.unregister(conn.socket.fileno())
+        selector.register(conn.socket, selectors.EVENT_READ, conn)
+    except ValueError:
+        conn.close()
+        return False
+    return True
+
+
 def _has_left(conn: _Connection) -> bool:
     """Throw away what has arrived; tell whether the peer has closed."""
     try:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -15,6 +15,7 @@
 
 from chiveroad import errors
 from chiveroad import serving
+from chiveroad.serving import _farewell
 from chiveroad.serving import _http
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _pool
@@ -322,6 +323,34 @@
             assert sock.recv(65_536).startswith(b"HTTP/1.1 503 ")
 
 
+class Leaving:
+    """A connection that has been sent its last answer."""
+
+    def __init__(self) -> None:
+        self.socket, self.peer = socket.socketpair()
+        self.closed = threading.Event()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.socket.close()
+        self.closed.set()
+
+
+def test_one_connection_that_is_closed_twice_keeps_no_other_open() -> None:
+    farewells = _farewell.Farewells()
+    twice = Leaving()
+    farewells.see_off(twice)
+    time.sleep(2 * _farewell.ROUND_S)
+    twice.socket.close()
+    # This one gets the first one's descriptor.
+    other = Leaving()
+    farewells.see_off(other)
+    other.peer.close()
+    assert other.closed.wait(5)
+    assert twice.closed.wait(5)
+    twice.peer.close()
+
+
 def test_a_refusal_of_a_large_body_is_read_while_the_body_is_sent(
     echo: tuple[str, Echo, serving.Server],
 ) -> None:
