A daemon that starts can't lock up over whom to follow

A start chooses a parent while it holds the view's lock, and waited for the lock of the trees; whoever made the trees held that one and waited for the view. The control plane of the daemon would have stood still: no versions, no members.

The view is read before the trees are locked.

Before: the new test failed (the thread never ended). After: it passes.

--- a/src/chiveroad/control/_parents.py
+++ b/src/chiveroad/control/_parents.py
@@ -40,7 +40,7 @@
         self.failures: dict[str, _freshness.Failure] = {}
         self._mine = mine
         self._view = view
-        self._lock = threading.RLock()
+        self._lock = threading.Lock()
         self._heard_s: dict[tuple[str, int], float] = {}
         self._settled_at_s = 0.0
         self._made_of: tuple[int, int] | None = None
@@ -92,8 +92,8 @@
 
     def settle(self) -> None:
         """Note that all known so far were there before this daemon."""
+        self._update()
         with self._lock:
-            self._update()
             self._heard_s = dict.fromkeys(self._heard_s, 0.0)
             self._made_of = None
 
@@ -113,19 +113,25 @@
 
     def _update(self) -> None:
         """Make the trees anew where the view has changed, or who settled."""
+        mine = self._mine()
+        epoch = self._view.epoch
+        # The view has a lock of its own, which a caller may hold.
+        members = self._view.all()
         with self._lock:
-            self._make_trees()
+            self._make_trees(mine, members, epoch)
 
-    def _make_trees(self) -> None:
+    def _make_trees(
+        self,
+        mine: membership.Member,
+        members: collections.abc.Iterable[membership.Member],
+        epoch: int,
+    ) -> None:
         now_s = time.monotonic()
-        mine = self._mine()
-        made_of = (self._view.epoch, mine.store_distance_ms)
+        made_of = (epoch, mine.store_distance_ms)
         if made_of == self._made_of and now_s < self._settled_at_s:
             return
         others = [
-            member
-            for member in self._view.all()
-            if member.instance != mine.instance
+            member for member in members if member.instance != mine.instance
         ]
         known = self._heard_s
         self._heard_s = {
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -299,3 +299,28 @@
         assert asked_mb <= 0.5 * LINK_MB_PER_S / 2
     lonely = bounds.left_s(0.0, 0.0, bounds.turn_s(111, lonely=True))
     assert lonely <= bounds.stale_s + 1.2
+
+
+def test_whoever_holds_the_view_can_ask_whom_to_follow() -> None:
+    """A start asks while it holds the news, and others ask beside it."""
+    news = threading.Condition()
+    view = membership.View(news)
+    view.merge([daemon("i-1", "sherwood", "east")])
+    mine = daemon("i-7", "sherwood", "east")
+    parents = _parents.Parents(lambda: mine, view)
+
+    def ask() -> None:
+        parents.choose(confirmed=False)
+
+    def ask_holding() -> None:
+        with news:
+            view.merge([daemon("i-2", "sherwood", "east")])
+            beside = threading.Thread(target=ask, daemon=True)
+            beside.start()
+            beside.join(0.2)
+            ask()
+
+    holding = threading.Thread(target=ask_holding, daemon=True)
+    holding.start()
+    holding.join(5)
+    assert not holding.is_alive()
