A request that no upstream can finish in time is refused at the entry

Ruled out: a stricter measure. A guard refuses what its average says can't be finished; the entry now applies that of the fastest upstream, once three have told theirs.

--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -283,6 +283,13 @@
     hint = "give the request a longer deadline"
 
 
+class TooLittleTime(Refusal):
+    """No upstream can finish the request in the time that is left."""
+
+    code = 4031
+    hint = "give the request a longer deadline"
+
+
 class UpstreamRefused(Refusal):
     """No connection could be opened, so that nothing was sent."""
 
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -33,6 +33,7 @@
 from chiveroad.traffic import _retry
 from chiveroad.traffic import _second
 from chiveroad.traffic import _split
+from chiveroad.traffic import _too_late
 from chiveroad.traffic import _upstreams
 from chiveroad import wire
 
@@ -45,6 +46,7 @@
     errors.NoUpstream,
     errors.CallerGone,
     errors.CallerGoneEarly,
+    errors.TooLittleTime,
 )
 _log = logs.Logger("entry")
 
@@ -266,6 +268,7 @@
     ) -> None:
         if call.left_ms() <= 0:
             raise errors.DeadlineExceeded("the deadline passed")
+        self._check_time_left(call)
         chosen, member = self._upstreams.pick(
             call.service, self._upstreams.wanted(call), tried
         )
@@ -286,6 +289,14 @@
         finally:
             self._upstreams.count(track, -1)
 
+    def _check_time_left(self, call: _call.Call) -> None:
+        left_ms = call.left_ms()
+        if left_ms >= call.kind.objective_ms:
+            return
+        tracks = self._upstreams.tracks(call.service)
+        if _too_late.too_late(call.kind_name, left_ms, tracks):
+            raise errors.TooLittleTime(f"{left_ms:.0f} ms are left")
+
     def _second(self, call: _call.Call, sent: int) -> _second.Second | None:
         """Return the second chance of a request that may be repeated."""
         if not call.kind.idempotent or not call.body.replayable:
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -223,6 +223,12 @@
         self._recent[member.instance] = (member, track)
         return track
 
+    def tracks(
+        self, service: str
+    ) -> collections.abc.Iterator[_balancer.Track]:
+        """Yield what is learnt of the upstreams of a service."""
+        return map(self.track, self._view.of_service(service))
+
     def wanted(self, call: _call.Call) -> _balancer.Wanted:
         """Return what a request asks of an upstream."""
         return _balancer.Wanted(
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -20,6 +20,7 @@
 from chiveroad.traffic import _objective
 from chiveroad.traffic import _patience
 from chiveroad.traffic import _split
+from chiveroad.traffic import _too_late
 from standins import loadmodel
 
 SLOTS = loadmodel.SLOTS
@@ -276,3 +277,31 @@
     assert state.service_ms("browse") == pytest.approx(200.0)
     state.observe(0.9)
     assert state.service_ms("browse") > 500.0
+
+
+def _speeds(*service_ms: float) -> list[_balancer.Track]:
+    """Return upstreams that have told how long a kind takes them; 0 hasn't."""
+    tracks = []
+    for known_ms in service_ms:
+        track = _balancer.Track(since_s=0.0)
+        track.learn(0, 4, 0.0, "k", known_ms)
+        tracks.append(track)
+    return tracks
+
+
+@pytest.mark.parametrize(
+    ("left_ms", "service_ms", "refused"),
+    [
+        (15.0, (60.0, 45.0, 80.0), True),
+        (50.0, (60.0, 45.0, 80.0), False),
+        (15.0, (60.0, 80.0), False),
+        (15.0, (60.0, 80.0, 0.0, 0.0), False),
+        (15.0, (60.0, 80.0, 70.0, 0.0), True),
+        (15.0, (), False),
+    ],
+)
+def test_a_caller_that_comes_back_with_too_little_time_is_refused_at_once(
+    left_ms: float, service_ms: tuple[float, ...], refused: bool
+) -> None:
+    """A retry with 15 ms left, where 45 ms is the fastest that is known."""
+    assert _too_late.too_late("k", left_ms, _speeds(*service_ms)) is refused
