One way to see whether a socket has something to read, or its end

Whether a connection holds buffered bytes was asked twice for each answer and each return to the pool; it is asked once.

What closes a connection whose peer still sends is called a closer, and its constants say what they bound.

--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -9,6 +9,7 @@
 from chiveroad.serving._server import IDLE_TIMEOUT_S
 from chiveroad.serving._server import Server
 from chiveroad.serving._server import stop_all
+from chiveroad.serving._stream import hung_up
 from chiveroad.serving._stream import Reader
 from chiveroad.serving._stream import send_now
 
@@ -22,6 +23,7 @@
     "Reader",
     "Request",
     "Server",
+    "hung_up",
     "send_now",
     "stop_all",
 ]
--- a/src/chiveroad/serving/_farewell.py
+++ b/src/chiveroad/serving/_closer.py
@@ -1,4 +1,4 @@
-"""Last answers on connections whose requests nobody reads to their end.
+"""Closing connections whose requests nobody reads to their end.
 
 Closing a connection over data that wasn't read resets it, and the reset takes
 an answer along that the peer hasn't read yet.  So the sending side is closed
@@ -14,13 +14,15 @@
 import time
 import typing
 
-FAREWELL_S: typing.Final = 1.0
+CLOSE_WITHIN_S: typing.Final = 1.0
 """How long a peer may take to read its last answer and to close."""
 
-_MOST: typing.Final = 512
+MAX_CLOSING: typing.Final = 512
 """How many connections are kept for it; those above are closed at once."""
 
 ROUND_S: typing.Final = 0.05
+"""How long the thread may overlook a new connection, or a time that is up."""
+
 _READ_BYTES: typing.Final = 64 * 1024
 
 
@@ -31,8 +33,8 @@
         """Close the connection."""
 
 
-class Farewells:
-    """The connections of a server that have been sent their last answer.
+class Closer:
+    """Closes connections whose peers may still be sending.
 
     A thread looks after them while there are any.
     """
@@ -42,8 +44,8 @@
         self._count = 0
         self._lock = threading.Lock()
 
-    def see_off(self, conn: _Connection) -> None:
-        """Close a connection once its peer has left, or had the time to."""
+    def close(self, conn: _Connection) -> None:
+        """Close a connection once its peer has, or had the time to."""
         try:
             conn.socket.settimeout(0)
             conn.socket.shutdown(socket.SHUT_WR)
@@ -51,7 +53,7 @@
             conn.close()
             return
         with self._lock:
-            if self._count >= _MOST:
+            if self._count >= MAX_CLOSING:
                 conn.close()
                 return
             self._count += 1
@@ -59,7 +61,7 @@
             if self._count > 1:
                 return
         threading.Thread(
-            target=self._look_after, name="farewells", daemon=True
+            target=self._look_after, name="closing", daemon=True
         ).start()
 
     def _look_after(self) -> None:
@@ -74,11 +76,11 @@
                 now_s = time.monotonic()
                 for conn in new:
                     if _watch(selector, conn):
-                        ends_s[conn] = now_s + FAREWELL_S
+                        ends_s[conn] = now_s + CLOSE_WITHIN_S
                 ended = [
                     key.data
                     for key, _ in selector.select(ROUND_S)
-                    if _has_left(key.data)
+                    if _has_closed(key.data)
                 ]
                 ended += [c for c, end_s in ends_s.items() if end_s <= now_s]
                 for conn in set(ended):
@@ -102,7 +104,7 @@
     return True
 
 
-def _has_left(conn: _Connection) -> bool:
+def _has_closed(conn: _Connection) -> bool:
     """Throw away what has arrived; tell whether the peer has closed."""
     try:
         return not conn.socket.recv(_READ_BYTES)
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -12,7 +12,6 @@
 import http
 import math
 import re
-import select
 import socket
 import time
 import typing
@@ -219,7 +218,7 @@
             if not (self._rhythm.busy and self.server.may_linger()):
                 return True
             with self.server.lingering():
-                active = self._readable(LINGER_MS)
+                active = _stream.readable(self.socket, LINGER_MS)
             if not active:
                 self._rhythm.busy = False
                 return True
@@ -227,18 +226,7 @@
 
     def has_arrived(self) -> bool:
         """Tell whether a request's first bytes, or the end, have arrived."""
-        if self.rfile.has_data():
-            return True
-        self.socket.settimeout(0)
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        finally:
-            self.socket.settimeout(READ_TIMEOUT_S)
-        return True
+        return self.rfile.has_data() or _stream.readable(self.socket)
 
     def refuse_unread(self, refusal: errors.Refusal) -> None:
         """Answer a request that has arrived, without reading it."""
@@ -249,13 +237,13 @@
         except OSError:
             self.close()
             return
-        self.server.farewells.see_off(self)
+        self.server.closer.close(self)
 
     def close(self) -> None:
         """Close the connection, once a peer that still sends has left."""
         if self.body_left:
             self.body_left = False
-            self.server.farewells.see_off(self)
+            self.server.closer.close(self)
             return
         if self._open:
             self._open = False
@@ -265,11 +253,6 @@
     def _serve_one(self) -> bool:
         return bool(super().communicate())  # type: ignore[no-untyped-call]
 
-    def _readable(self, timeout_ms: int) -> bool:
-        poll = select.poll()
-        poll.register(self.socket, select.POLLIN)
-        return bool(poll.poll(timeout_ms))
-
 
 def whole_refusal(
     status: int, refusal: errors.Refusal, fractional_retry: bool = False
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -127,7 +127,7 @@
         self.begun = True
         if getattr(raw.rfile, "remaining", 0) > DISCARD_BYTES:
             # Less than that the library reads and throws away, so that the
-            # answer isn't lost to a reset; more is left to the farewell.
+            # answer isn't lost to a reset; more is left to the closer.
             raw.close_connection = True
             raw.conn.body_left = True
         if not raw.server.keeps_connections:
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -15,7 +15,7 @@
 
 from chiveroad import errors
 from chiveroad import logs
-from chiveroad.serving import _farewell
+from chiveroad.serving import _closer
 from chiveroad.serving import _http
 from chiveroad.serving import _request
 from chiveroad.serving import _workers
@@ -105,7 +105,7 @@
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), _Gateway, minthreads=threads)
         self.requests = _workers.Workers(self, few_threads or threads, threads)
-        self.farewells = _farewell.Farewells()
+        self.closer = _closer.Closer()
         self.handler = handler
         self.timeout = idle_timeout_s
         self.expiration_interval = expire_s
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -46,9 +46,9 @@
         if self.end_s is not None:
             left_s = max(0.0, self.end_s - time.monotonic())
             wait_s = left_s if wait_s is None else min(left_s, wait_s)
-        poll = select.poll()
-        poll.register(self._timed, select.POLLIN)
-        if not poll.poll(None if wait_s is None else 1000 * wait_s):
+        if not readable(
+            self._timed, None if wait_s is None else 1000 * wait_s
+        ):
             raise TimeoutError("the peer is too slow")
 
 
@@ -122,6 +122,26 @@
             self._sock.sendall(memoryview(data)[sent:])
 
 
+def readable(sock: socket.socket, timeout_ms: float | None = 0.0) -> bool:
+    """Wait for bytes, or for the end; None waits without a limit."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(timeout_ms))
+
+
+def hung_up(sock: socket.socket) -> bool:
+    """Tell whether the peer has closed its end and sent nothing more."""
+    # With a timeout set, the socket would wait for data whatever the flags.
+    if not readable(sock):
+        return False
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def send_now(sock: socket.socket, data: bytes | memoryview[typing.Any]) -> int:
     """Send what a socket takes without waiting; return how many bytes.
 
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -158,7 +158,7 @@
     """
     if call.left_ms() <= 0:
         raise errors.DeadlineExceeded("the deadline passed before sending")
-    if _hung_up(caller):
+    if serving.hung_up(caller):
         raise errors.CallerGoneEarly("the caller hung up before sending")
     try:
         connection = pool.take()
@@ -379,10 +379,9 @@
         left_ms = call.left_ms()
         wait_ms = min(left_ms, wake_ms) if abandon else left_ms
         wake_ms = WAKE_MS
-        if connection.has_data():
-            wait_ms = 0.0
-        ready = dict(poll.poll(max(0, wait_ms)))
-        if sock.fileno() in ready or connection.has_data():
+        buffered = connection.has_data()
+        ready = dict(poll.poll(0 if buffered else max(0, wait_ms)))
+        if buffered or sock.fileno() in ready:
             stall_s = max(MIN_STALL_S, min(STALL_S, left_ms / 1000))
             connection.pause_at_most(stall_s)
             return
@@ -391,25 +390,7 @@
         if not ready and abandon and abandon():
             raise errors.PeerSilent("the peer shows no sign of life")
         if caller.fileno() in ready:
-            if _hung_up(caller):
+            if serving.hung_up(caller):
                 raise errors.CallerGone("the caller hung up")
             # The caller has sent more already; only its hang-up matters.
             poll.modify(caller, select.POLLRDHUP)
-
-
-def _readable(sock: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def _hung_up(caller: socket.socket) -> bool:
-    # With a timeout set, the socket would wait for data whatever the flags.
-    if not _readable(caller):
-        return False
-    try:
-        return caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -153,12 +153,7 @@
         """Tell whether an idle peer has sent anything but its end."""
         if self.sock is None or self.silent():
             return False
-        if self.has_data():
-            return True
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return self.has_data() or not serving.hung_up(self.sock)
 
     def readable(self) -> bool:
         """Tell whether a part of an answer has arrived."""
@@ -215,9 +210,10 @@
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose answer was read whole."""
         # What arrives from now on is seen before the next request.
-        self.trusted = self.trusted and not connection.has_data()
+        more = connection.has_data()
+        self.trusted = self.trusted and not more
         known = self.trusted or self.echoes
-        if not (known and connection.reusable) or connection.has_data():
+        if more or not (known and connection.reusable):
             connection.close()
             return
         connection.idle_since_s = time.monotonic()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -15,9 +15,8 @@
 
 from chiveroad import errors
 from chiveroad import serving
-from chiveroad.serving import _farewell
+from chiveroad.serving import _closer
 from chiveroad.serving import _http
-from chiveroad.traffic import _exchange
 from chiveroad.traffic import _pool
 from standins import mesh
 
@@ -337,14 +336,14 @@
 
 
 def test_one_connection_that_is_closed_twice_keeps_no_other_open() -> None:
-    farewells = _farewell.Farewells()
+    closer = _closer.Closer()
     twice = Leaving()
-    farewells.see_off(twice)
-    time.sleep(2 * _farewell.ROUND_S)
+    closer.close(twice)
+    time.sleep(2 * _closer.ROUND_S)
     twice.socket.close()
     # This one gets the first one's descriptor.
     other = Leaving()
-    farewells.see_off(other)
+    closer.close(other)
     other.peer.close()
     assert other.closed.wait(5)
     assert twice.closed.wait(5)
@@ -378,7 +377,7 @@
     if closed:
         theirs.close()
     started_s = time.monotonic()
-    assert _exchange._hung_up(ours) is gone
+    assert serving.hung_up(ours) is gone
     assert time.monotonic() - started_s < 4
     theirs.close()
     ours.close()
