Whatever ends the reading of a request, its refusal is not lost to a reset

Read once more: a flag set where a long body is refused mended one of three ways to close over unread data. A head that can't be used (400, 431) and a chunked body that is refused were closed with a reset as before.

Whether something is left unread is now asked of the request itself when its connection is closed, in one place; the flag is gone.

Before: the rows for a bad head and for a chunked body failed (broken pipe); the row of the flag passed. After: all pass.

--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -105,6 +105,17 @@
         super().__init__(server, conn)
         self.inheaders: dict[bytes, bytes] = _Headers()
         self.header_reader = _HeaderReader()
+        self._refused = False
+        conn.request = self
+
+    @property
+    def unread(self) -> bool:
+        """Tell whether a part of the request, or of its body, wasn't read."""
+        if self._refused:
+            return True
+        if self.chunked_read:
+            return not getattr(self.rfile, "closed", True)
+        return getattr(self.rfile, "remaining", 0) > 0
 
     def parse_request(self) -> None:
         """Read a request's line and head, within a time for both."""
@@ -162,6 +173,7 @@
         if number == http.HTTPStatus.INTERNAL_SERVER_ERROR:
             # A handler failed, and nobody knows how far it had come.
             error = errors.OutcomeUnknown
+        self._refused = True
         answer = whole_refusal(number, error(msg or str(status)))
         try:
             self.conn.wfile.write(answer)
@@ -201,8 +213,8 @@
     ) -> None:
         sock.settimeout(READ_TIMEOUT_S)
         super().__init__(server, sock, _stream.make_file)
-        self.body_left = False
-        """Whether the last request was answered before its body was read."""
+        self.request: HttpRequest | None = None
+        """The one in hand, or the one that has ended the connection."""
 
         self._open = True
         self._rhythm = Rhythm()
@@ -241,8 +253,8 @@
 
     def close(self) -> None:
         """Close the connection, once a peer that still sends has left."""
-        if self.body_left:
-            self.body_left = False
+        ended_by, self.request = self.request, None
+        if ended_by is not None and ended_by.unread:
             self.server.closer.close(self)
             return
         if self._open:
@@ -251,7 +263,10 @@
         super().close()
 
     def _serve_one(self) -> bool:
-        return bool(super().communicate())  # type: ignore[no-untyped-call]
+        kept = bool(super().communicate())  # type: ignore[no-untyped-call]
+        if kept:
+            self.request = None
+        return kept
 
 
 def whole_refusal(
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -127,9 +127,8 @@
         self.begun = True
         if getattr(raw.rfile, "remaining", 0) > DISCARD_BYTES:
             # Less than that the library reads and throws away, so that the
-            # answer isn't lost to a reset; more is left to the closer.
+            # connection can be kept; more is left to the closer.
             raw.close_connection = True
-            raw.conn.body_left = True
         if not raw.server.keeps_connections:
             raw.close_connection = True
         raw.conn.wfile.hold()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -307,19 +307,26 @@
     drain.join()
 
 
+def told_while_sending(address: str, head: bytes, chunk: bytes) -> bytes:
+    """Send a head and many chunks after it, and return what comes back."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(head)
+        time.sleep(0.2)
+        for _ in range(40):
+            sock.sendall(chunk)
+            time.sleep(0.005)
+        return sock.recv(65_536)
+
+
 def test_a_refused_caller_that_is_still_sending_reads_its_refusal(
     echo: tuple[str, Echo, serving.Server],
 ) -> None:
     """A reset would take the refusal, and leave the outcome unknown."""
+    head = b"POST / HTTP/1.1\r\nContent-Length: 400000\r\n\r\n"
     with full(echo):
-        host, _, port = echo[0].rpartition(":")
-        with socket.create_connection((host, int(port)), 5) as sock:
-            sock.sendall(b"POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n")
-            time.sleep(0.2)
-            for _ in range(20):
-                sock.sendall(b"a" * 10_000)
-                time.sleep(0.01)
-            assert sock.recv(65_536).startswith(b"HTTP/1.1 503 ")
+        told = told_while_sending(echo[0], head, b"a" * 10_000)
+    assert told.startswith(b"HTTP/1.1 503 ")
 
 
 class Leaving:
@@ -350,18 +357,36 @@
     twice.peer.close()
 
 
-def test_a_refusal_of_a_large_body_is_read_while_the_body_is_sent(
+@pytest.mark.parametrize(
+    ("path", "head", "chunk", "status"),
+    [
+        (b"/", b"Content-Length: 30000000", b"a" * 100_000, 413),
+        (b"/", b"X A: 1", b"a" * 100_000, 400),
+        (
+            b"/refuse",
+            b"Transfer-Encoding: chunked",
+            b"%x\r\n" % 100_000 + b"a" * 100_000 + b"\r\n",
+            503,
+        ),
+        (
+            b"/refuse",
+            b"Connection: close\r\nContent-Length: 4000000",
+            b"a" * 100_000,
+            503,
+        ),
+    ],
+)
+def test_a_refusal_is_read_while_the_body_is_sent(
     echo: tuple[str, Echo, serving.Server],
+    path: bytes,
+    head: bytes,
+    chunk: bytes,
+    status: int,
 ) -> None:
-    """More is left of the body than is read and thrown away in passing."""
-    host, _, port = echo[0].rpartition(":")
-    with socket.create_connection((host, int(port)), 5) as sock:
-        sock.sendall(b"POST / HTTP/1.1\r\n" + HOST)
-        sock.sendall(b"Content-Length: 30000000\r\n\r\n")
-        for _ in range(40):
-            sock.sendall(b"a" * 100_000)
-            time.sleep(0.005)
-        assert sock.recv(65_536).startswith(b"HTTP/1.1 413 ")
+    """Whatever ends the reading: the body, its framing, or the head."""
+    sent = b"POST " + path + b" HTTP/1.1\r\n" + HOST + head + b"\r\n\r\n"
+    told = told_while_sending(echo[0], sent, chunk)
+    assert told.startswith(b"HTTP/1.1 %d " % status)
 
 
 @pytest.mark.parametrize(
