A daemon that starts first doesn't wait for a list that it has

That the members are listed was told only after the wait for a parent had been put behind it: who has nobody to follow waited 0.2 s more at its start.

In the same parts, without a change of what they do: when a daemon settles is kept in place of when it was heard of; whether a version is doubtful is asked in one way in place of three; records since revision 0 are all, which needs no case of its own; those that can be reached are picked from those not tried; the three servers with few callers are made in one place; isolated is the word for a daemon that nobody answers.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -195,10 +195,11 @@
     # Whom to follow.
 
     def _choose(self) -> membership.Member | None:
-        doubtful = self._bounds.doubtful(
-            self._node.applied.confirmed_s, clock.now_s()
-        )
-        return self._parents.choose(confirmed=not doubtful)
+        return self._parents.choose(confirmed=not self._doubtful())
+
+    def _doubtful(self) -> bool:
+        confirmed_s = self._node.applied.confirmed_s
+        return self._bounds.doubtful(confirmed_s, clock.now_s())
 
     def _mine(self) -> membership.Member:
         return msgspec.structs.replace(
@@ -264,12 +265,10 @@
 
     def _judge_freshness(self, parent: membership.Member) -> None:
         """Decide from a parent's answer whom to ask next."""
-        confirmed_s = self._node.applied.confirmed_s
-        now_s = clock.now_s()
         answer = self._source.answer
         if not self._left_s():
             self._watch("the version is unconfirmed")
-        if self._bounds.doubtful(confirmed_s, now_s):
+        if self._doubtful():
             self._parents.put_aside(parent, "is behind", behind=True)
             return
         self._parents.rely_on(parent)
@@ -290,8 +289,8 @@
         """Return the time until it is this daemon's turn at the store."""
         now_s = clock.now_s()
         bounds = self._bounds
-        lonely = now_s - self._answered_s > bounds.stale_s
-        turn_s = bounds.turn_s(self._parents.place(), lonely)
+        isolated = now_s - self._answered_s > bounds.stale_s
+        turn_s = bounds.turn_s(self._parents.place(), isolated)
         return bounds.left_s(self._node.applied.confirmed_s, now_s, turn_s)
 
     def _wait_until_watching(self) -> None:
@@ -369,7 +368,7 @@
 
     def _watch_versions(self, revision: int) -> int:
         asked_s = clock.now_s()
-        wait_s = self._watch_s(asked_s)
+        wait_s = self._watch_s()
         newest: store.StoredObject | None = None
         for event in self._store.watch(store.Kind.ACCEPTED, revision, wait_s):
             revision = max(revision, event.version)
@@ -385,9 +384,9 @@
         self._node.applied.confirm(min(now_s, asked_s + waited_s))
         return revision
 
-    def _watch_s(self, now_s: float) -> float:
+    def _watch_s(self) -> float:
         """Return how long the next watch may wait for a change."""
-        if self._bounds.doubtful(self._node.applied.confirmed_s, now_s):
+        if self._doubtful():
             return CONFIRM_DOUBTFUL_S
         return CONFIRM_CHANGE_S if self._changed else WATCH_VERSIONS_S
 
@@ -415,8 +414,8 @@
                 else:
                     revision = self._list_members()
                     self._parents.settle()
+                    self._listed.set()
                     self._wait_until_following()
-                self._listed.set()
                 backoff.reset()
             except errors.StoreExpired:
                 revision = 0
--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -50,7 +50,7 @@
 configuration takes between regions, so that those who wait for a parent that
 is behind don't fill the link which it needs to catch up."""
 
-NEXT_LONELY_TURN_S: typing.Final = 0.01
+NEXT_ISOLATED_TURN_S: typing.Final = 0.01
 """The same where no daemon has answered for as long as a version may go
 unconfirmed: then the store is all there is."""
 
@@ -115,17 +115,17 @@
             return 0.0
         return max(0.0, confirmed_s + self.stale_s + turn_s - now_s)
 
-    def turn_s(self, place: int, lonely: bool) -> float:
+    def turn_s(self, place: int, isolated: bool) -> float:
         """Return how much later than the bound a daemon asks the store.
 
         The first of a region asks sooner: all others wait for it.
 
         :param place: how many of its region stand before it.
-        :param lonely: whether no other daemon answers it.
+        :param isolated: whether no other daemon answers it.
         """
         if not place:
             return self.doubt_s - self.stale_s
-        turn_s = NEXT_LONELY_TURN_S if lonely else NEXT_TURN_S
+        turn_s = NEXT_ISOLATED_TURN_S if isolated else NEXT_TURN_S
         return turn_s * max(0, place - MAX_FIRST + 1)
 
     def hold_s(self, confirmed_s: float | None, now_s: float) -> float:
--- a/src/chiveroad/control/_parents.py
+++ b/src/chiveroad/control/_parents.py
@@ -41,8 +41,10 @@
         self._mine = mine
         self._view = view
         self._lock = threading.Lock()
-        self._heard_s: dict[tuple[str, int], float] = {}
-        self._settled_at_s = 0.0
+        self._settles_s: dict[tuple[str, int], float] = {}
+        """When each life of a daemon has settled, in monotonic seconds."""
+
+        self._next_settles_s = 0.0
         self._made_of: tuple[int, int] | None = None
         self._whole = _order.Tree(())
         self._settled = _order.Tree(())
@@ -84,17 +86,16 @@
     def rely_on(self, parent: membership.Member) -> None:
         """Note that a parent has answered well."""
         self.failures.pop(parent.instance, None)
-        key = (parent.instance, parent.incarnation)
         with self._lock:
-            if self._heard_s.get(key):
-                self._heard_s[key] = 0.0
+            if self._settles_s.get(_life(parent)):
+                self._settles_s[_life(parent)] = 0.0
                 self._made_of = None
 
     def settle(self) -> None:
         """Note that all known so far were there before this daemon."""
         self._update()
         with self._lock:
-            self._heard_s = dict.fromkeys(self._heard_s, 0.0)
+            self._settles_s = dict.fromkeys(self._settles_s, 0.0)
             self._made_of = None
 
     def put_aside(
@@ -128,23 +129,19 @@
     ) -> None:
         now_s = time.monotonic()
         made_of = (epoch, mine.store_distance_ms)
-        if made_of == self._made_of and now_s < self._settled_at_s:
+        if made_of == self._made_of and now_s < self._next_settles_s:
             return
         others = [
             member for member in members if member.instance != mine.instance
         ]
-        known = self._heard_s
-        self._heard_s = {
-            key: known.get(key, now_s)
-            for key in ((m.instance, m.incarnation) for m in others)
+        known = self._settles_s
+        self._settles_s = {
+            _life(member): known.get(_life(member), now_s + SETTLE_S)
+            for member in others
         }
-        settled = [
-            member for member in others if self._settles_s(member) <= now_s
-        ]
-        waiting = (
-            at_s for at_s in map(self._settles_s, others) if at_s > now_s
-        )
-        self._settled_at_s = min(waiting, default=float("inf"))
+        settled = [m for m in others if self._settles_s[_life(m)] <= now_s]
+        later_s = (at_s for at_s in self._settles_s.values() if at_s > now_s)
+        self._next_settles_s = min(later_s, default=clock.NEVER_S)
         self._whole = _order.Tree((*others, mine))
         self._settled = (
             self._whole
@@ -157,6 +154,6 @@
         )
         self._made_of = made_of
 
-    def _settles_s(self, member: membership.Member) -> float:
-        heard_s = self._heard_s[member.instance, member.incarnation]
-        return heard_s + SETTLE_S if heard_s else 0.0
+
+def _life(member: membership.Member) -> tuple[str, int]:
+    return member.instance, member.incarnation
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -135,10 +135,8 @@
         as_of = node.as_of
         if asked.source == self._source:
             changes = node.view.since(asked.epoch)
-        elif asked.as_of:
-            changes = node.view.since_revision(asked.as_of)
         else:
-            changes = node.view.since(0)
+            changes = node.view.since_revision(asked.as_of)
         delta = snapshot = b""
         if held.number > asked.version:
             delta, snapshot = self._news_of_config(asked.digest)
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -137,12 +137,8 @@
         """Return the servers of control, guard and entry."""
         listen = self._options.listen
         options = self._options.traffic
-        control_server = serving.Server(
-            listen.control,
-            self._control,
-            CONTROL_THREADS,
-            FEW_THREADS,
-            expire_s=RARE_EXPIRE_S,
+        control_server = _quiet_server(
+            listen.control, self._control, CONTROL_THREADS, FEW_THREADS
         )
         guard_server = serving.Server(
             listen.guard, self._guard, options.threads, FEW_THREADS
@@ -170,24 +166,12 @@
                 self._known_services,
             )
             servers.append(
-                serving.Server(
-                    listen.heartbeat,
-                    handler,
-                    HEARTBEAT_THREADS,
-                    1,
-                    expire_s=RARE_EXPIRE_S,
-                )
+                _quiet_server(listen.heartbeat, handler, HEARTBEAT_THREADS, 1)
             )
         if listen.ready:
             ready = readiness.ReadyHandler(self._takes_requests)
             servers.append(
-                serving.Server(
-                    listen.ready,
-                    ready,
-                    READY_THREADS,
-                    1,
-                    expire_s=RARE_EXPIRE_S,
-                )
+                _quiet_server(listen.ready, ready, READY_THREADS, 1)
             )
         return servers
 
@@ -385,6 +369,15 @@
     return platform.ObjectStore(address, timeout_s)
 
 
+def _quiet_server(
+    address: str, handler: serving.Handler, threads: int, few_threads: int
+) -> serving.Server:
+    """Return a server that few callers use."""
+    return serving.Server(
+        address, handler, threads, few_threads, expire_s=RARE_EXPIRE_S
+    )
+
+
 def _first_word(
     options: settings.Settings, recorded: bool
 ) -> membership.Member:
--- a/src/chiveroad/membership/_view.py
+++ b/src/chiveroad/membership/_view.py
@@ -65,7 +65,7 @@
         """Return what one who knows all records up to a revision may lack.
 
         Where members are recorded, their sequence numbers are revisions, and
-        those without a record have none.
+        those without a record have none; 0 gives all.
         """
         with self._news:
             members = tuple(
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -167,20 +167,16 @@
         missing = self._missing
         if not missing:
             return near
-        left = {
-            distance: [
-                member
-                for member in members
-                if member.guard not in missing and member.instance not in tried
-            ]
-            for distance, members in near.items()
-        }
-        if any(left.values()):
-            return left
         left = {
             distance: [m for m in members if m.instance not in tried]
             for distance, members in near.items()
         }
+        reached = {
+            distance: [m for m in members if m.guard not in missing]
+            for distance, members in left.items()
+        }
+        if any(reached.values()):
+            return reached
         every = itertools.chain.from_iterable(left.values())
         best = min(map(self._state, every), default=_reach.State.LOST)
         if best is _reach.State.LOST:
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -287,7 +287,7 @@
     """112 whole configurations at once filled the link between regions."""
     bounds = _freshness.Bounds(3.0)
     left_s = [
-        bounds.left_s(0.0, 0.0, bounds.turn_s(place, lonely=False))
+        bounds.left_s(0.0, 0.0, bounds.turn_s(place, isolated=False))
         for place in range(112)
     ]
     assert left_s[0] == pytest.approx(bounds.doubt_s)
@@ -297,8 +297,8 @@
         asking = [other for other in left_s if at_s <= other < at_s + 0.5]
         asked_mb = len(asking) * CONFIGURATION_MB
         assert asked_mb <= 0.5 * LINK_MB_PER_S / 2
-    lonely = bounds.left_s(0.0, 0.0, bounds.turn_s(111, lonely=True))
-    assert lonely <= bounds.stale_s + 1.2
+    last_s = bounds.left_s(0.0, 0.0, bounds.turn_s(111, isolated=True))
+    assert last_s <= bounds.stale_s + 1.2
 
 
 def test_whoever_holds_the_view_can_ask_whom_to_follow() -> None:
