--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import functools
 import threading
 import time
@@ -367,15 +368,29 @@
     mesh.wait_for(lambda: found() or None, "it", WAIT_S)
 
 
-def test_all_follow_one_that_watches_and_ask_the_store_when_it_fails() -> None:
+@contextlib.contextmanager
+def fleet(
+    names: str,
+) -> collections.abc.Iterator[
+    tuple[store.Store, dict[str, Way], dict[str, Following]]
+]:
+    """Yield a store, ways to it and daemons, which are stopped at the end."""
     shared = memory_store.MemoryStore()
     accept(shared, 3)
     ports = mesh.Ports()
-    ways = {name: Way(shared) for name in "abc"}
-    planes = {name: Following(name, ports, ways[name]) for name in "abc"}
-    for name in "abc":
-        planes[name].start()
+    ways = {name: Way(shared) for name in names}
+    planes = {name: Following(name, ports, ways[name]) for name in names}
     try:
+        yield shared, ways, planes
+    finally:
+        for plane in planes.values():
+            plane.stop()
+
+
+def test_all_follow_one_that_watches_and_ask_the_store_when_it_fails() -> None:
+    with fleet("abc") as (shared, ways, planes):
+        for name in "abc":
+            planes[name].start()
         wait_for(
             lambda: all(len(p.node.view.all()) == 3 for p in planes.values())
         )
@@ -398,39 +413,24 @@
         accept(shared, 6)
         wait_for(lambda: planes["b"].node.applied.current.number == 6)
         wait_for(lambda: planes["c"].node.applied.current.number == 6)
-    finally:
-        for plane in planes.values():
-            plane.stop()
 
 
 def test_a_daemon_that_starts_beside_others_reads_from_its_parent() -> None:
     """A rolling restart must not read whole configurations from the store."""
-    shared = memory_store.MemoryStore()
-    accept(shared, 3)
-    ports = mesh.Ports()
-    ways = {name: Way(shared) for name in "ab"}
-    first, late = (Following(name, ports, ways[name]) for name in "ab")
-    first.start()
-    try:
+    with fleet("ab") as (_, ways, planes):
+        first, late = planes["a"], planes["b"]
+        first.start()
         wait_for(lambda: first.node.applied.ready)
         wait_for(lambda: first.plane.record(0.1))
         late.start()
         wait_for(lambda: late.node.applied.current.number == 3)
         wait_for(lambda: late.plane.roles() == [])
         assert ways["b"].whole_reads == 0
-    finally:
-        first.stop()
-        late.stop()
 
 
 def test_a_start_beside_others_costs_two_calls_of_the_store() -> None:
     """All members are listed once, and the own record is written."""
-    shared = memory_store.MemoryStore()
-    accept(shared, 3)
-    ports = mesh.Ports()
-    ways = {name: Way(shared) for name in "abcd"}
-    planes = {name: Following(name, ports, ways[name]) for name in "abcd"}
-    try:
+    with fleet("abcd") as (_, ways, planes):
         for name in "abc":
             planes[name].start()
             applied = planes[name].node.applied
@@ -441,22 +441,14 @@
         wait_for(lambda: planes["d"].plane.roles() == [])
         time.sleep(1.0)
         assert ways["d"].calls == 2
-    finally:
-        for plane in planes.values():
-            plane.stop()
 
 
 def test_one_asks_the_store_for_all_below_a_parent_that_is_behind() -> None:
     """Their parent answers, but is cut off from the store."""
-    shared = memory_store.MemoryStore()
-    accept(shared, 3)
-    ports = mesh.Ports()
     names = "abcdef"
-    ways = {name: Way(shared) for name in names}
-    planes = {name: Following(name, ports, ways[name]) for name in names}
-    for plane in planes.values():
-        plane.start()
-    try:
+    with fleet(names) as (shared, ways, planes):
+        for plane in planes.values():
+            plane.start()
         wait_for(
             lambda: all(len(p.node.view.all()) == 6 for p in planes.values())
         )
@@ -469,9 +461,6 @@
         time.sleep(2 * _freshness.Bounds(2.0).stale_s)
         asked = [n for n in names[2:] if ways[n].watches > before[n]]
         assert len(asked) <= 1
-    finally:
-        for plane in planes.values():
-            plane.stop()
 
 
 def test_a_daemon_that_starts_cut_off_from_the_store_is_helped() -> None:
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -188,21 +188,23 @@
     assert helped(members, 6, set()) == []
 
 
+def near(number: int) -> membership.Member:
+    """Return one daemon of a failure domain."""
+    return daemon(f"i-{number}", "sherwood", "east")
+
+
 class Standing:
-    """Those that stand before one daemon, and a clock that is moved."""
+    """Those that stand before the seventh daemon, and a clock to move."""
 
     def __init__(
-        self,
-        monkeypatch: pytest.MonkeyPatch,
-        mine: membership.Member,
-        others: list[membership.Member],
+        self, monkeypatch: pytest.MonkeyPatch, *others: membership.Member
     ) -> None:
         self.clock = fakes.Clock()
         monkeypatch.setattr(time, "monotonic", self.clock)
         monkeypatch.setattr(clock, "now_s", self.clock)
         self.view = membership.View(threading.Condition())
         self.view.merge(others)
-        self.parents = _parents.Parents(lambda: mine, self.view)
+        self.parents = _parents.Parents(lambda: near(7), self.view)
         self.parents.settle()
 
     def chosen(self, confirmed: bool = True) -> str | None:
@@ -215,11 +217,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """They stand first as soon as they are recorded, with no version yet."""
-    old = daemon("i-5", "sherwood", "east")
-    mine = daemon("i-7", "sherwood", "east")
-    standing = Standing(monkeypatch, mine, [old])
+    standing = Standing(monkeypatch, near(5))
     assert standing.chosen() == "i-5"
-    standing.view.merge([daemon("i-1", "sherwood", "east")])
+    standing.view.merge([near(1)])
     assert standing.chosen() == "i-5"
     assert standing.parents.tree().order[0].instance == "i-5"
     standing.clock.now_s += _parents.SETTLE_S
@@ -229,12 +229,9 @@
 def test_one_that_was_restarted_must_settle_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    first = daemon("i-1", "sherwood", "east")
-    others = [first, daemon("i-5", "sherwood", "east")]
-    mine = daemon("i-7", "sherwood", "east")
-    standing = Standing(monkeypatch, mine, others)
+    standing = Standing(monkeypatch, near(1), near(5))
     assert standing.chosen() == "i-1"
-    again = msgspec.structs.replace(first, incarnation=9)
+    again = msgspec.structs.replace(near(1), incarnation=9)
     standing.view.merge([again])
     assert standing.chosen() == "i-5"
     standing.clock.now_s += _parents.SETTLE_S
@@ -245,14 +242,12 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """When a whole fleet starts nobody has settled."""
-    mine = daemon("i-7", "sherwood", "east")
-    standing = Standing(monkeypatch, mine, [])
+    standing = Standing(monkeypatch)
     standing.clock.now_s += _parents.SETTLE_S
-    new = daemon("i-1", "sherwood", "east")
-    standing.view.merge([new])
+    standing.view.merge([near(1)])
     assert standing.chosen(confirmed=True) is None
     assert standing.chosen(confirmed=False) == "i-1"
-    standing.parents.rely_on(new)
+    standing.parents.rely_on(near(1))
     assert standing.chosen(confirmed=True) == "i-1"
 
 
@@ -260,22 +255,18 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """195 that ask the store until somebody has settled cost 2,000 calls."""
-    mine = daemon("i-7", "sherwood", "east")
-    standing = Standing(monkeypatch, mine, [])
-    standing.view.merge([daemon("i-1", "sherwood", "east")])
+    standing = Standing(monkeypatch)
+    standing.view.merge([near(1)])
     assert standing.chosen(confirmed=True) == "i-1"
 
 
 def test_one_that_is_behind_is_asked_again_where_all_are_left_out(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    behind = daemon("i-1", "sherwood", "east")
-    silent = daemon("i-2", "sherwood", "east")
-    mine = daemon("i-7", "sherwood", "east")
-    standing = Standing(monkeypatch, mine, [behind, silent])
-    standing.parents.put_aside(behind, "is behind", behind=True)
+    standing = Standing(monkeypatch, near(1), near(2))
+    standing.parents.put_aside(near(1), "is behind", behind=True)
     assert standing.chosen() == "i-2"
-    standing.parents.put_aside(silent, "failed")
+    standing.parents.put_aside(near(2), "failed")
     assert standing.chosen() is None
     standing.clock.now_s += _freshness.BEHIND_S
     assert standing.chosen() == "i-1"
@@ -305,16 +296,15 @@
     """A start asks while it holds the news, and others ask beside it."""
     news = threading.Condition()
     view = membership.View(news)
-    view.merge([daemon("i-1", "sherwood", "east")])
-    mine = daemon("i-7", "sherwood", "east")
-    parents = _parents.Parents(lambda: mine, view)
+    view.merge([near(1)])
+    parents = _parents.Parents(lambda: near(7), view)
 
     def ask() -> None:
         parents.choose(confirmed=False)
 
     def ask_holding() -> None:
         with news:
-            view.merge([daemon("i-2", "sherwood", "east")])
+            view.merge([near(2)])
             beside = threading.Thread(target=ask, daemon=True)
             beside.start()
             beside.join(0.2)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -232,16 +232,22 @@
     assert left == [0]
 
 
-def test_more_callers_than_workers_are_refused_at_once(
-    echo: tuple[str, Echo, serving.Server],
-) -> None:
-    address, handler, server = echo
+def slow_callers(address: str, count: int) -> list[http.client.HTTPConnection]:
+    """Return callers, one after the other, that wait for an answer."""
     clients = []
-    for _ in range(2 * server.requests.min + 4):
+    for _ in range(count):
         client = http.client.HTTPConnection(address, timeout=5)
         client.request("GET", "/slow")
         clients.append(client)
         time.sleep(0.01)
+    return clients
+
+
+def test_more_callers_than_workers_are_refused_at_once(
+    echo: tuple[str, Echo, serving.Server],
+) -> None:
+    address, handler, server = echo
+    clients = slow_callers(address, 2 * server.requests.min + 4)
     refused = [c.getresponse() for c in clients[2 * server.requests.min :]]
     handler.leave.set()
     served = [c.getresponse() for c in clients[: 2 * server.requests.min]]
@@ -258,12 +264,7 @@
 ) -> collections.abc.Iterator[None]:
     """Keep all workers of a server, and all places before them, taken."""
     address, handler, server = echo
-    clients = []
-    for _ in range(2 * server.requests.min):
-        client = http.client.HTTPConnection(address, timeout=5)
-        client.request("GET", "/slow")
-        clients.append(client)
-        time.sleep(0.02)
+    clients = slow_callers(address, 2 * server.requests.min)
     yield
     handler.leave.set()
     assert {client.getresponse().status for client in clients} == {200}
