Logs tell why a guard gave no answer, and how a daemon was found lost

An entry logs that a guard answered E4020, but the guard's reason (a reset, an answer cut, a caller that left) stood only in the answer's body, and a daemon that was found lost was named without the attempt that failed, how long it had been silent and whether requests waited for it.

One line for each request that ended without an answer at a guard; callers that hung up are among them, as that is how a guard sees an entry leave.

--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -110,6 +110,13 @@
         except errors.Refusal as refusal:
             outcome = str(refusal.code)
             self._recorder.count("chiveroad.guard.requests", outcome)
+            if refusal.ran == "unknown":
+                _log.warning(
+                    "Request {} got no answer: {}.",
+                    call.id,
+                    refusal,
+                    extra=self._log_fields(call),
+                )
             raise
 
     def _serve(
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -112,7 +112,7 @@
             yield
             self._heard(address)
         except errors.UpstreamRefused:
-            self._missed(address)
+            self._missed(address, "connection")
             raise
         finally:
             with self._lock:
@@ -140,7 +140,7 @@
             if address in living:
                 self._heard(address)
             else:
-                self._missed(address)
+                self._missed(address, "probe")
         return True
 
     def _heard(self, address: str) -> None:
@@ -149,12 +149,24 @@
         if self._missing.pop(address, None) is not None:
             _log.info("The daemon at {} answers again.", address)
 
-    def _missed(self, address: str) -> None:
+    def _missed(self, address: str, attempt: str) -> None:
         reach = self.reach(address)
         reach.missed()
         self._missing[address] = reach
-        if reach.misses == _reach.LOST_AFTER_MISSES:
-            _log.warning("The daemon at {} can't be reached.", address)
+        if reach.misses != _reach.LOST_AFTER_MISSES:
+            return
+        now_s = time.monotonic()
+        _log.warning(
+            "The daemon at {} can't be reached.",
+            address,
+            extra={
+                "attempt": attempt,
+                "waiting": reach.waiting,
+                "quiet_ms": int(1000 * (now_s - reach.quiet_since_s)),
+                "probed_ms_ago": int(1000 * (now_s - reach.probed_s)),
+                "missing": len(self._missing),
+            },
+        )
 
     def _state(self, member: membership.Member) -> _reach.State:
         reach = self._missing.get(member.guard)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -202,7 +202,7 @@
     known = upstreams("127.0.0.1:11", "127.0.0.1:12", "127.0.0.1:13")
     for misses, guard in enumerate(("127.0.0.1:11", "127.0.0.1:12")):
         for _ in range(misses + 1):
-            known._missed(guard)
+            known._missed(guard, "probe")
     wanted = _balancer.Wanted()
     for _ in range(50):
         assert known.pick("glade", wanted, ())[0].instance == "daemon-2"
