Show the incident: work is broken off at a daemon taken for lost, for a 502

The tests run an entry before guards whose upstreams are at work and that are too busy for probes, on the present code:

- nobody else, or one or three others that refuse: 502, the run broken off;
- another one takes it, too: the first is broken off, and as two missed probes make the second lost as well, that one too: 502, two runs broken off;
- the first refuses later: never seen, as it has been left.

--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -122,13 +122,21 @@
 
 
 @contextlib.contextmanager
-def living() -> collections.abc.Iterator[tuple[str, _Serving]]:
-    """Run a guard that answers."""
-    address, handler = _PORTS.take(), _Serving()
+def running(handler: serving.Handler) -> collections.abc.Iterator[str]:
+    """Run a guard, and yield its address."""
+    address = _PORTS.take()
     server = serving.Server(address, handler, 8)
     server.open()
-    yield address, handler
-    server.stop()
+    yield address
+    serving.stop_all([server])
+
+
+@contextlib.contextmanager
+def living() -> collections.abc.Iterator[tuple[str, _Serving]]:
+    """Run a guard that answers."""
+    handler = _Serving()
+    with running(handler) as address:
+        yield address, handler
 
 
 @contextlib.contextmanager
@@ -291,3 +299,90 @@
         status, took_s = get(address, "/write")
     assert status == 503
     assert took_s < 0.15
+
+
+class _Full(serving.Handler):
+    """Refuses all requests, and answers probes."""
+
+    def handle(self, request: serving.Request) -> None:
+        """Answer one request."""
+        if request.path != _guard.PROBE_PATH:
+            raise errors.Overloaded("full", 200)
+        request.answer(204, (), b"")
+
+
+class _AtWork(serving.Handler):
+    """Guards too busy for probes, whose upstreams are at work.
+
+    :param outcomes: for each request in turn how long the work takes, in
+        seconds, and whether it ends in a refusal.
+    """
+
+    def __init__(self, *outcomes: tuple[float, bool]) -> None:
+        self._outcomes = iter(outcomes)
+        self.broken_off = 0
+        self.done = 0
+
+    def handle(self, request: serving.Request) -> None:
+        """Answer one request."""
+        if request.path == _guard.PROBE_PATH:
+            time.sleep(3.0)
+            request.answer(204, (), b"")
+            return
+        work_s, refuses = next(self._outcomes)
+        end_s = time.monotonic() + work_s
+        while time.monotonic() < end_s:
+            if serving.hung_up(request.socket):
+                self.broken_off += 1
+                raise errors.CallerGone("the entry left")
+            time.sleep(0.01)
+        self.done += 1
+        if refuses:
+            raise errors.Overloaded("no time left to run it")
+        request.answer(200, (), b"done")
+
+
+# Guards against work that is broken off at a daemon taken for lost, for a 502.
+@pytest.mark.parametrize("others", [0, 1, 3])
+def test_work_is_not_given_up_where_nobody_else_takes_the_request(
+    others: int,
+) -> None:
+    guard = _AtWork((1.5, False))
+    with contextlib.ExitStack() as stack:
+        handlers = [guard, *(_Full() for _ in range(others))]
+        guards = [stack.enter_context(running(each)) for each in handlers]
+        address = stack.enter_context(entry_before(*guards))
+        status, took_s = get(address, "/read")
+    assert (status, guard.done, guard.broken_off) == (200, 1, 0)
+    assert took_s < 2.5
+
+
+# Guards against an answer that is lost, as another one was asked since.
+def test_the_first_of_two_answers_goes_to_the_caller() -> None:
+    guard = _AtWork((1.2, False), (2.6, False))
+    with running(guard) as first, running(guard) as second:
+        with entry_before(first, second) as address:
+            status, took_s = get(address, "/read")
+    assert (status, guard.done, guard.broken_off) == (200, 1, 1)
+    assert took_s < 2.0
+
+
+# Guards against work that is broken off for a refusal of who was asked before.
+def test_a_refusal_that_comes_late_breaks_off_no_other_work() -> None:
+    guard = _AtWork((1.2, True), (1.2, False))
+    with running(guard) as first, running(guard) as second:
+        with entry_before(first, second) as address:
+            status, _ = get(address, "/read")
+    assert (status, guard.done, guard.broken_off) == (200, 2, 0)
+
+
+# Guards against more upstreams at work on a request than its kind allows.
+def test_no_more_are_at_work_than_may_be_asked() -> None:
+    most = config.Kind(1, True, 3_000).max_attempts
+    guard = _AtWork(*[(9.0, False)] * most, (0.0, False))
+    with contextlib.ExitStack() as stack:
+        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
+        address = stack.enter_context(entry_before(*guards))
+        status, took_s = get(address, "/read")
+    assert (status, guard.done, guard.broken_off) == (504, 0, most)
+    assert 2.9 <= took_s < 3.5
