A request isn't given up at a daemon that shows no sign of life

Cause: break before make. Two missed probes of 0.2 s make a daemon lost for an entry. A request that may be repeated then left it: the exchange was closed, which cuts the run, before anybody else was known to take the request. Where all others were refused, lost or tried already, the caller got E4030 at once.

Fix: the exchange stays open while another upstream is asked beside it. The first answer that isn't a failure goes to the caller and ends the others; a refusal that comes late ends only its own exchange; with nobody else the request waits until its deadline, as an upstream's silence is no reason to end it sooner. Who is asked beside counts as an attempt and is paid from the retry budget, each one that sees the request.

--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -430,7 +430,7 @@
 
 
 class PeerSilent(OutcomeUnknown):
-    """The upstream's daemon shows no sign of life; another one is asked."""
+    """An upstream's daemon shows no sign of life; another is asked too."""
 
     code = 4030
 
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import collections.abc
 import dataclasses
 import time
@@ -55,6 +56,31 @@
 _HOP_BY_HOP_OPTIONS: typing.Final = _HOP_BY_HOP | {"close"}
 
 
+class Pending(abc.ABC):
+    """A request sent to one peer, whose answer isn't known yet."""
+
+    @abc.abstractmethod
+    def fileno(self) -> int:
+        """Return the descriptor of the connection to the peer."""
+
+    @abc.abstractmethod
+    def advance(self, stall_s: float) -> None:
+        """Read the head of an answer that has begun to arrive.
+
+        :param stall_s: how long the peer may pause within it.
+        """
+
+    @property
+    @abc.abstractmethod
+    def ended(self) -> bool:
+        """Tell whether an answer has begun, or none can come."""
+
+    @property
+    @abc.abstractmethod
+    def served(self) -> bool:
+        """Tell whether there is an answer that a caller is to have."""
+
+
 class Body:
     """A request's body: held when small, else streamed once.
 
@@ -130,7 +156,8 @@
     ``objective_s`` is when its answer begins to count as late, and ``inner``
     says that a running request of an upstream waits for it.  ``second``
     decides whether an upstream's failure is replaced by another's answer,
-    and ``kept`` is such a failure.
+    and ``kept`` is such a failure.  ``pending`` holds what was sent and
+    isn't answered, the oldest first.
     """
 
     id: str
@@ -150,6 +177,7 @@
     inner: bool = False
     second: _second.Second | None = None
     kept: tuple[int, list[serving.Header], bytes] | None = None
+    pending: list[Pending] = dataclasses.field(default_factory=list)
 
     def left_ms(self) -> float:
         """Return how much time is left."""
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import collections.abc
+import dataclasses
 import functools
 import itertools
 import time
@@ -139,69 +141,58 @@
         self._budget.count(call.service)
         size = call.body.length or 0
         self._recorder.count("chiveroad.entry.bytes", "in", size)
-        tried: list[str] = []
-        sent = 0
-        worst: errors.Refusal | None = None
+        attempts = _Attempts(request, call, route)
+        if self._try_until_served(attempts):
+            self._log_served(attempts)
+            return
+        worst = attempts.worst
+        assert worst is not None, "report this: given up without a reason"
+        _log.warning(
+            "Request {} is given up: {}.",
+            call.id,
+            worst,
+            extra=self._log_fields(attempts),
+        )
+        _give_up(request, call, worst)
+
+    def _try_until_served(self, attempts: _Attempts) -> bool:
+        """Ask one upstream after the other; False when it is given up."""
         while True:
             try:
-                self._try_once(request, call, tried, sent)
+                self._try_once(attempts)
+                return True
+            except _exchange.AnsweredElsewhere:
+                return True
             except errors.Refusal as refusal:
-                worst = _worse(worst, refusal)
-                sent += refusal.reached
-                failure = _retry.Failure(
-                    ran=refusal.ran,
-                    tries=len(tried),
-                    sent=sent,
-                    idempotent=call.kind.idempotent,
-                    outermost=call.depth == 0,
-                    replayable=call.body.replayable,
-                    answer_begun=request.begun,
-                    left_ms=call.left_ms(),
-                    max_attempts=call.kind.max_attempts,
-                )
-                told = self._log_fields(call, route, tried)
-                if not self._try_again(call, failure, refusal):
-                    _log.warning(
-                        "Request {} is given up: {}.",
-                        call.id,
-                        worst,
-                        extra=told,
-                    )
-                    _give_up(request, call, worst)
-                    return
+                attempts.failed(refusal)
+                if not self._try_again(attempts, refusal):
+                    return False
                 _log.info(
                     "Request {} is tried again: {}.",
-                    call.id,
+                    attempts.call.id,
                     refusal,
-                    extra=told,
+                    extra=self._log_fields(attempts),
                 )
-            else:
-                self._log_served(call, route, tried)
-                return
 
-    def _log_served(
-        self, call: _call.Call, route: config.Route, tried: list[str]
-    ) -> None:
+    def _log_served(self, attempts: _Attempts) -> None:
         if not self._sampler.passes():
             return
         _log.info(
             "Request {} is served by {}.",
-            call.id,
-            tried[-1],
-            extra=self._log_fields(call, route, tried),
+            attempts.call.id,
+            attempts.served_by,
+            extra=self._log_fields(attempts),
         )
 
-    def _log_fields(
-        self, call: _call.Call, route: config.Route, tried: list[str]
-    ) -> dict[str, object]:
+    def _log_fields(self, attempts: _Attempts) -> dict[str, object]:
         """Return what a line on a request tells besides its message."""
         return {
-            "request": call.id,
-            "route": route.name,
-            "service": call.service,
+            "request": attempts.call.id,
+            "route": attempts.route.name,
+            "service": attempts.call.service,
             "version": self._applied.current.number,
-            "tried": tried,
-            "left_ms": int(call.left_ms()),
+            "tried": attempts.tried,
+            "left_ms": int(attempts.call.left_ms()),
             "unlogged": self._sampler.left_out,
         }
 
@@ -259,13 +250,8 @@
         """Tell whether the upstream beside this daemon makes the request."""
         return request.peer_host == self._own_host
 
-    def _try_once(
-        self,
-        request: serving.Request,
-        call: _call.Call,
-        tried: list[str],
-        sent: int,
-    ) -> None:
+    def _try_once(self, attempts: _Attempts) -> None:
+        call, tried = attempts.call, attempts.tried
         if call.left_ms() <= 0:
             raise errors.DeadlineExceeded("the deadline passed")
         self._check_time_left(call)
@@ -278,16 +264,18 @@
         distance = chosen.distance.name.lower()
         self._recorder.count("chiveroad.entry.picks", distance)
         track = self._upstreams.track(member)
-        call.second = self._second(call, sent)
+        call.second = self._second(attempts)
         self._upstreams.count(track, 1)
         try:
-            self._serve(request, call, member, track)
-            self._upstreams.learn_size(call.kind_name, request.bytes_sent)
+            self._serve(attempts, member, track)
         except errors.Refusal as refusal:
             _upstreams.learn_refusal(track, refusal)
             raise
         finally:
             self._upstreams.count(track, -1)
+        attempts.served_by = chosen.instance
+        sent = attempts.request.bytes_sent
+        self._upstreams.learn_size(call.kind_name, sent)
 
     def _check_time_left(self, call: _call.Call) -> None:
         left_ms = call.left_ms()
@@ -297,11 +285,12 @@
         if _too_late.too_late(call.kind_name, left_ms, tracks):
             raise errors.TooLittleTime(f"{left_ms:.0f} ms are left")
 
-    def _second(self, call: _call.Call, sent: int) -> _second.Second | None:
+    def _second(self, attempts: _Attempts) -> _second.Second | None:
         """Return the second chance of a request that may be repeated."""
+        call = attempts.call
         if not call.kind.idempotent or not call.body.replayable:
             return None
-        if call.depth or sent + 1 >= call.kind.max_attempts:
+        if call.depth or attempts.sent + 1 >= call.kind.max_attempts:
             return None
         return _second.Second(
             functools.partial(self._budget.spend, call.service)
@@ -309,11 +298,11 @@
 
     def _serve(
         self,
-        request: serving.Request,
-        call: _call.Call,
+        attempts: _Attempts,
         member: membership.Member,
         track: _balancer.Track,
     ) -> None:
+        request, call = attempts.request, attempts.call
         if member.instance == self._options.instance:
             try:
                 status = self._guard.serve(request, call)
@@ -329,7 +318,7 @@
                 call.guard_headers(),
                 request.socket,
                 _hop.read_terms,
-                self._abandon(call, member.guard),
+                self._elsewhere(attempts, member, track),
             )
         _upstreams.learn_load(track, answer, call.kind_name)
         code = answer.header(serving.CODE_HEADER)
@@ -340,35 +329,122 @@
         _guard.check_failure(call, answer)
         _exchange.pass_on(answer, request, hold_bytes=HELD_ANSWER_BYTES)
 
-    def _abandon(
-        self, call: _call.Call, address: str
-    ) -> _exchange.Abandon | None:
-        """Return what tells whether a request leaves a silent daemon.
+    def _elsewhere(
+        self,
+        attempts: _Attempts,
+        member: membership.Member,
+        track: _balancer.Track,
+    ) -> _exchange.Elsewhere | None:
+        """Return what asks another upstream while a daemon is silent.
 
-        It does where another upstream may run it too, and is paid for.
+        It does where another one may run the request too, and is paid for.
+        The daemon may be cut off, or only have no time for probes while its
+        upstream is at work: nothing but an answer or the deadline ends its
+        exchange.
         """
-        second = call.second
-        if second is None:
+        if attempts.call.second is None:
             return None
-        reach = self._upstreams.reach(address)
-        return lambda: reach.state is _reach.State.LOST and second.pay()
+        reach = self._upstreams.reach(member.guard)
+        paid_at = -1
+
+        def ask_another() -> bool:
+            nonlocal paid_at
+            if reach.state is not _reach.State.LOST:
+                return False
+            silent = errors.PeerSilent(f"{member.instance} is silent")
+            if not self._may_try(attempts, silent):
+                return False
+            if paid_at < attempts.ended:
+                # Each upstream that sees the request beside this one is paid.
+                if not self._budget.spend(attempts.call.service):
+                    return False
+                paid_at = attempts.ended
+                track.failed(time.monotonic())
+                _log.info(
+                    "Request {} goes to another upstream as well: {}.",
+                    attempts.call.id,
+                    silent,
+                    extra=self._log_fields(attempts),
+                )
+            return self._try_until_served(attempts)
+
+        return lambda: attempts.beside(ask_another)
+
+    def _may_try(self, attempts: _Attempts, refusal: errors.Refusal) -> bool:
+        """Tell whether another upstream may be asked after a refusal."""
+        call = attempts.call
+        failure = _retry.Failure(
+            ran=refusal.ran,
+            tries=len(attempts.tried),
+            sent=attempts.sent,
+            idempotent=call.kind.idempotent,
+            outermost=call.depth == 0,
+            replayable=call.body.replayable,
+            answer_begun=attempts.request.begun,
+            left_ms=call.left_ms(),
+            max_attempts=call.kind.max_attempts,
+        )
+        return _retry.decide(failure, True) is _retry.Decision.RETRY
 
-    def _try_again(
-        self,
-        call: _call.Call,
-        failure: _retry.Failure,
-        refusal: errors.Refusal,
-    ) -> bool:
+    def _try_again(self, attempts: _Attempts, refusal: errors.Refusal) -> bool:
         if isinstance(refusal, _FINAL):
             return False
-        if _retry.decide(failure, True) is _retry.Decision.GIVE_UP:
+        if not self._may_try(attempts, refusal):
             return False
         # What no upstream has seen is free to go on to another one.
+        call = attempts.call
         if not refusal.reached or (call.second and call.second.paid):
             return True
         return self._budget.spend(call.service)
 
 
+@dataclasses.dataclass(slots=True)
+class _Attempts:
+    """What has become of a request so far.
+
+    ``tried`` names the upstreams that were asked, ``ended`` counts those
+    that have seen it and ``open`` those that may be at work on it while
+    another is asked.  ``worst`` is what the caller is told if no other is.
+    """
+
+    request: serving.Request
+    call: _call.Call
+    route: config.Route
+    tried: list[str] = dataclasses.field(default_factory=list)
+    ended: int = 0
+    open: int = 0
+    worst: errors.Refusal | None = None
+    served_by: str = ""
+
+    @property
+    def sent(self) -> int:
+        """Return how many upstreams have, or may have, seen the request."""
+        return self.ended + self.open
+
+    def failed(self, refusal: errors.Refusal) -> None:
+        """Take in why an upstream gave no answer."""
+        self.worst = _worse(self.worst, refusal)
+        self.ended += refusal.reached
+
+    def beside(self, ask_another: collections.abc.Callable[[], bool]) -> bool:
+        """Ask others beside an upstream that was asked and may be at work.
+
+        :returns: whether the caller has been answered.
+        :raises errors.Refusal: when an answer that had begun was cut.
+        """
+        self.open += 1
+        try:
+            served = ask_another()
+        except _exchange.Overtaken:
+            return False
+        finally:
+            self.open -= 1
+        if not served and self.request.begun:
+            assert self.worst is not None, "report this: cut for no reason"
+            raise self.worst
+        return served
+
+
 def _give_up(
     request: serving.Request, call: _call.Call, worst: errors.Refusal
 ) -> None:
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -27,6 +27,10 @@
 SMALL_ANSWER_BYTES: typing.Final = 64 * 1024
 STALL_S: typing.Final = 10.0
 MIN_STALL_S: typing.Final = 0.05
+EARLIER_STALL_S: typing.Final = 0.2
+"""How long a peer that was asked before may pause within an answer's head,
+while another's is awaited: a head is a packet or two."""
+
 MAX_CROSSED: typing.Final = 3
 """How many answers to other requests are passed over on one connection."""
 
@@ -51,8 +55,9 @@
 ReadTerms = collections.abc.Callable[
     [int, collections.abc.Callable[[str, str], str]], wire.AnswerTerms
 ]
-Abandon = collections.abc.Callable[[], bool]
-"""Tells whether a request leaves its peer before there is an answer."""
+Elsewhere = collections.abc.Callable[[], bool]
+"""Asks another peer while a request waits; tells whether the caller has that
+one's answer.  The first peer may be at work, so its exchange stays open."""
 
 
 class Answer:
@@ -140,21 +145,121 @@
         self._pool.give_back(self._connection)
 
 
+class AnsweredElsewhere(Exception):
+    """The caller has the answer of a peer that was asked later."""
+
+
+class Overtaken(Exception):
+    """A peer that was asked before has answered."""
+
+
+class _Exchange(_call.Pending):
+    """A request sent over one connection, until its answer's head is read.
+
+    ``answer`` is that answer, and ``failure`` why there is none.
+    """
+
+    def __init__(
+        self,
+        pool: _pool.Pool,
+        connection: _pool.Connection,
+        call: _call.Call,
+        read_terms: ReadTerms,
+    ) -> None:
+        self._pool = pool
+        self._call = call
+        self._read_terms = read_terms
+        self._crossed = 0
+        self.connection = connection
+        self.answer: Answer | None = None
+        self.failure: errors.Refusal | None = None
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection to the peer."""
+        sock = self.connection.sock
+        assert sock is not None, "report this: unopened connection"
+        return sock.fileno()
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether an answer has begun, or none can come."""
+        return self.answer is not None or self.failure is not None
+
+    @property
+    def served(self) -> bool:
+        """Tell whether there is an answer that a caller is to have."""
+        answer = self.answer
+        return (
+            answer is not None
+            and answer.terms.ran
+            and answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
+        )
+
+    def advance(self, stall_s: float) -> None:
+        """Read the head of an answer that has begun to arrive.
+
+        One to an earlier request is passed over.
+        """
+        self.connection.pause_at_most(stall_s)
+        try:
+            self._read_head()
+        except errors.Refusal as refusal:
+            self.failure = refusal
+        except _FAILURES as exc:
+            self._pool.lost(self.connection)
+            self.failure = errors.OutcomeUnknown(f"no answer: {exc!r}")
+            self.failure.__cause__ = exc
+
+    def _read_head(self) -> None:
+        call = self._call
+        response = self.connection.read_head(call.method)
+        answer = Answer(
+            self._pool,
+            self.connection,
+            response,
+            call.method,
+            self._read_terms,
+        )
+        echoed = answer.terms.request_id
+        self._pool.echoes = self._pool.echoes or echoed == call.id
+        if echoed == call.id or _is_unnamed(answer, self._pool):
+            self.answer = answer
+            return
+        self._crossed += 1
+        endless = answer.length is None and not response.chunked
+        if endless or self._crossed > MAX_CROSSED:
+            raise errors.AnswerCrossed(f"the answer is to {echoed}")
+        response.read()
+
+    def send(self, headers: collections.abc.Iterable[serving.Header]) -> None:
+        """Send the request."""
+        try:
+            _send(self.connection, self._call, headers)
+        except _FAILURES as exc:
+            self._pool.lost(self.connection)
+            raise errors.OutcomeUnknown(f"no answer: {exc!r}") from exc
+
+
 def ask(
     pool: _pool.Pool,
     call: _call.Call,
     headers: collections.abc.Iterable[serving.Header],
     caller: socket.socket,
     read_terms: ReadTerms,
-    abandon: Abandon | None = None,
+    elsewhere: Elsewhere | None = None,
 ) -> Answer:
     """Send a request and wait for the head of the answer.
 
-    :param abandon: asked now and then while the request waits.
+    The peer may be one of several that are asked; the first answer that a
+    caller is to have ends the exchanges with the others.
+
+    :param elsewhere: asked now and then while the request waits.
     :raises errors.UpstreamRefused: when no connection could be opened, so
         that nothing was sent.
     :raises errors.OutcomeUnknown: when it was sent and no answer came; the
         subclass says why.
+    :raises AnsweredElsewhere: when the caller has been answered.
+    :raises Overtaken: when a peer that was asked before has answered.
     """
     if call.left_ms() <= 0:
         raise errors.DeadlineExceeded("the deadline passed before sending")
@@ -164,42 +269,21 @@
         connection = pool.take()
     except _FAILURES as exc:
         raise errors.UpstreamRefused(f"no connection: {exc}", 200) from exc
+    exchange = _Exchange(pool, connection, call, read_terms)
+    call.pending.append(exchange)
     try:
-        _send(connection, call, headers)
-        return _read_own_answer(
-            pool, connection, call, caller, read_terms, abandon
-        )
-    except errors.Refusal:
+        exchange.send(headers)
+        while not exchange.ended:
+            _await_answer(exchange, caller, call, elsewhere)
+        if exchange.failure is not None:
+            raise exchange.failure
+        assert exchange.answer is not None, "report this: no answer"
+        return exchange.answer
+    except BaseException:
         connection.close()
         raise
-    except _FAILURES as exc:
-        pool.lost(connection)
-        connection.close()
-        raise errors.OutcomeUnknown(f"no answer: {exc!r}") from exc
-
-
-def _read_own_answer(
-    pool: _pool.Pool,
-    connection: _pool.Connection,
-    call: _call.Call,
-    caller: socket.socket,
-    read_terms: ReadTerms,
-    abandon: Abandon | None,
-) -> Answer:
-    """Return the answer to this request, past late ones to other requests."""
-    echoed = ""
-    for _ in range(MAX_CROSSED + 1):
-        _await_answer(connection, caller, call, abandon)
-        response = connection.read_head(call.method)
-        answer = Answer(pool, connection, response, call.method, read_terms)
-        echoed = answer.terms.request_id
-        pool.echoes = pool.echoes or echoed == call.id
-        if echoed == call.id or _is_unnamed(answer, pool):
-            return answer
-        if answer.length is None and not response.chunked:
-            break
-        response.read()
-    raise errors.AnswerCrossed(f"the answer is to {echoed}")
+    finally:
+        call.pending.remove(exchange)
 
 
 def _is_unnamed(answer: Answer, pool: _pool.Pool) -> bool:
@@ -363,32 +447,44 @@
 
 
 def _await_answer(
-    connection: _pool.Connection,
+    exchange: _Exchange,
     caller: socket.socket,
     call: _call.Call,
-    abandon: Abandon | None = None,
+    elsewhere: Elsewhere | None = None,
 ) -> None:
-    """Wait until the peer answers, the caller hangs up, or time is over."""
-    sock = connection.sock
-    assert sock is not None, "report this: unopened connection"
+    """Wait until the peer answers, the caller hangs up, or time is over.
+
+    Peers that were asked before may answer meanwhile.
+    """
+    earlier = {
+        pending.fileno(): pending
+        for pending in call.pending
+        if pending is not exchange and not pending.ended
+    }
     poll = select.poll()
-    poll.register(sock, select.POLLIN)
     poll.register(caller, select.POLLIN | select.POLLRDHUP)
+    for number in (exchange.fileno(), *earlier):
+        poll.register(number, select.POLLIN)
     wake_ms = FIRST_WAKE_MS
-    while True:
+    while not exchange.ended:
         left_ms = call.left_ms()
-        wait_ms = min(left_ms, wake_ms) if abandon else left_ms
+        wait_ms = min(left_ms, wake_ms) if elsewhere else left_ms
         wake_ms = WAKE_MS
-        buffered = connection.has_data()
+        buffered = exchange.connection.has_data()
         ready = dict(poll.poll(0 if buffered else max(0, wait_ms)))
-        if buffered or sock.fileno() in ready:
-            stall_s = max(MIN_STALL_S, min(STALL_S, left_ms / 1000))
-            connection.pause_at_most(stall_s)
-            return
+        if buffered or exchange.fileno() in ready:
+            exchange.advance(max(MIN_STALL_S, min(STALL_S, left_ms / 1000)))
+            continue
+        for number in earlier.keys() & ready.keys():
+            earlier[number].advance(EARLIER_STALL_S)
         if not ready and call.left_ms() <= 0:
             raise errors.AnswerTimeout("no answer before the deadline")
-        if not ready and abandon and abandon():
-            raise errors.PeerSilent("the peer shows no sign of life")
+        if not ready and elsewhere and elsewhere():
+            raise AnsweredElsewhere
+        for number in [n for n, each in earlier.items() if each.ended]:
+            poll.unregister(number)
+            if earlier.pop(number).served and not exchange.ended:
+                raise Overtaken
         if caller.fileno() in ready:
             if serving.hung_up(caller):
                 raise errors.CallerGone("the caller hung up")
--- a/src/chiveroad/traffic/_second.py
+++ b/src/chiveroad/traffic/_second.py
@@ -5,8 +5,8 @@
 while attempts are left.  The retry is paid for from the budget before the
 failure is dropped, and the failure is kept in case no other answer comes.
 An upstream that is still at work is never left: the work would be lost, and
-nothing says that another one would be faster.  A daemon that shows no sign of
-life is left, as its upstream's answer couldn't arrive.
+nothing says that another one would be faster.  Where its daemon shows no sign
+of life another one is asked beside it, and the first answer counts.
 """
 
 from __future__ import annotations
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -315,13 +315,8 @@
     class Asking(_entry.Entry):
         """An entry without a network."""
 
-        def _try_once(
-            self,
-            request: serving.Request,
-            call: _call.Call,
-            tried: list[str],
-            sent: int,
-        ) -> None:
+        def _try_once(self, attempts: _entry._Attempts) -> None:
+            tried = attempts.tried
             tried.append(f"daemon-{len(tried)}")
             asked.append(tried[-1])
             if len(tried) == 1:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -315,10 +315,10 @@
     """Guards too busy for probes, whose upstreams are at work.
 
     :param outcomes: for each request in turn how long the work takes, in
-        seconds, and whether it ends in a refusal.
+        seconds, and in which refusal it ends.
     """
 
-    def __init__(self, *outcomes: tuple[float, bool]) -> None:
+    def __init__(self, *outcomes: tuple[float, errors.Refusal | None]) -> None:
         self._outcomes = iter(outcomes)
         self.broken_off = 0
         self.done = 0
@@ -329,7 +329,7 @@
             time.sleep(3.0)
             request.answer(204, (), b"")
             return
-        work_s, refuses = next(self._outcomes)
+        work_s, refusal = next(self._outcomes)
         end_s = time.monotonic() + work_s
         while time.monotonic() < end_s:
             if serving.hung_up(request.socket):
@@ -337,8 +337,8 @@
                 raise errors.CallerGone("the entry left")
             time.sleep(0.01)
         self.done += 1
-        if refuses:
-            raise errors.Overloaded("no time left to run it")
+        if refusal is not None:
+            raise refusal
         request.answer(200, (), b"done")
 
 
@@ -347,7 +347,7 @@
 def test_work_is_not_given_up_where_nobody_else_takes_the_request(
     others: int,
 ) -> None:
-    guard = _AtWork((1.5, False))
+    guard = _AtWork((1.5, None))
     with contextlib.ExitStack() as stack:
         handlers = [guard, *(_Full() for _ in range(others))]
         guards = [stack.enter_context(running(each)) for each in handlers]
@@ -359,7 +359,7 @@
 
 # Guards against an answer that is lost, as another one was asked since.
 def test_the_first_of_two_answers_goes_to_the_caller() -> None:
-    guard = _AtWork((1.2, False), (2.6, False))
+    guard = _AtWork((1.2, None), (2.6, None))
     with running(guard) as first, running(guard) as second:
         with entry_before(first, second) as address:
             status, took_s = get(address, "/read")
@@ -369,7 +369,7 @@
 
 # Guards against work that is broken off for a refusal of who was asked before.
 def test_a_refusal_that_comes_late_breaks_off_no_other_work() -> None:
-    guard = _AtWork((1.2, True), (1.2, False))
+    guard = _AtWork((1.2, errors.Overloaded("no time left")), (1.2, None))
     with running(guard) as first, running(guard) as second:
         with entry_before(first, second) as address:
             status, _ = get(address, "/read")
@@ -379,10 +379,22 @@
 # Guards against more upstreams at work on a request than its kind allows.
 def test_no_more_are_at_work_than_may_be_asked() -> None:
     most = config.Kind(1, True, 3_000).max_attempts
-    guard = _AtWork(*[(9.0, False)] * most, (0.0, False))
+    guard = _AtWork(*[(9.0, None)] * most, (0.0, None))
     with contextlib.ExitStack() as stack:
         guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
         address = stack.enter_context(entry_before(*guards))
         status, took_s = get(address, "/read")
     assert (status, guard.done, guard.broken_off) == (504, 0, most)
     assert 2.9 <= took_s < 3.5
+
+
+# Guards against one more upstream for each that fails beside one at work.
+def test_who_fails_beside_one_at_work_counts_as_asked() -> None:
+    most = config.Kind(1, True, 3_000).max_attempts
+    lost = (0.0, errors.OutcomeUnknown("reset"))
+    guard = _AtWork((2.5, None), *[lost] * most)
+    with contextlib.ExitStack() as stack:
+        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
+        address = stack.enter_context(entry_before(*guards))
+        status, _ = get(address, "/read")
+    assert (status, guard.done, guard.broken_off) == (200, most, 0)
