A starved prober reads the answers that have arrived

What callers saw: at an entry whose process got no processor for 0.2 s while it probed, every daemon that was probed missed at once. Two such rounds make all of them LOST: exchanges with working upstreams were left, and new requests refused for want of an upstream.

Cause: the probe's time was one span of the clock from before the connections were begun. When it was over, the loop ended without another look, although connections had opened and answers lay there; the request itself went out only in a later turn of the same loop, so a starved prober had often not asked.

The time for an answer now begins with the request, and the loop ends only after a poll without a wait that brought nothing. Each connection has two events at most (open, answered), so the steps are bounded, and a time that runs out costs one more poll.

Evidence: the new test runs the prober on a clock that goes on by a second between any two readings while the daemon does each step in time. It failed on (nobody found) and passes now. Ruled out: poll itself, whose kernel looks once more after its timer; the fault was the loop around it.

--- a/src/chiveroad/traffic/_reach.py
+++ b/src/chiveroad/traffic/_reach.py
@@ -104,7 +104,10 @@
     """Return which of several daemons answer a request within a time.
 
     They are asked side by side, so that one probe of many lasts no longer
-    than one of a single daemon.  Any byte of an answer counts.
+    than one of a single daemon.  Any byte of an answer counts.  The time for
+    an answer begins with the request, and what has arrived is read before
+    the time is found to be over: a thread that got no processor meanwhile
+    tells nothing of the daemons.
     """
     end_s = time.monotonic() + timeout_s
     asked: dict[int, tuple[str, socket.socket]] = {}
@@ -116,10 +119,15 @@
             if sock is not None:
                 asked[sock.fileno()] = (address, sock)
                 poll.register(sock, select.POLLOUT)
-        while asked and (left_s := end_s - time.monotonic()) > 0:
-            for number, event in poll.poll(left_s * 1000):
+        while asked:
+            left_s = max(0.0, end_s - time.monotonic())
+            events = poll.poll(left_s * 1000)
+            if not (events or left_s):
+                break
+            for number, event in events:
                 address, sock = asked[number]
                 if _go_on(sock, event, poll, path):
+                    end_s = max(end_s, time.monotonic() + timeout_s)
                     continue
                 if event & select.POLLIN and _answered(sock):
                     living.add(address)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -147,6 +147,54 @@
     assert found == {alive}
 
 
+class _Starved:
+    """A clock of a prober that gets the processor once a second.
+
+    Before each reading after the first, a daemon takes the next step that it
+    can: it accepts the connection, then it answers the request.
+    """
+
+    def __init__(self, listener: socket.socket) -> None:
+        self._listener = listener
+        self._accepted: socket.socket | None = None
+        self._answered = False
+        self._now_s = 0.0
+
+    def monotonic(self) -> float:
+        """Return the time of the reading, a second after the last one."""
+        if self._now_s:
+            self._step()
+        self._now_s += 1.0
+        return self._now_s
+
+    def _step(self) -> None:
+        if self._accepted is None:
+            self._accepted, _ = self._listener.accept()
+        elif not self._answered:
+            assert self._accepted.recv(1024)
+            self._accepted.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            self._answered = True
+
+    def close(self) -> None:
+        """Close the daemon's end."""
+        if self._accepted is not None:
+            self._accepted.close()
+
+
+# A prober that was starved took every daemon for silent, answers unread.
+def test_a_prober_without_the_processor_reads_what_has_arrived(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(5)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        clock = _Starved(listener)
+        monkeypatch.setattr(_reach, "time", clock)
+        found = _reach.probe([address], _guard.PROBE_PATH)
+        clock.close()
+    assert found == {address}
+
+
 def upstreams(*guards: str) -> _upstreams.Upstreams:
     """Return the upstreams of ``glade`` behind some guards."""
     return _upstreams.Upstreams(
