Attempts side by side are one miss, and an answer meanwhile clears it

What callers saw: a daemon was LOST to an entry in the moment in which two of its requests, opening a connection each, both failed: no new request was sent there, and those that waited there were left.

Cause: two misses in a row were to mean two attempts, one after the other, for a single one may be a lost packet or a busy link. Each failed connection counted, however, so requests that failed side by side, of one cause, counted twice; so did a connection and a probe that overlapped. And a failure wiped out an answer that had come on another connection while the attempt lasted.

An attempt now counts only if it began after the last sign of life and after the last miss was noted.

--- a/src/chiveroad/traffic/_reach.py
+++ b/src/chiveroad/traffic/_reach.py
@@ -60,6 +60,8 @@
     quiet_since_s: float = 0.0
     misses: int = 0
     probed_s: float = 0.0
+    heard_s: float = 0.0
+    missed_s: float = 0.0
 
     @property
     def state(self) -> State:
@@ -80,12 +82,20 @@
 
     def heard(self, now_s: float) -> None:
         """Note a sign of life."""
-        self.quiet_since_s = now_s
+        self.quiet_since_s = self.heard_s = now_s
         self.misses = 0
 
-    def missed(self) -> None:
-        """Note an attempt that reached nobody."""
+    def missed(self, began_s: float, now_s: float) -> bool:
+        """Note an attempt that reached nobody; tell whether it counts.
+
+        One that began before the last sign of life or the last miss tells
+        nothing that isn't known: attempts side by side fail of one cause.
+        """
+        if began_s < max(self.heard_s, self.missed_s):
+            return False
         self.misses += 1
+        self.missed_s = now_s
+        return True
 
     def probe_due(self, now_s: float) -> bool:
         """Tell whether the daemon is to be probed now."""
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -104,15 +104,16 @@
         An answer is a sign of life; a failed connection attempt is a miss.
         """
         reach = self.reach(address)
+        began_s = time.monotonic()
         with self._lock:
-            reach.sent(time.monotonic())
+            reach.sent(began_s)
         if not self.asked.is_set():
             self.asked.set()
         try:
             yield
             self._heard(address)
         except errors.UpstreamRefused:
-            self._missed(address)
+            self._missed(address, began_s)
             raise
         finally:
             with self._lock:
@@ -140,7 +141,7 @@
             if address in living:
                 self._heard(address)
             else:
-                self._missed(address)
+                self._missed(address, now_s)
         return True
 
     def _heard(self, address: str) -> None:
@@ -149,9 +150,11 @@
         if self._missing.pop(address, None) is not None:
             _log.info("The daemon at {} answers again.", address)
 
-    def _missed(self, address: str) -> None:
+    def _missed(self, address: str, began_s: float) -> None:
+        """Note an attempt that reached nobody, and when it began."""
         reach = self.reach(address)
-        reach.missed()
+        if not reach.missed(began_s, time.monotonic()):
+            return
         self._missing[address] = reach
         if reach.misses == _reach.LOST_AFTER_MISSES:
             _log.warning("The daemon at {} can't be reached.", address)
