--- a/src/chiveroad/traffic/_reach.py
+++ b/src/chiveroad/traffic/_reach.py
@@ -60,6 +60,8 @@
     quiet_since_s: float = 0.0
     misses: int = 0
     probed_s: float = 0.0
+    heard_s: float = 0.0
+    missed_s: float = 0.0
 
     @property
     def state(self) -> State:
@@ -80,12 +82,20 @@
 
     def heard(self, now_s: float) -> None:
         """Note a sign of life."""
-        self.quiet_since_s = now_s
+        self.quiet_since_s = self.heard_s = now_s
         self.misses = 0
 
-    def missed(self) -> None:
-        """Note an attempt that reached nobody."""
+    def missed(self, began_s: float, now_s: float) -> bool:
+        """Note an attempt that reached nobody; tell whether it counts.
+
+        One that began before the last sign of life or the last miss tells
+        nothing that isn't known: attempts side by side fail of one cause.
+        """
+        if began_s < max(self.heard_s, self.missed_s):
+            return False
         self.misses += 1
+        self.missed_s = now_s
+        return True
 
     def probe_due(self, now_s: float) -> bool:
         """Tell whether the daemon is to be probed now."""
@@ -104,7 +114,10 @@
     """Return which of several daemons answer a request within a time.
 
     They are asked side by side, so that one probe of many lasts no longer
-    than one of a single daemon.  Any byte of an answer counts.
+    than one of a single daemon.  Any byte of an answer counts.  The time for
+    an answer begins with the request, and what has arrived is read before
+    the time is found to be over: a thread that got no processor meanwhile
+    tells nothing of the daemons.
     """
     end_s = time.monotonic() + timeout_s
     asked: dict[int, tuple[str, socket.socket]] = {}
@@ -116,10 +129,15 @@
             if sock is not None:
                 asked[sock.fileno()] = (address, sock)
                 poll.register(sock, select.POLLOUT)
-        while asked and (left_s := end_s - time.monotonic()) > 0:
-            for number, event in poll.poll(left_s * 1000):
+        while asked:
+            left_s = max(0.0, end_s - time.monotonic())
+            events = poll.poll(left_s * 1000)
+            if not (events or left_s):
+                break
+            for number, event in events:
                 address, sock = asked[number]
                 if _go_on(sock, event, poll, path):
+                    end_s = max(end_s, time.monotonic() + timeout_s)
                     continue
                 if event & select.POLLIN and _answered(sock):
                     living.add(address)
