A leave doesn't wait out the recorder's pause after a failure

Whoever asked an upstream's daemon to record its leave within 0.8 s (the upstream gives up after a second) waited for the end of a pause of up to 0.9 s that an earlier failure had begun: the leave was refused with E4016, though the store was back, and is sent again 1.8 s after the first time.

Now one who waits ends the pause, and pauses begin anew. A heartbeat that changes nothing waits for nothing, so ends none.

Before: the new test failed (not recorded within 20 s of a pause of 30 s).

--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -55,6 +55,7 @@
         self._known = False
         self._held: _messages.MemberRecord | None = None
         self._changed = threading.Condition()
+        self._awaited = False
         self.stopped = False
 
     def start(self) -> None:
@@ -87,9 +88,13 @@
         _log.warning("The record was deleted; it is written again.")
 
     def record(self, wait_s: float) -> bool:
-        """Have the present state written; tell whether it is."""
+        """Have the present state written; tell whether it is.
+
+        Whoever waits for it doesn't wait out a pause after a failure.
+        """
         end_s = time.monotonic() + wait_s
         with self._changed:
+            self._awaited |= wait_s > 0 and not self._current()
             self._changed.notify_all()
             while not self._current():
                 left_s = end_s - time.monotonic()
@@ -118,12 +123,21 @@
                     if self.stopped:
                         return
                 wanted = self._compose()
+                self._awaited = False
             if wanted is None:
                 continue
             if self._write(wanted):
                 backoff.reset()
             else:
-                backoff.wait()
+                self._pause(backoff)
+
+    def _pause(self, backoff: _backoff.Backoff) -> None:
+        """Wait after a failure, until the record is awaited at most."""
+        with self._changed:
+            if self._changed.wait_for(
+                lambda: self._awaited or self.stopped, backoff.next_s()
+            ):
+                backoff.reset()
 
     def _write(self, wanted: _messages.MemberRecord) -> bool:
         """Take one step towards a record; False when the store failed."""
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -234,6 +234,38 @@
     assert recording.stored() is presence.Phase.DRAINING
 
 
+PAUSE_S = 30.0
+
+
+# A leave that came in a pause after a failure was refused all the same.
+def test_who_waits_for_a_record_ends_the_pause_after_a_failure(
+    recording: Recording, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_backoff.Backoff, "next_s", lambda _: PAUSE_S)
+    recording.platform.down = True
+    recording.wanted = record_of(presence.Phase.READY)
+    assert not recording.recorder.record(0.2)
+    recording.platform.down = False
+    recording.wanted = record_of(presence.Phase.DRAINING)
+    assert recording.recorder.record(WAIT_S)
+    assert recording.stored() is presence.Phase.DRAINING
+
+
+def test_who_does_not_wait_ends_no_pause(
+    recording: Recording, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_backoff.Backoff, "next_s", lambda _: PAUSE_S)
+    recording.platform.down = True
+    recording.wanted = record_of(presence.Phase.READY)
+    assert not recording.recorder.record(0.2)
+    recording.platform.down = False
+    for _ in range(5):
+        assert not recording.recorder.record(0.0)
+        time.sleep(0.02)
+    with pytest.raises(errors.StoreNotFound):
+        recording.stored()
+
+
 def test_an_earlier_record_is_taken_in_before_anything_is_written(
     recording: Recording,
 ) -> None:
