A refused write of a record is made again, not read back first

A write that the store refuses (429, 503, no connection) has had no effect, so the revision that it was conditional on still holds. The recorder read the object back all the same, with a pause before it and one after a refused read: two calls and up to three pauses for each try, while the upstream waits.

Ruled out: that a refused write takes effect later (503 means that nothing was done); were it otherwise, the next write conflicts and is read back, as before. Refusals are now also among the faults of the presence machine.

--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -152,8 +152,10 @@
             )
         except errors.StoreError as exc:
             _log.info("The record isn't written yet: {}.", exc)
-            # Whoever wrote, or whether this write took effect, is read back.
-            self._known = False
+            if not _had_no_effect(exc):
+                # Whoever wrote, or whether this write took effect, is read
+                # back.
+                self._known = False
             return False
         with self._changed:
             self._revision = written.version
@@ -175,6 +177,13 @@
         self._recall(stored)
 
 
+def _had_no_effect(error: errors.StoreError) -> bool:
+    """Tell whether the object is as it was before a failed call."""
+    if isinstance(error, errors.StoreOutcomeUnknown):
+        return False
+    return isinstance(error, errors.StoreUnavailable)
+
+
 def _unnumbered(
     record: _messages.MemberRecord,
 ) -> _messages.MemberRecord:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -23,7 +23,8 @@
     """A store whose next calls fail as told.
 
     ``down`` refuses every call, ``lose`` counts writes whose answer is lost
-    after their effect, and ``drop`` writes that are lost before it.
+    after their effect, ``drop`` writes that are lost before it, and
+    ``refuse`` those that are refused.  ``gets`` counts reads.
     """
 
     def __init__(self) -> None:
@@ -31,8 +32,11 @@
         self.down = False
         self.lose = 0
         self.drop = 0
+        self.refuse = 0
+        self.gets = 0
 
     def get(self, kind: store.Kind, name: str) -> store.StoredObject:
+        self.gets += 1
         self._check()
         return super().get(kind, name)
 
@@ -40,6 +44,9 @@
         self, kind: store.Kind, name: str, spec: object, version: int
     ) -> store.StoredObject:
         self._check()
+        if self.refuse:
+            self.refuse -= 1
+            raise errors.StoreUnavailable("refused")
         if self.drop:
             self.drop -= 1
             raise errors.StoreOutcomeUnknown("dropped")
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -266,6 +266,20 @@
         recording.stored()
 
 
+# Each try cost two calls, and the second of them could be refused as well.
+def test_a_refused_write_is_made_again_without_reading_first(
+    recording: Recording,
+) -> None:
+    recording.wanted = record_of(presence.Phase.READY)
+    assert recording.recorder.record(WAIT_S)
+    asked = recording.platform.gets
+    recording.platform.refuse = 2
+    recording.wanted = record_of(presence.Phase.DRAINING)
+    assert recording.recorder.record(WAIT_S)
+    assert recording.stored() is presence.Phase.DRAINING
+    assert recording.platform.gets == asked + 1
+
+
 def test_an_earlier_record_is_taken_in_before_anything_is_written(
     recording: Recording,
 ) -> None:
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -142,9 +142,10 @@
             self.write()
         return self.recorder._current()
 
-    @sf.rule(how=st.sampled_from(["lose", "drop", "put off"]))
+    @sf.rule(how=st.sampled_from(["lose", "drop", "refuse", "put off"]))
     def harm_a_write(self, how: str) -> None:
-        """The answer to the next write doesn't come."""
+        """The next write is refused, or its answer doesn't come."""
+        self.store.refuse = int(how == "refuse")
         self.store.lose = int(how == "lose")
         self.store.drop = int(how == "drop")
         self.store.put_off = how == "put off"
@@ -244,7 +245,7 @@
         One that has taken up an id may have to wait until no heartbeat of
         the life before may still be under way.
         """
-        self.store.lose = self.store.drop = 0
+        self.store.lose = self.store.drop = self.store.refuse = 0
         self.store.put_off = False
         self.do_late_writes()
         self.read()
