An upstream is told 0.2 s, not a second, until it says again that it leaves

The heartbeat address was served without the protocol's fractions, so the 0.2 s of E4016 were sent as Retry-After: 1.

Before: the new test failed (1.0 for 0.2).

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -166,7 +166,13 @@
                 self._known_services,
             )
             servers.append(
-                _quiet_server(listen.heartbeat, handler, HEARTBEAT_THREADS, 1)
+                _quiet_server(
+                    listen.heartbeat,
+                    handler,
+                    HEARTBEAT_THREADS,
+                    1,
+                    self._protocol.fractional_retry_after,
+                )
             )
         if listen.ready:
             ready = readiness.ReadyHandler(self._takes_requests)
@@ -370,11 +376,20 @@
 
 
 def _quiet_server(
-    address: str, handler: serving.Handler, threads: int, few_threads: int
+    address: str,
+    handler: serving.Handler,
+    threads: int,
+    few_threads: int,
+    fractional_retry: bool = False,
 ) -> serving.Server:
     """Return a server that few callers use."""
     return serving.Server(
-        address, handler, threads, few_threads, expire_s=RARE_EXPIRE_S
+        address,
+        handler,
+        threads,
+        few_threads,
+        fractional_retry=fractional_retry,
+        expire_s=RARE_EXPIRE_S,
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,13 +9,18 @@
 import hypothesis.strategies as st
 import msgspec
 import pytest
+import urllib3
 
 from chiveroad import config
+from chiveroad import daemon
 from chiveroad import errors
 from chiveroad import platform
+from chiveroad.presence import _handler
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad import wire
+from standins import mesh
+from tests import fakes
 
 ROOT = pathlib.Path(__file__).parent.parent
 HEARTBEAT = {
@@ -253,3 +258,30 @@
     assert bare.control == settings.Control(source="accepted")
     assert bare.capacity == settings.Capacity()
     assert found.retries.ratio == 0.2
+
+
+# A leave was asked for again a whole second later, and 0.2 s were meant.
+def test_an_upstream_is_told_when_to_say_again_that_it_leaves() -> None:
+    ports = mesh.Ports()
+    entry, guard, control, heartbeat, upstream = (
+        ports.take() for _ in range(5)
+    )
+    options = msgspec.structs.replace(
+        fakes.options(entry=entry, guard=guard, control=control),
+        listen=settings.Listen(entry, guard, control, heartbeat),
+        upstream=settings.Upstream(upstream, heartbeats=True),
+        platform=settings.Platform(ports.take(), protocol="platform"),
+        control=settings.Control(source="accepted"),
+    )
+    running = daemon.Daemon(options)
+    running._open_servers()
+    try:
+        leave = BEAT.replace("heartbeat", "deregister")
+        answer = urllib3.request(
+            "POST", f"http://{heartbeat}{leave}", retries=False
+        )
+    finally:
+        serving.stop_all((*running._border_servers, *running._servers))
+    assert answer.status == 503
+    retry_s = float(answer.headers["Retry-After"])
+    assert retry_s == _handler.RECORD_RETRY_MS / 1000
