A daemon that has just started reads its own record for a leave

An upstream that ends was refused (E4016) as long as its daemon knew no record: that came with the list of all members, which may be refused, late, or in a pause of up to 1.5 s, and some upstreams say nothing but that they end.

Now one who waits has the daemon's own record read, a small call of its own, within the same 0.8 s; nobody else does, so that a start costs two calls as before. What the record says of the upstream is taken in before it counts as found, so that a waiter can't see it as unknown still.

Where the record names nobody, an end is refused as before (nothing outside the process would know of it).

The presence machine now also asks that an end that was acknowledged is recorded as one, not as the drain before it (it held before).

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -477,20 +477,20 @@
             self._recorder.found(None, store.ABSENT)
             return
         record = _record.read(own)
-        self._recorder.found(record, own.version)
-        if record is None or not record.member.upstream_id:
-            return
-        member = record.member
-        self._upstream.recall(
-            presence.Known(
-                upstream_id=member.upstream_id,
-                service=member.service,
-                phase=record.phase,
-                started_at_ms=member.upstream_started_at_ms,
-                slots=member.slots,
-                ended_by_ms=record.ended_by_ms,
+        if record is not None and record.member.upstream_id:
+            member = record.member
+            self._upstream.recall(
+                presence.Known(
+                    upstream_id=member.upstream_id,
+                    service=member.service,
+                    phase=record.phase,
+                    started_at_ms=member.upstream_started_at_ms,
+                    slots=member.slots,
+                    ended_by_ms=record.ended_by_ms,
+                )
             )
-        )
+        # Whoever waits until it is found sees what it says.
+        self._recorder.found(record, own.version)
         self._recorder.record(0.0)
 
 
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -56,6 +56,7 @@
         self._held: _messages.MemberRecord | None = None
         self._changed = threading.Condition()
         self._awaited = False
+        self._waiting = 0
         self.stopped = False
 
     def start(self) -> None:
@@ -90,18 +91,24 @@
     def record(self, wait_s: float) -> bool:
         """Have the present state written; tell whether it is.
 
-        Whoever waits for it doesn't wait out a pause after a failure.
+        Whoever waits for it doesn't wait out a pause after a failure, and
+        has what the object holds read where there is nothing to write yet.
         """
         end_s = time.monotonic() + wait_s
+        waits = wait_s > 0
         with self._changed:
-            self._awaited |= wait_s > 0 and not self._current()
+            self._waiting += waits
+            self._awaited |= waits and not self._current()
             self._changed.notify_all()
-            while not self._current():
-                left_s = end_s - time.monotonic()
-                if left_s <= 0:
-                    return False
-                self._changed.wait(left_s)
-            return True
+            try:
+                while not self._current():
+                    left_s = end_s - time.monotonic()
+                    if left_s <= 0:
+                        return False
+                    self._changed.wait(left_s)
+                return True
+            finally:
+                self._waiting -= waits
 
     def remove(self) -> None:
         """Delete the object; a failure leaves it."""
@@ -112,7 +119,9 @@
 
     def _current(self) -> bool:
         wanted = self._compose()
-        return wanted is None or wanted == self._held
+        if wanted is None:
+            return self._known or not self._waiting
+        return wanted == self._held
 
     def _run(self) -> None:
         backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_S)
@@ -124,8 +133,6 @@
                         return
                 wanted = self._compose()
                 self._awaited = False
-            if wanted is None:
-                continue
             if self._write(wanted):
                 backoff.reset()
             else:
@@ -139,7 +146,7 @@
             ):
                 backoff.reset()
 
-    def _write(self, wanted: _messages.MemberRecord) -> bool:
+    def _write(self, wanted: _messages.MemberRecord | None) -> bool:
         """Take one step towards a record; False when the store failed."""
         try:
             if not self._known:
@@ -147,6 +154,8 @@
                 # goes before what was to be written.
                 self._read()
                 return True
+            if wanted is None:
+                return True
             written = self._store.put(
                 store.Kind.MEMBERS, self._name, wanted, self._revision
             )
--- a/src/chiveroad/presence/_handler.py
+++ b/src/chiveroad/presence/_handler.py
@@ -82,9 +82,11 @@
 
     def _leave(self, leave: wire.Leave) -> None:
         whose = self._upstream.leave(leave.upstream_id)
+        if whose is _local.Left.UNKNOWN and self._record(RECORD_TIMEOUT_S):
+            # The record may name it; it is read by now.
+            whose = self._upstream.leave(leave.upstream_id)
         if whose is _local.Left.UNKNOWN:
-            # The record may still name it as ready; it isn't read yet.
-            raise errors.NotRecorded("no record is read", RECORD_RETRY_MS)
+            raise errors.NotRecorded("no record names it", RECORD_RETRY_MS)
         if whose is _local.Left.KNOWN:
             self._record_leave()
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -266,6 +266,25 @@
         recording.stored()
 
 
+# Else each daemon that starts would read its record on its own account.
+def test_a_record_is_read_only_for_one_who_waits(
+    recording: Recording,
+) -> None:
+    assert recording.recorder.record(0.0)
+    time.sleep(0.05)
+    assert recording.platform.gets == 0
+    recording.platform.down = True
+    assert not recording.recorder.record(0.3)
+    time.sleep(0.05)
+    asked = recording.platform.gets
+    assert asked
+    time.sleep(0.5)
+    assert recording.platform.gets == asked
+    recording.platform.down = False
+    assert recording.recorder.record(WAIT_S)
+    assert recording.platform.gets == asked + 1
+
+
 # Each try cost two calls, and the second of them could be refused as well.
 def test_a_refused_write_is_made_again_without_reading_first(
     recording: Recording,
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -11,12 +11,17 @@
 import pytest
 
 from chiveroad import clock
+from chiveroad import control
+from chiveroad.control import _messages
+from chiveroad.control import _record
 from chiveroad import errors
 from chiveroad import presence
 from chiveroad.presence import _local
 from chiveroad.presence import _state
 from chiveroad import serving
+from chiveroad import store
 from chiveroad import wire
+from tests import fakes
 
 HERE = "10.0.0.1:80"
 HOST = "10.0.0.1"
@@ -245,6 +250,30 @@
         handler.handle(_as_request(_Request(state="gone")))
 
 
+# Its upstream was refused until all members' records had been listed.
+def test_a_daemon_that_has_just_started_acknowledges_a_leave() -> None:
+    shared = fakes.FaultyStore()
+    node = control.Node(fakes.member("daemon", 0, 0), recorded=True)
+    named = msgspec.structs.replace(
+        node.member, upstream_id="i-1", upstream_started_at_ms=1_000
+    )
+    ready = _messages.MemberRecord(named, presence.Phase.READY)
+    shared.put(store.Kind.MEMBERS, "daemon", ready, store.ABSENT)
+    upstream = presence.LocalUpstream(HERE)
+    follower = control.Follower(
+        fakes.options("daemon"), shared, node, wire.Native(), upstream
+    )
+    follower._recorder.start()
+    handler = presence.HeartbeatHandler(
+        wire.Native(), upstream, HOST, follower.record, lambda: {"glade"}
+    )
+    request = _Request(state="gone")
+    handler.handle(_as_request(request))
+    assert request.status == 200
+    record = _record.read(shared.get(store.Kind.MEMBERS, "daemon"))
+    assert record is not None and record.phase is presence.Phase.GONE
+
+
 @pytest.mark.parametrize(
     ("heard", "recorded", "phase"),
     [
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -105,6 +105,7 @@
         self.reused = False
         self.sent: list[wire.Heartbeat] = []
         self.acknowledged: set[Life] = set()
+        self.acknowledged_ends: set[Life] = set()
         self.recorded: tuple[Life, presence.Phase] | None = None
         self.restart()
 
@@ -189,6 +190,8 @@
         whose = self.local.leave(self.upstream.id)
         if whose is presence.Left.KNOWN and self._recorded():
             self.acknowledged.add(self.upstream.life)
+            if self.local.known.life == self.upstream.life:
+                self.acknowledged_ends.add(self.upstream.life)
 
     @sf.rule(same_id=st.booleans(), later_ms=st.integers(1, 5_000))
     def replace(self, same_id: bool, later_ms: int) -> None:
@@ -237,6 +240,9 @@
         for life in self.acknowledged:
             assert stored is not None
             assert stored[0] > life or stored[1] in LEAVING
+        for life in self.acknowledged_ends:
+            assert stored is not None
+            assert stored[0] > life or stored[1] is presence.Phase.GONE
 
     @sf.rule()
     def calm(self) -> None:
