A planned stop keeps the record of an upstream that has ended but serves on

Found by the presence machine, given planned stops: an upstream says that it ends, its daemon acknowledges and records that, and is then stopped; the record went with it, although the upstream serves for seconds yet and the daemon may be started again beside it. The new one knew of no leave: a heartbeat that came late made the upstream ready again, and the acknowledgement no longer bound (DRAIN).

Now the record is removed only where the upstream takes no connection any more, as when its instance is taken down. One that stays is taken by the sweeper.

No special case: 'gone' meant both 'says that it ends' and 'has ended'.

Before: the machine failed (an acknowledged leave without a record).

--- a/src/chiveroad/connection.py
+++ b/src/chiveroad/connection.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import collections.abc
 import socket
 
+Connects = collections.abc.Callable[[str, float], bool]
+"""Tells whether an address takes a connection within some seconds."""
+
 
 def connects(address: str, timeout_s: float) -> bool:
     """Tell whether a connection to ``HOST:PORT`` opens within a time."""
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -79,6 +79,9 @@
 """How long a thread that has nothing to do may overlook a stop."""
 
 PROBE_TIMEOUT_S: typing.Final = 0.5
+EXITED_TIMEOUT_S: typing.Final = 0.1
+"""On the same machine a connection is taken or refused at once; with the call
+that removes the record it fits into the daemon's last call."""
 
 _log = logs.Logger("control")
 
@@ -87,6 +90,7 @@
     """Follows the accepted version and the members' records.
 
     :param upstream: what is known of the upstream beside the daemon.
+    :param connects: tells whether an address takes connections.
     """
 
     def __init__(
@@ -96,12 +100,15 @@
         node: _node.Node,
         protocol: wire.Protocol,
         upstream: presence.LocalUpstream,
+        connects: connection.Connects = connection.connects,
     ) -> None:
         self._store = platform
         self._node = node
         self._protocol = protocol
         self._upstream = upstream
+        self._connects = connects
         self._address = options.platform.address
+        self._upstream_address = options.upstream.address
         self._distance_ms = 0
         self._source = _source.ParentSource(
             node, CONNECT_TIMEOUT_S, GRACE_S, confirmations=True
@@ -155,14 +162,17 @@
         """Put the daemon into a state, and have it recorded.
 
         A daemon that ends beside a living upstream is about to come back;
-        beside one that is gone, its record goes with it.
+        beside one that is gone, its record goes with it.  One that has said
+        that it ends serves on for seconds, and the record binds until then.
         """
         if state is not membership.State.GONE:
             self._state = state
             self._recorder.record(0.0)
             return
         self._recorder.stopped = True
-        if self._upstream.known.phase is presence.Phase.GONE:
+        if self._upstream.known.phase is not presence.Phase.GONE:
+            return
+        if not self._connects(self._upstream_address, EXITED_TIMEOUT_S):
             self._recorder.remove()
 
     def record(self, wait_s: float) -> bool:
--- a/src/chiveroad/control/_sweeper.py
+++ b/src/chiveroad/control/_sweeper.py
@@ -41,9 +41,6 @@
 
 _log = logs.Logger("membership")
 
-Connects = collections.abc.Callable[[str, float], bool]
-"""Tells whether an address takes a connection within some seconds."""
-
 
 def successors(
     mine: membership.Member,
@@ -96,7 +93,7 @@
         self,
         platform: store.Store,
         node: _node.Node,
-        connects: Connects = connection.connects,
+        connects: connection.Connects = connection.connects,
     ) -> None:
         self._store = platform
         self._node = node
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -20,6 +20,7 @@
 from chiveroad import control
 from chiveroad.control import _record
 from chiveroad import errors
+from chiveroad import membership
 from chiveroad import presence
 from chiveroad.presence import _state
 from chiveroad import store
@@ -102,6 +103,7 @@
         self.clock = Clock()
         self.upstream = Upstream("i-1", self.clock.ms)
         self.ended = False
+        self.exited = False
         self.reused = False
         self.sent: list[wire.Heartbeat] = []
         self.acknowledged: set[Life] = set()
@@ -120,10 +122,28 @@
             node,
             wire.Native(),
             self.local,
+            lambda *_: not self.exited,
         )
         self.recorder = self.follower._recorder
         self.has_read = False
 
+    @sf.rule()
+    def stop(self) -> None:
+        """The daemon ends as planned, and is started again."""
+        self.follower.announce(membership.State.GONE)
+        if self.exited:
+            # No life at the address is left that work could reach.
+            self.acknowledged.clear()
+            self.acknowledged_ends.clear()
+            self.recorded = None
+        self.restart()
+
+    @sf.precondition(lambda self: self.ended)
+    @sf.rule()
+    def exit(self) -> None:
+        """The upstream takes no more connections."""
+        self.exited = True
+
     @sf.rule()
     def read(self) -> None:
         """The daemon reads the records."""
@@ -201,6 +221,7 @@
         new_id = self.upstream.id if same_id else f"i-{'x' * number}"
         self.upstream = Upstream(new_id, self.clock.ms)
         self.ended = False
+        self.exited = False
         self.reused |= same_id
 
     def _hear(self, heartbeat: wire.Heartbeat) -> None:
