A daemon that comes back elsewhere records where it is

What a daemon records began from its node's word on itself, which is the record as soon as that is read: addresses, failure domain and capacity of the life before were then taken for its own, and the record was never put right. Others went on asking where nobody listens.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -104,6 +104,7 @@
     ) -> None:
         self._store = platform
         self._node = node
+        self._own = node.member
         self._protocol = protocol
         self._upstream = upstream
         self._connects = connects
@@ -190,8 +191,9 @@
         state = _STATES[known.phase]
         if self._state is not membership.State.READY and state.name == "READY":
             state = self._state
+        # The node's word may be the record of an earlier life elsewhere.
         member = msgspec.structs.replace(
-            self._node.member,
+            self._own,
             service=known.service,
             sequence=0,
             state=state,
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -550,6 +550,29 @@
         late.stop()
 
 
+# The record kept the addresses of the life before, where nobody listens.
+def test_a_daemon_that_comes_back_elsewhere_records_where_it_is() -> None:
+    shared = memory_store.MemoryStore()
+    before = _messages.MemberRecord(
+        fakes.member("a", incarnation=0, sequence=0), presence.Phase.READY
+    )
+    shared.put(store.Kind.MEMBERS, "a", before, store.ABSENT)
+    ports = mesh.Ports()
+    back = Following("a", ports, shared)
+    back.start()
+    try:
+
+        def recorded() -> str:
+            record = _record.read(shared.get(store.Kind.MEMBERS, "a"))
+            assert record is not None
+            return record.member.control
+
+        wait_for(lambda: recorded() == back.address)
+        wait_for(lambda: back.node.member.control == back.address)
+    finally:
+        back.stop()
+
+
 def test_a_restarted_daemon_goes_by_its_record_until_it_hears() -> None:
     shared = memory_store.MemoryStore()
     accept(shared, 3)
