A list of several pages stands for the first page's revision

A listing was dated by its last page. An object written between two pages under a name that had been passed was neither in it nor in a watch from its revision; a record of a member, its own too, was taken for deleted and, for other members, stayed so until it was written again.

Found by reading, while looking for what makes a daemon write its record again.

Before: the new test failed for the platform's store (no event).

--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -79,14 +79,17 @@
         """Return the objects whose names begin with the prefix."""
         objects: list[store.StoredObject] = []
         after = ""
+        as_of: int | None = None
         while True:
             url = self._url(kind, query={"after": after} if after else None)
             body = self._client.call("GET", url)
             page = store.decode_answer(_page_decoder, body)
             found = [_stored(item) for item in page.items]
             objects += [each for each in found if each.name.startswith(prefix)]
+            # Later pages don't hold what was written before their names.
+            as_of = page.as_of if as_of is None else as_of
             if not page.has_more or not found:
-                return store.Listing(page.as_of, tuple(objects))
+                return store.Listing(as_of, tuple(objects))
             after = found[-1].name
 
     def put(
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -8,6 +8,7 @@
 import collections.abc
 import threading
 import time
+import typing
 
 import pytest
 
@@ -122,6 +123,33 @@
     assert platform.list(FILES).objects == ()
 
 
+# What was written between two pages was neither listed nor watched.
+def test_a_watch_from_a_list_of_several_pages_misses_nothing(
+    platform: store.Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for number in range(2 * platform_store.PAGE):
+        platform.put(FILES, f"b-{number}", 1, store.ABSENT)
+    call = store.Client.call
+    pages = 0
+
+    def call_and_write(*arguments: typing.Any) -> bytes:
+        nonlocal pages
+        answer = call(*arguments)
+        pages += 1
+        if pages == 1:
+            platform.put(FILES, "a", 1, store.ABSENT)
+        return answer
+
+    with monkeypatch.context() as patched:
+        patched.setattr(store.Client, "call", call_and_write)
+        listing = platform.list(FILES)
+    if not pages:
+        platform.put(FILES, "a", 1, store.ABSENT)
+    assert "a" not in [item.name for item in listing.objects]
+    events = changes(platform, FILES, listing.version, 0.1)
+    assert [event.object.name for event in events if event.object] == ["a"]
+
+
 def test_a_watch_from_a_version_misses_nothing(platform: store.Store) -> None:
     first = platform.put(FILES, "a.toml", 1, store.ABSENT)
     second = platform.put(FILES, "a.toml", 2, first.version)
