Who comes back is not taken for gone by those told of both at once

A tombstone may bear the revision of the last write, so a deletion was dated by the answer's own revision. Where the object was made again within the same answer, that was newer than the new record: the daemon counted as gone with all who had it from there until it wrote again, and it didn't, as its record was what it should be.

Who is concerned: a daemon whose record is removed and written again within one answer of a watch, 0.2 s apart in calm, more while the watcher can't reach the store.

Now a deletion is dated before what was written under its name since. The stand-in answered a watch with its first change alone; it answers with all.

Before: the new test failed for the platform's store (4 for a deletion, 3 for the object made again).

--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -128,15 +128,11 @@
             timeout_s=timeout_s + WATCH_GRACE_S,
         )
         changes = store.decode_answer(_changes_decoder, body)
-        for change in changes.events:
-            stored = _stored(change.object)
+        for change, version in zip(changes.events, _versions(changes)):
+            type_ = store.EventType.MODIFIED
             if change.tombstone:
-                # A tombstone may bear the revision of the last write.
-                yield store.Event(
-                    store.EventType.DELETED, changes.as_of, stored
-                )
-                continue
-            yield store.Event(store.EventType.MODIFIED, stored.version, stored)
+                type_ = store.EventType.DELETED
+            yield store.Event(type_, version, _stored(change.object))
         yield store.Event(store.EventType.BOOKMARK, changes.as_of, None)
 
     def _url(
@@ -148,6 +144,24 @@
         return self._client.url(_KINDS.get(kind, kind.value), name, query)
 
 
+def _versions(changes: _Changes) -> list[int]:
+    """Return the version of each change.
+
+    A tombstone may bear the revision of the last write, and none of its own;
+    the deletion came before whatever was written under its name since.
+    """
+    versions: list[int] = []
+    since: dict[str, int] = {}
+    for change in reversed(changes.events):
+        metadata = change.object.metadata
+        version = metadata.revision
+        if change.tombstone:
+            version = since.get(metadata.name, changes.as_of + 1) - 1
+        since[metadata.name] = version
+        versions.append(version)
+    return versions[::-1]
+
+
 def _stored(item: _Object) -> store.StoredObject:
     return store.StoredObject(
         item.metadata.name, item.metadata.revision, item.spec.copy()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -78,14 +78,13 @@
         self._answer(http.HTTPStatus.OK, answer)
 
     def _changes(self, kind: store.Kind, revision: int, wait_ms: int) -> None:
-        events = []
+        found: list[store.Event] = []
         for event in self.api.store.watch(kind, revision, wait_ms / 1000):
-            assert event.object is not None
-            tombstone = event.type is store.EventType.DELETED
-            shown = {"object": _object(event.object), "tombstone": tombstone}
-            events.append(shown)
-            revision = event.version
+            rest = self.api.store.watch(kind, event.version, 0)
+            found = [event, *rest]
+            revision = found[-1].version
             break
+        events = [_change(event) for event in found]
         answer = {"events": events, "as_of": revision}
         self._answer(http.HTTPStatus.OK, answer)
 
@@ -122,6 +121,12 @@
         self._answer(http.HTTPStatus.OK, {})
 
 
+def _change(event: store.Event) -> dict[str, object]:
+    assert event.object is not None
+    tombstone = event.type is store.EventType.DELETED
+    return {"object": _object(event.object), "tombstone": tombstone}
+
+
 def _object(item: store.StoredObject) -> dict[str, object]:
     metadata = {"name": item.name, "revision": item.version}
     return {"metadata": metadata, "spec": item.spec, "status": None}
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -167,6 +167,20 @@
     assert events[0].version == second.version
 
 
+# Who came back was taken for gone by all that had been told of both at once.
+def test_an_object_made_again_is_newer_than_its_deletion(
+    platform: store.Store,
+) -> None:
+    first = platform.put(FILES, "a", 1, store.ABSENT)
+    platform.delete(FILES, "a", first.version)
+    again = platform.put(FILES, "a", 2, store.ABSENT)
+    platform.put(FILES, "b", 1, store.ABSENT)
+    events = changes(platform, FILES, first.version, 0.1)
+    versions = [event.version for event in events]
+    assert [event.type for event in events][0] is store.EventType.DELETED
+    assert first.version < versions[0] < versions[1] == again.version
+
+
 def test_a_watch_from_a_forgotten_version_is_told(
     platform: store.Store,
 ) -> None:
