--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -55,6 +55,8 @@
         self._known = False
         self._held: _messages.MemberRecord | None = None
         self._changed = threading.Condition()
+        self._awaited = False
+        self._waiting = 0
         self.stopped = False
 
     def start(self) -> None:
@@ -87,16 +89,26 @@
         _log.warning("The record was deleted; it is written again.")
 
     def record(self, wait_s: float) -> bool:
-        """Have the present state written; tell whether it is."""
+        """Have the present state written; tell whether it is.
+
+        Whoever waits for it doesn't wait out a pause after a failure, and
+        has what the object holds read where there is nothing to write yet.
+        """
         end_s = time.monotonic() + wait_s
+        waits = wait_s > 0
         with self._changed:
+            self._waiting += waits
+            self._awaited |= waits and not self._current()
             self._changed.notify_all()
-            while not self._current():
-                left_s = end_s - time.monotonic()
-                if left_s <= 0:
-                    return False
-                self._changed.wait(left_s)
-            return True
+            try:
+                while not self._current():
+                    left_s = end_s - time.monotonic()
+                    if left_s <= 0:
+                        return False
+                    self._changed.wait(left_s)
+                return True
+            finally:
+                self._waiting -= waits
 
     def remove(self) -> None:
         """Delete the object; a failure leaves it."""
@@ -107,7 +119,9 @@
 
     def _current(self) -> bool:
         wanted = self._compose()
-        return wanted is None or wanted == self._held
+        if wanted is None:
+            return self._known or not self._waiting
+        return wanted == self._held
 
     def _run(self) -> None:
         backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_S)
@@ -118,14 +132,21 @@
                     if self.stopped:
                         return
                 wanted = self._compose()
-            if wanted is None:
-                continue
+                self._awaited = False
             if self._write(wanted):
                 backoff.reset()
             else:
-                backoff.wait()
+                self._pause(backoff)
+
+    def _pause(self, backoff: _backoff.Backoff) -> None:
+        """Wait after a failure, until the record is awaited at most."""
+        with self._changed:
+            if self._changed.wait_for(
+                lambda: self._awaited or self.stopped, backoff.next_s()
+            ):
+                backoff.reset()
 
-    def _write(self, wanted: _messages.MemberRecord) -> bool:
+    def _write(self, wanted: _messages.MemberRecord | None) -> bool:
         """Take one step towards a record; False when the store failed."""
         try:
             if not self._known:
@@ -133,13 +154,17 @@
                 # goes before what was to be written.
                 self._read()
                 return True
+            if wanted is None:
+                return True
             written = self._store.put(
                 store.Kind.MEMBERS, self._name, wanted, self._revision
             )
         except errors.StoreError as exc:
             _log.info("The record isn't written yet: {}.", exc)
-            # Whoever wrote, or whether this write took effect, is read back.
-            self._known = False
+            if not _had_no_effect(exc):
+                # Whoever wrote, or whether this write took effect, is read
+                # back.
+                self._known = False
             return False
         with self._changed:
             self._revision = written.version
@@ -161,6 +186,13 @@
         self._recall(stored)
 
 
+def _had_no_effect(error: errors.StoreError) -> bool:
+    """Tell whether the object is as it was before a failed call."""
+    if isinstance(error, errors.StoreOutcomeUnknown):
+        return False
+    return isinstance(error, errors.StoreUnavailable)
+
+
 def _unnumbered(
     record: _messages.MemberRecord,
 ) -> _messages.MemberRecord:
--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -79,14 +79,17 @@
         """Return the objects whose names begin with the prefix."""
         objects: list[store.StoredObject] = []
         after = ""
+        as_of: int | None = None
         while True:
             url = self._url(kind, query={"after": after} if after else None)
             body = self._client.call("GET", url)
             page = store.decode_answer(_page_decoder, body)
             found = [_stored(item) for item in page.items]
             objects += [each for each in found if each.name.startswith(prefix)]
+            # Later pages don't hold what was written before their names.
+            as_of = page.as_of if as_of is None else as_of
             if not page.has_more or not found:
-                return store.Listing(page.as_of, tuple(objects))
+                return store.Listing(as_of, tuple(objects))
             after = found[-1].name
 
     def put(
@@ -125,15 +128,11 @@
             timeout_s=timeout_s + WATCH_GRACE_S,
         )
         changes = store.decode_answer(_changes_decoder, body)
-        for change in changes.events:
-            stored = _stored(change.object)
+        for change, version in zip(changes.events, _versions(changes)):
+            type_ = store.EventType.MODIFIED
             if change.tombstone:
-                # A tombstone may bear the revision of the last write.
-                yield store.Event(
-                    store.EventType.DELETED, changes.as_of, stored
-                )
-                continue
-            yield store.Event(store.EventType.MODIFIED, stored.version, stored)
+                type_ = store.EventType.DELETED
+            yield store.Event(type_, version, _stored(change.object))
         yield store.Event(store.EventType.BOOKMARK, changes.as_of, None)
 
     def _url(
@@ -145,6 +144,24 @@
         return self._client.url(_KINDS.get(kind, kind.value), name, query)
 
 
+def _versions(changes: _Changes) -> list[int]:
+    """Return the version of each change.
+
+    A tombstone may bear the revision of the last write, and none of its own;
+    the deletion came before whatever was written under its name since.
+    """
+    versions: list[int] = []
+    since: dict[str, int] = {}
+    for change in reversed(changes.events):
+        metadata = change.object.metadata
+        version = metadata.revision
+        if change.tombstone:
+            version = since.get(metadata.name, changes.as_of + 1) - 1
+        since[metadata.name] = version
+        versions.append(version)
+    return versions[::-1]
+
+
 def _stored(item: _Object) -> store.StoredObject:
     return store.StoredObject(
         item.metadata.name, item.metadata.revision, item.spec.copy()
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -234,6 +234,71 @@
     assert recording.stored() is presence.Phase.DRAINING
 
 
+PAUSE_S = 30.0
+
+
+# A leave that came in a pause after a failure was refused all the same.
+def test_who_waits_for_a_record_ends_the_pause_after_a_failure(
+    recording: Recording, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_backoff.Backoff, "next_s", lambda _: PAUSE_S)
+    recording.platform.down = True
+    recording.wanted = record_of(presence.Phase.READY)
+    assert not recording.recorder.record(0.2)
+    recording.platform.down = False
+    recording.wanted = record_of(presence.Phase.DRAINING)
+    assert recording.recorder.record(WAIT_S)
+    assert recording.stored() is presence.Phase.DRAINING
+
+
+def test_who_does_not_wait_ends_no_pause(
+    recording: Recording, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_backoff.Backoff, "next_s", lambda _: PAUSE_S)
+    recording.platform.down = True
+    recording.wanted = record_of(presence.Phase.READY)
+    assert not recording.recorder.record(0.2)
+    recording.platform.down = False
+    for _ in range(5):
+        assert not recording.recorder.record(0.0)
+        time.sleep(0.02)
+    with pytest.raises(errors.StoreNotFound):
+        recording.stored()
+
+
+# Else each daemon that starts would read its record on its own account.
+def test_a_record_is_read_only_for_one_who_waits(
+    recording: Recording,
+) -> None:
+    assert recording.recorder.record(0.0)
+    time.sleep(0.05)
+    assert recording.platform.gets == 0
+    recording.platform.down = True
+    assert not recording.recorder.record(0.3)
+    time.sleep(0.05)
+    asked = recording.platform.gets
+    assert asked
+    time.sleep(0.5)
+    assert recording.platform.gets == asked
+    recording.platform.down = False
+    assert recording.recorder.record(WAIT_S)
+    assert recording.platform.gets == asked + 1
+
+
+# Each try cost two calls, and the second of them could be refused as well.
+def test_a_refused_write_is_made_again_without_reading_first(
+    recording: Recording,
+) -> None:
+    recording.wanted = record_of(presence.Phase.READY)
+    assert recording.recorder.record(WAIT_S)
+    asked = recording.platform.gets
+    recording.platform.refuse = 2
+    recording.wanted = record_of(presence.Phase.DRAINING)
+    assert recording.recorder.record(WAIT_S)
+    assert recording.stored() is presence.Phase.DRAINING
+    assert recording.platform.gets == asked + 1
+
+
 def test_an_earlier_record_is_taken_in_before_anything_is_written(
     recording: Recording,
 ) -> None:
@@ -485,6 +550,29 @@
         late.stop()
 
 
+# The record kept the addresses of the life before, where nobody listens.
+def test_a_daemon_that_comes_back_elsewhere_records_where_it_is() -> None:
+    shared = memory_store.MemoryStore()
+    before = _messages.MemberRecord(
+        fakes.member("a", incarnation=0, sequence=0), presence.Phase.READY
+    )
+    shared.put(store.Kind.MEMBERS, "a", before, store.ABSENT)
+    ports = mesh.Ports()
+    back = Following("a", ports, shared)
+    back.start()
+    try:
+
+        def recorded() -> str:
+            record = _record.read(shared.get(store.Kind.MEMBERS, "a"))
+            assert record is not None
+            return record.member.control
+
+        wait_for(lambda: recorded() == back.address)
+        wait_for(lambda: back.node.member.control == back.address)
+    finally:
+        back.stop()
+
+
 def test_a_restarted_daemon_goes_by_its_record_until_it_hears() -> None:
     shared = memory_store.MemoryStore()
     accept(shared, 3)
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -20,6 +20,7 @@
 from chiveroad import control
 from chiveroad.control import _record
 from chiveroad import errors
+from chiveroad import membership
 from chiveroad import presence
 from chiveroad.presence import _state
 from chiveroad import store
@@ -102,9 +103,11 @@
         self.clock = Clock()
         self.upstream = Upstream("i-1", self.clock.ms)
         self.ended = False
+        self.exited = False
         self.reused = False
         self.sent: list[wire.Heartbeat] = []
         self.acknowledged: set[Life] = set()
+        self.acknowledged_ends: set[Life] = set()
         self.recorded: tuple[Life, presence.Phase] | None = None
         self.restart()
 
@@ -119,10 +122,28 @@
             node,
             wire.Native(),
             self.local,
+            lambda *_: not self.exited,
         )
         self.recorder = self.follower._recorder
         self.has_read = False
 
+    @sf.rule()
+    def stop(self) -> None:
+        """The daemon ends as planned, and is started again."""
+        self.follower.announce(membership.State.GONE)
+        if self.exited:
+            # No life at the address is left that work could reach.
+            self.acknowledged.clear()
+            self.acknowledged_ends.clear()
+            self.recorded = None
+        self.restart()
+
+    @sf.precondition(lambda self: self.ended)
+    @sf.rule()
+    def exit(self) -> None:
+        """The upstream takes no more connections."""
+        self.exited = True
+
     @sf.rule()
     def read(self) -> None:
         """The daemon reads the records."""
@@ -142,9 +163,10 @@
             self.write()
         return self.recorder._current()
 
-    @sf.rule(how=st.sampled_from(["lose", "drop", "put off"]))
+    @sf.rule(how=st.sampled_from(["lose", "drop", "refuse", "put off"]))
     def harm_a_write(self, how: str) -> None:
-        """The answer to the next write doesn't come."""
+        """The next write is refused, or its answer doesn't come."""
+        self.store.refuse = int(how == "refuse")
         self.store.lose = int(how == "lose")
         self.store.drop = int(how == "drop")
         self.store.put_off = how == "put off"
@@ -188,6 +210,8 @@
         whose = self.local.leave(self.upstream.id)
         if whose is presence.Left.KNOWN and self._recorded():
             self.acknowledged.add(self.upstream.life)
+            if self.local.known.life == self.upstream.life:
+                self.acknowledged_ends.add(self.upstream.life)
 
     @sf.rule(same_id=st.booleans(), later_ms=st.integers(1, 5_000))
     def replace(self, same_id: bool, later_ms: int) -> None:
@@ -197,6 +221,7 @@
         new_id = self.upstream.id if same_id else f"i-{'x' * number}"
         self.upstream = Upstream(new_id, self.clock.ms)
         self.ended = False
+        self.exited = False
         self.reused |= same_id
 
     def _hear(self, heartbeat: wire.Heartbeat) -> None:
@@ -236,6 +261,9 @@
         for life in self.acknowledged:
             assert stored is not None
             assert stored[0] > life or stored[1] in LEAVING
+        for life in self.acknowledged_ends:
+            assert stored is not None
+            assert stored[0] > life or stored[1] is presence.Phase.GONE
 
     @sf.rule()
     def calm(self) -> None:
@@ -244,7 +272,7 @@
         One that has taken up an id may have to wait until no heartbeat of
         the life before may still be under way.
         """
-        self.store.lose = self.store.drop = 0
+        self.store.lose = self.store.drop = self.store.refuse = 0
         self.store.put_off = False
         self.do_late_writes()
         self.read()
