An answer's framing is bounded in bytes as a whole

A peer that sent interim heads, or trailers, as fast as they were read held the thread of its caller for ever: the library limits each line and the header lines of one head, but neither how many interim heads precede it nor how many trailers follow a body. As there was always something to read, no time limit applied. A head of 100 lines of 64 KiB each took 6.4 MiB, times the threads of a daemon.

All heads of an answer together may now have 64 KiB; the lines that frame a body may have 64 KiB beyond what its chunks need, so that small chunks are no offence. Chunk sizes are read here, too: the library takes "-5", and then passes on whatever comes, and "+5" and "0x5"; and it doesn't look at the end of a chunk. A body is no longer expected after 204 and 304, whatever the header says of chunks.

What is still taken as whole, as before: a chunked body whose connection ends after the last chunk's line, before the last line break.

--- a/src/chiveroad/traffic/_answer.py
+++ b/src/chiveroad/traffic/_answer.py
@@ -12,10 +12,23 @@
 import re
 import typing
 
-MAX_LINE_BYTES: typing.Final = 64 * 1024
+MAX_FRAMING_BYTES: typing.Final = 64 * 1024
+"""A head may be as long, with all interim heads before it, and so may the
+lines that frame a body be beyond its own size.  The library allows as much
+for each line."""
+
 MAX_HEADERS: typing.Final = 100
 """As in the library."""
 
+CHUNK_LINE_BYTES: typing.Final = 16
+"""What framing a chunk takes: the digits of its size, and two line ends."""
+
+_STATUS: typing.Final = re.compile(
+    rb"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t]([^\r\n]*))?\r?\n"
+)
+_CHUNK_SIZE: typing.Final = re.compile(
+    rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*)?\r?\n"
+)
 _NAME: typing.Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _BODILESS: typing.Final = (
     http.HTTPStatus.NO_CONTENT,
@@ -47,18 +60,42 @@
         return self._items
 
 
+class _Lines:
+    """The lines of an answer that aren't its body, up to a size in all."""
+
+    def __init__(self, source: typing.Any) -> None:
+        self._source = source
+        self.left_bytes = MAX_FRAMING_BYTES
+
+    def read(self) -> bytes:
+        """Return a line with its end, or what there is before the end.
+
+        :raises http.client.HTTPException: when they are too long.
+        """
+        line: bytes = self._source.readline(self.left_bytes + 1)
+        self.left_bytes -= len(line)
+        if self.left_bytes < 0:
+            raise http.client.HTTPException("the framing is too long")
+        return line
+
+
 class Response(http.client.HTTPResponse):
-    """An answer of which only the head is read in a way of its own.
+    """An answer whose head and chunk sizes are read in a way of their own.
+
+    The library puts no limit on interim heads, trailers and chunk extensions
+    in all, and takes negative chunk sizes.
 
     :param source: what the library takes for a socket.
     """
 
     _check_close: collections.abc.Callable[[], bool]
-    _read_status: collections.abc.Callable[[], tuple[str, int, str]]
+    _close_conn: collections.abc.Callable[[], None]
+    _safe_read: collections.abc.Callable[[int], bytes]
 
     def __init__(self, source: typing.Any, method: str) -> None:
         super().__init__(source, method=method)
         self._bodiless = method == "HEAD"
+        self._lines = _Lines(self.fp)
 
     def begin(self) -> None:
         """Read the head.
@@ -67,24 +104,56 @@
         """
         version, status, reason = self._read_status()
         while status < http.HTTPStatus.OK:
-            _read_headers(self.fp)
+            _read_headers(self._lines)
             version, status, reason = self._read_status()
         self.code = self.status = status
         self.reason = reason.strip()
-        if not version.startswith("HTTP/1."):
-            raise http.client.UnknownProtocol(version)
-        self.version = 10 if version == "HTTP/1.0" else 11
-        found = Headers(_read_headers(self.fp))
+        self.version = version
+        found = Headers(_read_headers(self._lines))
+        self._lines.left_bytes = MAX_FRAMING_BYTES
         self.headers = self.msg = typing.cast(typing.Any, found)
         encoding = found.get("transfer-encoding") or ""
-        self.chunked = encoding.lower() == "chunked"
+        self._bodiless = self._bodiless or status in _BODILESS
+        self.chunked = encoding.lower() == "chunked" and not self._bodiless
         self.chunk_left = None
         self.length = self._stated_length(found)
         framed = self.chunked or self.length is not None
         self.will_close = self._check_close() or not framed
 
+    def _read_status(self) -> tuple[int, int, str]:
+        line = self._lines.read()
+        if not line:
+            raise http.client.RemoteDisconnected("closed without an answer")
+        found = _STATUS.fullmatch(line)
+        if found is None:
+            raise http.client.BadStatusLine(repr(line[:80]))
+        version, status, reason = found.groups(b"")
+        text = reason.decode("latin-1")
+        return 10 + min(1, int(version)), int(status), text
+
+    def _get_chunk_left(self) -> int | None:
+        """Return what is left of the present chunk, or None at the end."""
+        left: int | None = self.chunk_left
+        if left:
+            return left
+        if left is not None and self._safe_read(2) != b"\r\n":
+            raise http.client.HTTPException("a chunk isn't as long as said")
+        found = _CHUNK_SIZE.fullmatch(self._lines.read())
+        if found is None:
+            raise http.client.HTTPException("malformed chunk size")
+        size = int(found[1], 16)
+        if size:
+            self._lines.left_bytes += size + CHUNK_LINE_BYTES
+            self.chunk_left = size
+            return size
+        while self._lines.read() not in (b"\r\n", b"\n", b""):
+            """Trailers are dropped."""
+        self._close_conn()
+        self.chunk_left = None
+        return None
+
     def _stated_length(self, headers: Headers) -> int | None:
-        if self._bodiless or self.status in _BODILESS:
+        if self._bodiless:
             return 0
         text = headers.get("content-length")
         if self.chunked or text is None:
@@ -94,7 +163,7 @@
         return int(text)
 
 
-def _read_headers(source: typing.Any) -> list[tuple[str, str]]:
+def _read_headers(lines: _Lines) -> list[tuple[str, str]]:
     """Read header lines up to the empty line.
 
     :raises http.client.HTTPException: when they aren't any, or the
@@ -102,11 +171,11 @@
     """
     found: list[tuple[str, str]] = []
     while True:
-        line: bytes = source.readline(MAX_LINE_BYTES + 1)
+        line = lines.read()
         if line in (b"\r\n", b"\n"):
             return found
-        if not line.endswith(b"\n") or len(line) > MAX_LINE_BYTES:
-            raise http.client.HTTPException("the head is cut or too long")
+        if not line.endswith(b"\n"):
+            raise http.client.HTTPException("the head is cut")
         name, _, value = line.partition(b":")
         if not _NAME.fullmatch(name) or len(found) >= MAX_HEADERS:
             raise http.client.HTTPException("no header line, or too many")
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,171 @@
+"""Peers that send without end."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from chiveroad import errors
+from chiveroad import platform
+from chiveroad import serving
+from chiveroad.traffic import _exchange
+from chiveroad.traffic import _pool
+from tests import test_exchange
+
+LEFT_S = 0.6
+SLACK_S = 0.35
+"""What a loaded machine may add to a time."""
+
+SENDS_FOR_S = 5.0
+"""When a peer gives up whom nobody has closed by then."""
+
+CHUNKED = test_exchange.OWN + b"Transfer-Encoding: chunked\r\n\r\n"
+LATE_CHUNKED = CHUNKED.replace(b": q", b": earlier")
+
+
+class Endless:
+    """A peer that answers with bytes without end until it is closed.
+
+    :param pause_s: between two sends; 0 for as fast as they are taken.
+    """
+
+    def __init__(self, begin: bytes, unit: bytes, pause_s: float) -> None:
+        self._begin = begin
+        self._unit = unit
+        self._pause_s = pause_s
+        self.sent_bytes = 0
+        self.closed = threading.Event()
+
+    def __call__(self, sock: socket.socket) -> None:
+        """Serve one connection."""
+        end_s = time.monotonic() + SENDS_FOR_S
+        sock.settimeout(SENDS_FOR_S)
+        sock.recv(65_536)
+        try:
+            sock.sendall(self._begin)
+            while time.monotonic() < end_s:
+                sock.sendall(self._unit)
+                self.sent_bytes += len(self._unit)
+                time.sleep(self._pause_s)
+        except ConnectionError:
+            self.closed.set()
+
+
+class Caller:
+    """A request whose answer is noted instead of sent."""
+
+    def __init__(self) -> None:
+        self.begun = False
+        self.finished = False
+        self.bytes_sent = 0
+
+    def answer(
+        self, _status: int, _headers: list[serving.Header], body: bytes
+    ) -> None:
+        """Take a whole answer."""
+        self.begun = self.finished = True
+        self.bytes_sent = len(body)
+
+    def start(self, _status: int, _headers: list[serving.Header]) -> None:
+        """Take the begin of an answer."""
+        self.begun = True
+
+    def send(self, chunk: bytes) -> None:
+        """Take a part of an answer."""
+        self.bytes_sent += len(chunk)
+
+    def finish(self) -> None:
+        """Take the end of an answer."""
+        self.finished = True
+
+    def abort(self) -> None:
+        """Take that an answer was cut."""
+
+
+@contextlib.contextmanager
+def asked(
+    peer: Endless, left_s: float = LEFT_S
+) -> collections.abc.Iterator[
+    tuple[collections.abc.Callable[[], _exchange.Answer], socket.socket]
+]:
+    """Yield what asks a peer, and the far end of its caller's connection."""
+    with test_exchange.upstream(peer) as address:
+        pool = _pool.Pool(address)
+        ours, theirs = socket.socketpair()
+        request = test_exchange.call(left_s=left_s)
+        with ours, theirs:
+            yield lambda: _exchange.ask(
+                pool,
+                request,
+                request.headers,
+                ours,
+                platform.Protocol().read_answer,
+            ), theirs
+        assert not pool._idle
+
+
+BURST = 0.0
+
+ENDLESS_HEADS = {
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "a status line": (b"HTTP/1.1 200 ", b"x"),
+    "header lines": (test_exchange.OWN, b"X-Filler: x\r\n"),
+    "a header line": (test_exchange.OWN + b"X-Filler: ", b"x"),
+    "bytes that are no head": (b"", b"\x00"),
+    "earlier answers": (b"", test_exchange.LATE),
+    "an earlier answer's trailers": (LATE_CHUNKED + b"0\r\n", b"T: r\r\n"),
+}
+
+
+def _ask_in_vain(peer: Endless) -> None:
+    """Ask for an answer that is none, and check how that ends."""
+    with asked(peer) as (ask, _):
+        started_s = time.monotonic()
+        with pytest.raises(errors.OutcomeUnknown) as caught:
+            ask()
+        assert time.monotonic() - started_s < LEFT_S + SLACK_S
+        assert caught.value.ran == "unknown"
+        assert peer.closed.wait(1)
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_HEADS))
+def test_a_head_without_end_is_read_up_to_a_size(kind: str) -> None:
+    """Interim heads in a burst held a thread for ever."""
+    begin, unit = ENDLESS_HEADS[kind]
+    _ask_in_vain(Endless(begin, unit * 1_000, BURST))
+
+
+def test_trailers_in_a_burst_end_a_download() -> None:
+    """They aren't passed on, so no caller's hang-up could end them."""
+    begin = CHUNKED + b"30000\r\n" + b"x" * 0x30000 + b"\r\n0\r\n"
+    peer = Endless(begin, b"T: r\r\n" * 1_000, BURST)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        with pytest.raises(errors.AnswerCut):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert caller.begun and not caller.finished
+        assert peer.closed.wait(1)
+
+
+@pytest.mark.parametrize("size", [b"-5", b"+5", b"0x5", b"", b"4", b"6"])
+def test_a_chunk_that_is_not_as_long_as_said_is_no_body(size: bytes) -> None:
+    """A negative size stood for all that came, and a sign was overlooked."""
+    sent = CHUNKED + size + b"\r\nabcde\r\n0\r\n\r\n"
+    serve = test_exchange.answering(sent)
+    with test_exchange.upstream(serve) as address:
+        with pytest.raises(errors.AnswerCut):
+            test_exchange.ask(address, test_exchange.call())
+
+
+def test_small_chunks_may_take_more_framing_than_body() -> None:
+    """The limit on framing is for what isn't needed."""
+    body = b"x" * 20_000
+    sent = CHUNKED + b"1\r\nx\r\n" * len(body) + b"0\r\n\r\n"
+    serve = test_exchange.answering(sent)
+    with test_exchange.upstream(serve) as address:
+        assert test_exchange.ask(address, test_exchange.call())[0] == body
