A body that is held is bounded in bytes

Where an upstream's failure is kept back for another upstream's answer, its body was read whole into memory, as was a guard's refusal: one without a length, or in chunks, grew for as long as the peer sent, and its caller got no answer. Such a body is now cut above 1 MiB, which is what the entry holds of an answer anyway; the outcome is unknown then (E4025), and another upstream is asked where the request may be repeated.

What is held counts each chunk with its framing, and is kept in one piece: chunks of two bytes took 28 times their size, and a MiB of single bytes takes seconds to read.

--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import http
 import http.client
 import itertools
@@ -27,6 +28,9 @@
 SMALL_ANSWER_BYTES: typing.Final = 64 * 1024
 STALL_S: typing.Final = 10.0
 MIN_STALL_S: typing.Final = 0.05
+MAX_READ_BYTES: typing.Final = 1024 * 1024
+"""A body that is held whole isn't larger, with what frames it."""
+
 MAX_CROSSED: typing.Final = 3
 """How many answers to other requests are passed over on one connection."""
 
@@ -88,12 +92,16 @@
         """Return the body's length in bytes, or None where it isn't told."""
         return None if self._response.chunked else self._response.length
 
-    def read(self) -> bytes:
+    def read(self, limit_bytes: int = MAX_READ_BYTES) -> bytes:
         """Read the whole body and give the connection back.
 
-        :raises errors.AnswerCut: when it ends early.
+        :raises errors.AnswerCut: when it ends early, or is over the limit.
         """
-        return b"".join(self.chunks())
+        begin = _hold(self.chunks(), limit_bytes)
+        if not begin.whole:
+            self.close()
+            raise errors.AnswerCut(f"the answer is over {limit_bytes} bytes")
+        return begin.body
 
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield the body, and give the connection back after its end.
@@ -117,10 +125,8 @@
         if length is None or length > SMALL_ANSWER_BYTES:
             self.close()
             return
-        try:
+        with contextlib.suppress(errors.AnswerCut):
             self.read()
-        except errors.AnswerCut:
-            self.close()
 
     def close(self) -> None:
         """Close the connection: it can't be used again."""
@@ -241,28 +247,30 @@
         return _stream(answer, chunks, request, headers, length)
     begin = _hold(chunks, hold_bytes)
     if begin.whole:
-        body = b"".join(begin.chunks)
-        request.answer(answer.status, headers, body)
-        return len(body)
-    rest = itertools.chain(begin.chunks, chunks)
+        request.answer(answer.status, headers, begin.body)
+        return len(begin.body)
+    rest = itertools.chain((begin.body,), chunks)
     return _stream(answer, rest, request, headers, length)
 
 
 class _Begin(typing.NamedTuple):
-    chunks: list[bytes]
+    body: bytes
     whole: bool
 
 
 def _hold(chunks: collections.abc.Iterator[bytes], hold_bytes: int) -> _Begin:
-    """Take chunks until the end, or until they are over a size."""
-    held: list[bytes] = []
-    total = 0
-    for chunk in chunks:
-        held.append(chunk)
-        total += len(chunk)
-        if total > hold_bytes:
-            return _Begin(held, whole=False)
-    return _Begin(held, whole=True)
+    """Take chunks until the end, or until they are over a size.
+
+    Each chunk but the first counts as longer by what frames it: tiny ones
+    take time.
+    """
+    # Kept apart, they would also take many times their size.
+    held = bytearray()
+    for number, chunk in enumerate(chunks):
+        held += chunk
+        if len(held) + number * _answer.CHUNK_LINE_BYTES > hold_bytes:
+            return _Begin(bytes(held), whole=False)
+    return _Begin(bytes(held), whole=True)
 
 
 def _stream(
