An answer to an earlier request is passed over up to a size

It was read to its end, and into memory: one in chunks that never end held the thread of its caller for ever. Now it is dropped as it comes, up to 1 MiB with its framing; above that the outcome is unknown (E4020).

Failed before: an earlier answer in chunks, in a burst (5 s, until the test's peer gave up).

--- a/src/chiveroad/traffic/_answer.py
+++ b/src/chiveroad/traffic/_answer.py
@@ -23,6 +23,7 @@
 CHUNK_LINE_BYTES: typing.Final = 16
 """What framing a chunk takes: the digits of its size, and two line ends."""
 
+_SKIP_BYTES: typing.Final = 64 * 1024
 _STATUS: typing.Final = re.compile(
     rb"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t]([^\r\n]*))?\r?\n"
 )
@@ -120,6 +121,17 @@
         framed = self.chunked or self.length is not None
         self.will_close = self._check_close() or not framed
 
+    def skip(self, limit_bytes: int) -> None:
+        """Read the body and drop it.
+
+        :raises http.client.HTTPException: when it is over a size, with what
+            frames it.
+        """
+        while chunk := self.read1(_SKIP_BYTES):
+            limit_bytes -= len(chunk) + CHUNK_LINE_BYTES
+            if limit_bytes < 0:
+                raise http.client.HTTPException("too long to be skipped")
+
     def _read_status(self) -> tuple[int, int, str]:
         line = self._lines.read()
         if not line:
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -29,7 +29,7 @@
 STALL_S: typing.Final = 10.0
 MIN_STALL_S: typing.Final = 0.05
 MAX_READ_BYTES: typing.Final = 1024 * 1024
-"""A body that is held whole isn't larger, with what frames it."""
+"""A body that is held or skipped isn't larger, with what frames it."""
 
 MAX_CROSSED: typing.Final = 3
 """How many answers to other requests are passed over on one connection."""
@@ -204,7 +204,7 @@
             return answer
         if answer.length is None and not response.chunked:
             break
-        response.read()
+        response.skip(MAX_READ_BYTES)
     raise errors.AnswerCrossed(f"the answer is to {echoed}")
 
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -117,6 +117,11 @@
     "header lines": (test_exchange.OWN, b"X-Filler: x\r\n"),
     "a header line": (test_exchange.OWN + b"X-Filler: ", b"x"),
     "bytes that are no head": (b"", b"\x00"),
+    "an earlier answer, chunked": (LATE_CHUNKED, b"3\r\nabc\r\n"),
+    "an earlier answer, long": (
+        test_exchange.LATE.replace(b": 3", b": 999999999"),
+        b"x" * 100,
+    ),
     "earlier answers": (b"", test_exchange.LATE),
     "an earlier answer's trailers": (LATE_CHUNKED + b"0\r\n", b"T: r\r\n"),
 }
