A large answer is begun only once some of its body has come

An answer that is too large to hold was begun with its head. If no byte of its body followed, its caller got a closed connection without an answer though nothing had been passed on to it, and no other upstream was asked. The first part of the body is now waited for; the head was sent with it anyway, so nothing comes later than before.

Failed before: the request counted as begun when its answer was cut.

--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -244,7 +244,9 @@
     length = answer.length
     chunks = answer.chunks()
     if length is not None and length > hold_bytes:
-        return _stream(answer, chunks, request, headers, length)
+        # Nothing is passed on before there is some of the body.
+        rest = itertools.chain((next(chunks, b""),), chunks)
+        return _stream(answer, rest, request, headers, length)
     begin = _hold(chunks, hold_bytes)
     if begin.whole:
         request.answer(answer.status, headers, begin.body)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -110,6 +110,7 @@
 
 
 BURST = 0.0
+TRICKLE_S = 0.02
 
 ENDLESS_HEADS = {
     "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
@@ -203,3 +204,14 @@
     serve = test_exchange.answering(sent)
     with test_exchange.upstream(serve) as address:
         assert test_exchange.ask(address, test_exchange.call())[0] == body
+
+
+def test_a_large_answer_of_which_nothing_comes_is_refused() -> None:
+    """Its caller got a cut connection, and no other upstream was asked."""
+    begin = test_exchange.OWN + b"Content-Length: 9999999\r\n\r\n"
+    peer = Endless(begin, b"", TRICKLE_S)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        with pytest.raises(errors.AnswerCut):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert not caller.begun
