The body of a refusal holds its caller for a moment only

When an upstream states that it didn't run a request, the body of that answer is read, so that the connection can be kept. One that trickled, byte by byte within the limit of each read, kept the caller from the next upstream until it had come whole: 64 KiB at most, but at 50 bytes a second for 20 minutes. It now has 50 ms, as an answer at the deadline has; then the connection is closed instead.

Failed before: after 5 s, when the test's peer gave up.

--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -14,6 +14,7 @@
 import itertools
 import select
 import socket
+import time
 import typing
 
 import urllib3.exceptions
@@ -125,6 +126,7 @@
         if length is None or length > SMALL_ANSWER_BYTES:
             self.close()
             return
+        self._connection.end_by(time.monotonic() + MIN_STALL_S)
         with contextlib.suppress(errors.AnswerCut):
             self.read()
 
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -139,6 +139,14 @@
         assert self._reader is not None, "report this: unopened connection"
         self._reader.pause_at_most(pause_s)
 
+    def end_by(self, end_s: float | None) -> None:
+        """Bound all reading from now on; None lifts the bound.
+
+        :param end_s: in monotonic seconds.
+        """
+        assert self._reader is not None, "report this: unopened connection"
+        self._reader.end_by(end_s)
+
     def has_data(self) -> bool:
         """Tell whether bytes were read that belong to no answer yet."""
         return self._reader is not None and self._reader.has_data()
@@ -209,6 +217,7 @@
 
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose answer was read whole."""
+        connection.end_by(None)
         # What arrives from now on is seen before the next request.
         more = connection.has_data()
         self.trusted = self.trusted and not more
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -215,3 +215,15 @@
         with pytest.raises(errors.AnswerCut):
             _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
         assert not caller.begun
+
+
+def test_a_body_that_nobody_wants_holds_its_caller_for_a_moment() -> None:
+    """A refusal that trickled kept its caller until the deadline."""
+    begin = test_exchange.OWN + b"Content-Length: 60000\r\n\r\n"
+    peer = Endless(begin, b"x", TRICKLE_S)
+    with asked(peer) as (ask, _):
+        answer = ask()
+        started_s = time.monotonic()
+        answer.discard()
+        assert time.monotonic() - started_s < SLACK_S
+        assert peer.closed.wait(1)
