What isn't passed on yet is read until the deadline, not for each read

A peer whose answer trickled, in a head, an interim head, a body that is held or the trailers after it, held its caller and a thread for as long as it went on: only the pause between two reads was bounded, by the time left when the answer began.

The limit ends with the first part that is passed on: a download under way is not cut, however long it takes. What has arrived is read even when it is late, since only waiting ends.

--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -63,6 +63,9 @@
 class Answer:
     """A peer's answer, its head read and its body still to come.
 
+    While nothing of it has been passed on, the body is due by the request's
+    deadline.
+
     An answer without a length ends with its connection; it is whole unless
     the connection is reset.
     """
@@ -120,6 +123,10 @@
             raise errors.AnswerCut("the answer is shorter than said")
         self._release()
 
+    def lift_deadline(self) -> None:
+        """Let the body take longer: the caller has a part of it."""
+        self._connection.end_by(None)
+
     def discard(self) -> None:
         """Drop the body, and keep the connection where that is cheap."""
         length = self.length
@@ -173,6 +180,7 @@
     except _FAILURES as exc:
         raise errors.UpstreamRefused(f"no connection: {exc}", 200) from exc
     try:
+        connection.end_by(call.deadline_s + MIN_STALL_S)
         _send(connection, call, headers)
         return _read_own_answer(
             pool, connection, call, caller, read_terms, abandon
@@ -290,6 +298,7 @@
     try:
         for chunk in chunks:
             request.send(chunk)
+            answer.lift_deadline()
     except BaseException:
         answer.close()
         request.abort()
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -160,6 +160,27 @@
     _ask_in_vain(Endless(begin, unit * 1_000, BURST))
 
 
+@pytest.mark.parametrize("kind", list(ENDLESS_HEADS))
+def test_a_head_that_trickles_is_given_up_at_the_deadline(kind: str) -> None:
+    """Each read had a limit, and all together had none."""
+    _ask_in_vain(Endless(*ENDLESS_HEADS[kind], TRICKLE_S))
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_BODIES))
+def test_a_body_that_trickles_is_held_until_the_deadline(kind: str) -> None:
+    """A held answer without end left its caller without any."""
+    peer = Endless(*ENDLESS_BODIES[kind], TRICKLE_S)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        started_s = time.monotonic()
+        with pytest.raises(errors.AnswerCut):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        took_s = time.monotonic() - started_s
+        assert took_s < LEFT_S + SLACK_S
+        assert not caller.begun
+        assert peer.closed.wait(1)
+
+
 @pytest.mark.parametrize("kind", list(ENDLESS_BODIES))
 def test_a_body_in_a_burst_is_read_up_to_a_size(kind: str) -> None:
     """A failure's body without end was read into memory whole."""
@@ -206,6 +227,21 @@
         assert test_exchange.ask(address, test_exchange.call())[0] == body
 
 
+def test_a_download_that_was_begun_goes_on_past_the_deadline() -> None:
+    """The deadline bounds what isn't passed on yet, and nothing else."""
+    size = 3 * _exchange.SMALL_ANSWER_BYTES
+    begin = test_exchange.OWN + b"Content-Length: %d\r\n" % size
+    # One whose connection isn't kept.
+    begin += b"Connection: close\r\n\r\n"
+    peer = Endless(begin, b"x" * (size // 60), TRICKLE_S)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        started_s = time.monotonic()
+        _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert time.monotonic() - started_s > LEFT_S
+    assert caller.finished and caller.bytes_sent == size
+
+
 def test_a_large_answer_of_which_nothing_comes_is_refused() -> None:
     """Its caller got a cut connection, and no other upstream was asked."""
     begin = test_exchange.OWN + b"Content-Length: 9999999\r\n\r\n"
