A caller who hangs up ends an answer that trickles

Until an answer began its caller was watched, and after that nobody looked at it: a head or a body of which no more came was waited for up to 10 s, and only the second send after that failed. The upstream was at work for nobody all the while, and a thread and a slot were taken. Where reading a peer's answer has to wait, the caller's connection is now polled beside the peer's: one system call as before, and none where something has arrived.

Failed before: heads and bodies that pause, held and passed on, until the test's peer gave up.

--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -9,6 +9,8 @@
 import time
 import typing
 
+from chiveroad import errors
+
 READ_BUFFER_BYTES: typing.Final = 8 * 1024
 
 
@@ -18,7 +20,8 @@
     The socket has a time-out, so its descriptor never blocks: a read is one
     system call where something has arrived, and waits only where nothing
     has.  ``pause_s`` bounds one such wait, ``end_s`` all of them, and while
-    ``held`` nothing is read at all.
+    ``held`` nothing is read at all.  A wait ends, too, once whoever is at
+    the other end of ``caller`` has hung up.
     """
 
     def __init__(self, sock: socket.socket) -> None:
@@ -27,11 +30,13 @@
         self.pause_s = sock.gettimeout()
         self.end_s: float | None = None
         self.held = False
+        self.caller: socket.socket | None = None
 
     def readinto(self, buffer: typing.Any) -> int | None:
         """Read what there is.
 
         :raises TimeoutError: when nothing has come by then.
+        :raises errors.CallerGone: when nobody waits for it any longer.
         """
         if self.held:
             return None
@@ -46,11 +51,32 @@
         if self.end_s is not None:
             left_s = max(0.0, self.end_s - time.monotonic())
             wait_s = left_s if wait_s is None else min(left_s, wait_s)
-        if not readable(
-            self._timed, None if wait_s is None else 1000 * wait_s
-        ):
+        wait_ms = None if wait_s is None else 1000 * wait_s
+        if self.caller is None:
+            arrived = readable(self._timed, wait_ms)
+        else:
+            arrived = self._readable_for(self.caller, wait_ms)
+        if not arrived:
             raise TimeoutError("the peer is too slow")
 
+    def _readable_for(
+        self, caller: socket.socket, wait_ms: float | None
+    ) -> bool:
+        poll = select.poll()
+        poll.register(self._timed, select.POLLIN)
+        poll.register(caller, select.POLLIN | select.POLLRDHUP)
+        ready = dict(poll.poll(wait_ms))
+        if not ready or self._timed.fileno() in ready:
+            return bool(ready)
+        if not hung_up(caller):
+            # It has sent more already; only its hang-up matters.  The wait
+            # begins anew, once for each read.
+            poll.modify(caller, select.POLLRDHUP)
+            ready = dict(poll.poll(wait_ms))
+            if not ready or self._timed.fileno() in ready:
+                return bool(ready)
+        raise errors.CallerGone("the caller hung up")
+
 
 class Reader(io.BufferedReader):
     """A buffered socket reader that can tell whether it holds data."""
@@ -71,6 +97,10 @@
         """Bound the wait of each read from now on."""
         self._timed.pause_s = pause_s
 
+    def read_for(self, caller: socket.socket | None) -> None:
+        """End waiting from now on once a caller has hung up."""
+        self._timed.caller = caller
+
     def has_data(self) -> bool:
         """Tell whether data waits in the buffer; the socket isn't asked."""
         self._timed.held = True
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -111,6 +111,7 @@
         """Yield the body, and give the connection back after its end.
 
         :raises errors.AnswerCut: when it ends early.
+        :raises errors.CallerGone: when the caller has hung up before its end.
         """
         try:
             while chunk := self._response.read1(_CHUNK_BYTES):
@@ -118,6 +119,9 @@
         except _FAILURES as exc:
             self.close()
             raise errors.AnswerCut(f"the answer was cut: {exc}") from exc
+        except errors.CallerGone:
+            self.close()
+            raise
         if not self._response.chunked and self._response.length:
             self.close()
             raise errors.AnswerCut("the answer is shorter than said")
@@ -134,7 +138,7 @@
             self.close()
             return
         self._connection.end_by(time.monotonic() + MIN_STALL_S)
-        with contextlib.suppress(errors.AnswerCut):
+        with contextlib.suppress(errors.AnswerCut, errors.CallerGone):
             self.read()
 
     def close(self) -> None:
@@ -181,6 +185,7 @@
         raise errors.UpstreamRefused(f"no connection: {exc}", 200) from exc
     try:
         connection.end_by(call.deadline_s + MIN_STALL_S)
+        connection.read_for(caller)
         _send(connection, call, headers)
         return _read_own_answer(
             pool, connection, call, caller, read_terms, abandon
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -147,6 +147,11 @@
         assert self._reader is not None, "report this: unopened connection"
         self._reader.end_by(end_s)
 
+    def read_for(self, caller: socket.socket | None) -> None:
+        """End waiting for the peer once a caller has hung up."""
+        assert self._reader is not None, "report this: unopened connection"
+        self._reader.read_for(caller)
+
     def has_data(self) -> bool:
         """Tell whether bytes were read that belong to no answer yet."""
         return self._reader is not None and self._reader.has_data()
@@ -218,6 +223,7 @@
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose answer was read whole."""
         connection.end_by(None)
+        connection.read_for(None)
         # What arrives from now on is seen before the next request.
         more = connection.has_data()
         self.trusted = self.trusted and not more
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -111,6 +111,7 @@
 
 BURST = 0.0
 TRICKLE_S = 0.02
+LINE = b"X-Filler: " + b"x" * 1_000 + b"\r\n"
 
 ENDLESS_HEADS = {
     "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
@@ -253,6 +254,33 @@
         assert not caller.begun
 
 
+@pytest.mark.parametrize("size", [1_000, 10_000_000])
+def test_a_caller_who_hangs_up_ends_an_answer_that_trickles(
+    size: int,
+) -> None:
+    """A send was the first to see it, and after a pause of the peer's."""
+    begin = test_exchange.OWN + b"Content-Length: %d\r\n\r\nbegin" % size
+    peer = Endless(begin, b"", 10.0)
+    caller = Caller()
+    with asked(peer, left_s=3.0) as (ask, far_end):
+        threading.Timer(0.3, far_end.close).start()
+        started_s = time.monotonic()
+        with pytest.raises(errors.CallerGone):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert time.monotonic() - started_s < 0.3 + SLACK_S
+
+
+def test_a_caller_who_hangs_up_ends_a_head_that_trickles() -> None:
+    """Once a head had begun, nobody looked at the caller any more."""
+    peer = Endless(test_exchange.OWN, LINE, 0.5)
+    with asked(peer, left_s=3.0) as (ask, far_end):
+        threading.Timer(0.3, far_end.close).start()
+        started_s = time.monotonic()
+        with pytest.raises(errors.CallerGone):
+            ask()
+        assert time.monotonic() - started_s < 0.3 + SLACK_S
+
+
 def test_a_body_that_nobody_wants_holds_its_caller_for_a_moment() -> None:
     """A refusal that trickled kept its caller until the deadline."""
     begin = test_exchange.OWN + b"Content-Length: 60000\r\n\r\n"
