Calls to the store and to other daemons end in time and are bounded in bytes

The client library limits each read. A store or a daemon whose answer trickled, in its head, its body or the trailers after it, held the thread that had asked, and with it a lock that others wait for, for as long as it went on; one that sent as fast as it could filled the memory. An answer that says it is compressed was unpacked without a limit though no call asks for that.

Slow answers that go on, over links that are nearly full, are read as before. Nothing is unpacked.

--- a/src/chiveroad/control/_peer.py
+++ b/src/chiveroad/control/_peer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http
-import typing
 
 import msgspec
 import urllib3
@@ -12,8 +11,7 @@
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad import errors
-
-_HEADERS: typing.Final = {"Content-Type": "application/json"}
+from chiveroad import http_calls
 
 
 class Peers:
@@ -24,8 +22,7 @@
     """
 
     def __init__(self, connections: int, connect_timeout_s: float) -> None:
-        self._connect_timeout_s = connect_timeout_s
-        self._http = urllib3.PoolManager(maxsize=connections, retries=False)
+        self._calls = http_calls.Calls(connections, connect_timeout_s)
 
     def post(
         self, address: str, path: str, body: bytes, timeout_s: float
@@ -34,17 +31,9 @@
 
         :raises errors.PeerUnavailable: when there is no good answer.
         """
-        timeout = urllib3.Timeout(
-            connect=self._connect_timeout_s, read=timeout_s
-        )
+        url = f"http://{address}{path}"
         try:
-            response = self._http.request(
-                "POST",
-                f"http://{address}{path}",
-                body=body,
-                headers=_HEADERS,
-                timeout=timeout,
-            )
+            response = self._calls.request("POST", url, body, timeout_s)
         except urllib3.exceptions.HTTPError as exc:
             raise errors.PeerUnavailable(f"{address}: {exc}") from exc
         if response.status != http.HTTPStatus.OK:
--- a/src/chiveroad/store/_client.py
+++ b/src/chiveroad/store/_client.py
@@ -4,17 +4,16 @@
 
 import collections.abc
 import http
-import typing
 import urllib.parse
 
 import msgspec
 import urllib3
 
 from chiveroad import errors
+from chiveroad import http_calls
 from chiveroad.store import _base
 from chiveroad.store import _outcome
 
-_HEADERS: typing.Final = {"Content-Type": "application/json"}
 _encoder = msgspec.json.Encoder()
 
 
@@ -23,16 +22,15 @@
 
     :param base_url: what stands before a kind's path.
     :param connect_timeout_s: how long opening a connection may take.
-    :param timeout_s: how long the answer to one call may take.
+    :param timeout_s: how long the answer to one call may take to begin.
     """
 
     def __init__(
         self, base_url: str, connect_timeout_s: float, timeout_s: float
     ) -> None:
         self._base_url = base_url
-        self._connect_timeout_s = connect_timeout_s
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
+        self._calls = http_calls.Calls(4, connect_timeout_s)
 
     def url(
         self,
@@ -75,20 +73,10 @@
 
         :param stream: whether the body is left to be read.
         """
-        timeout = urllib3.Timeout(
-            connect=self._connect_timeout_s,
-            read=self._timeout_s if timeout_s is None else timeout_s,
-        )
+        if timeout_s is None:
+            timeout_s = self._timeout_s
         try:
-            return self._pool.request(
-                method,
-                url,
-                body=body,
-                headers=_HEADERS,
-                timeout=timeout,
-                preload_content=not stream,
-                redirect=False,
-            )
+            return self._calls.request(method, url, body, timeout_s, stream)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -4,15 +4,19 @@
 
 import collections.abc
 import contextlib
+import gzip
 import socket
 import threading
 import time
 
 import pytest
 
+from chiveroad.control import _peer
 from chiveroad import errors
+from chiveroad import http_calls
 from chiveroad import platform
 from chiveroad import serving
+from chiveroad import store
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _pool
 from tests import test_exchange
@@ -291,3 +295,61 @@
         answer.discard()
         assert time.monotonic() - started_s < SLACK_S
         assert peer.closed.wait(1)
+
+
+BODY = b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n"
+ENDLESS_CALLS = {
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "header lines": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x"),
+    "a length": (BODY, b"x"),
+    "no length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "a chunk size": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"0",
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"T: r\r\n",
+    ),
+    "zipped zeros": (
+        b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n",
+        gzip.compress(bytes(100_000_000), 9),
+    ),
+}
+
+
+@pytest.mark.parametrize("pause_s", [TRICKLE_S, BURST])
+@pytest.mark.parametrize("kind", list(ENDLESS_CALLS))
+@pytest.mark.parametrize("peer_kind", ["store", "daemon"])
+def test_a_call_whose_answer_never_ends_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+    kind: str,
+    pause_s: float,
+    peer_kind: str,
+) -> None:
+    """Each read had a limit, all together none, and the size neither."""
+    monkeypatch.setattr(http_calls, "ANSWER_S", LEFT_S)
+    monkeypatch.setattr(http_calls, "MAX_ANSWER_BYTES", 1_000_000)
+    begin, unit = ENDLESS_CALLS[kind]
+    peer = Endless(begin, unit * (1 if pause_s else 1_000), pause_s)
+    with test_exchange.upstream(peer) as address:
+        started_s = time.monotonic()
+        if peer_kind == "store":
+            asked_store = platform.ObjectStore(address, 0.3)
+            with pytest.raises(errors.StoreUnavailable):
+                asked_store.get(store.Kind.MEMBERS, "a")
+        else:
+            peers = _peer.Peers(1, 0.3)
+            with pytest.raises(errors.PeerUnavailable):
+                peers.post(address, "/", b"", 0.3)
+        assert time.monotonic() - started_s < LEFT_S + 2 * SLACK_S
+        assert peer.closed.wait(1)
+
+
+def test_an_answer_that_comes_slowly_is_read_while_it_goes_on() -> None:
+    """A link that is nearly full delays an answer beyond the first limit."""
+    begin = BODY.replace(b"999999999", b"50")
+    peer = Endless(begin, b"x", TRICKLE_S)
+    with test_exchange.upstream(peer) as address:
+        peers = _peer.Peers(1, 0.3)
+        assert peers.post(address, "/", b"", 0.3) == b"x" * 50
