--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import http
 import http.client
 import itertools
 import select
 import socket
+import time
 import typing
 
 import urllib3.exceptions
@@ -31,6 +33,9 @@
 """How long a peer that was asked before may pause within an answer's head,
 while another's is awaited: a head is a packet or two."""
 
+MAX_READ_BYTES: typing.Final = 1024 * 1024
+"""A body that is held or skipped isn't larger, with what frames it."""
+
 MAX_CROSSED: typing.Final = 3
 """How many answers to other requests are passed over on one connection."""
 
@@ -63,6 +68,9 @@
 class Answer:
     """A peer's answer, its head read and its body still to come.
 
+    While nothing of it has been passed on, the body is due by the request's
+    deadline.
+
     An answer without a length ends with its connection; it is whole unless
     the connection is reset.
     """
@@ -93,17 +101,22 @@
         """Return the body's length in bytes, or None where it isn't told."""
         return None if self._response.chunked else self._response.length
 
-    def read(self) -> bytes:
+    def read(self, limit_bytes: int = MAX_READ_BYTES) -> bytes:
         """Read the whole body and give the connection back.
 
-        :raises errors.AnswerCut: when it ends early.
+        :raises errors.AnswerCut: when it ends early, or is over the limit.
         """
-        return b"".join(self.chunks())
+        begin = _hold(self.chunks(), limit_bytes)
+        if not begin.whole:
+            self.close()
+            raise errors.AnswerCut(f"the answer is over {limit_bytes} bytes")
+        return begin.body
 
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield the body, and give the connection back after its end.
 
         :raises errors.AnswerCut: when it ends early.
+        :raises errors.CallerGone: when the caller has hung up before its end.
         """
         try:
             while chunk := self._response.read1(_CHUNK_BYTES):
@@ -111,21 +124,27 @@
         except _FAILURES as exc:
             self.close()
             raise errors.AnswerCut(f"the answer was cut: {exc}") from exc
+        except errors.CallerGone:
+            self.close()
+            raise
         if not self._response.chunked and self._response.length:
             self.close()
             raise errors.AnswerCut("the answer is shorter than said")
         self._release()
 
+    def lift_deadline(self) -> None:
+        """Let the body take longer: the caller has a part of it."""
+        self._connection.end_by(None)
+
     def discard(self) -> None:
         """Drop the body, and keep the connection where that is cheap."""
         length = self.length
         if length is None or length > SMALL_ANSWER_BYTES:
             self.close()
             return
-        try:
+        self._connection.end_by(time.monotonic() + MIN_STALL_S)
+        with contextlib.suppress(errors.AnswerCut, errors.CallerGone):
             self.read()
-        except errors.AnswerCut:
-            self.close()
 
     def close(self) -> None:
         """Close the connection: it can't be used again."""
@@ -229,7 +248,7 @@
         endless = answer.length is None and not response.chunked
         if endless or self._crossed > MAX_CROSSED:
             raise errors.AnswerCrossed(f"the answer is to {echoed}")
-        response.read()
+        response.skip(MAX_READ_BYTES)
 
     def send(self, headers: collections.abc.Iterable[serving.Header]) -> None:
         """Send the request."""
@@ -272,6 +291,8 @@
     exchange = _Exchange(pool, connection, call, read_terms)
     call.pending.append(exchange)
     try:
+        connection.end_by(call.deadline_s + MIN_STALL_S)
+        connection.read_for(caller)
         exchange.send(headers)
         while not exchange.ended:
             _await_answer(exchange, caller, call, elsewhere)
@@ -322,31 +343,35 @@
     length = answer.length
     chunks = answer.chunks()
     if length is not None and length > hold_bytes:
-        return _stream(answer, chunks, request, headers, length)
+        # Nothing is passed on before there is some of the body.
+        rest = itertools.chain((next(chunks, b""),), chunks)
+        return _stream(answer, rest, request, headers, length)
     begin = _hold(chunks, hold_bytes)
     if begin.whole:
-        body = b"".join(begin.chunks)
-        request.answer(answer.status, headers, body)
-        return len(body)
-    rest = itertools.chain(begin.chunks, chunks)
+        request.answer(answer.status, headers, begin.body)
+        return len(begin.body)
+    rest = itertools.chain((begin.body,), chunks)
     return _stream(answer, rest, request, headers, length)
 
 
 class _Begin(typing.NamedTuple):
-    chunks: list[bytes]
+    body: bytes
     whole: bool
 
 
 def _hold(chunks: collections.abc.Iterator[bytes], hold_bytes: int) -> _Begin:
-    """Take chunks until the end, or until they are over a size."""
-    held: list[bytes] = []
-    total = 0
-    for chunk in chunks:
-        held.append(chunk)
-        total += len(chunk)
-        if total > hold_bytes:
-            return _Begin(held, whole=False)
-    return _Begin(held, whole=True)
+    """Take chunks until the end, or until they are over a size.
+
+    Each chunk but the first counts as longer by what frames it: tiny ones
+    take time.
+    """
+    # Kept apart, they would also take many times their size.
+    held = bytearray()
+    for number, chunk in enumerate(chunks):
+        held += chunk
+        if len(held) + number * _answer.CHUNK_LINE_BYTES > hold_bytes:
+            return _Begin(bytes(held), whole=False)
+    return _Begin(bytes(held), whole=True)
 
 
 def _stream(
@@ -362,6 +387,7 @@
     try:
         for chunk in chunks:
             request.send(chunk)
+            answer.lift_deadline()
     except BaseException:
         answer.close()
         request.abort()
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,355 @@
+"""Peers that send without end."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import gzip
+import socket
+import threading
+import time
+
+import pytest
+
+from chiveroad.control import _peer
+from chiveroad import errors
+from chiveroad import http_calls
+from chiveroad import platform
+from chiveroad import serving
+from chiveroad import store
+from chiveroad.traffic import _exchange
+from chiveroad.traffic import _pool
+from tests import test_exchange
+
+LEFT_S = 0.6
+SLACK_S = 0.35
+"""What a loaded machine may add to a time."""
+
+SENDS_FOR_S = 5.0
+"""When a peer gives up whom nobody has closed by then."""
+
+CHUNKED = test_exchange.OWN + b"Transfer-Encoding: chunked\r\n\r\n"
+LATE_CHUNKED = CHUNKED.replace(b": q", b": earlier")
+
+
+class Endless:
+    """A peer that answers with bytes without end until it is closed.
+
+    :param pause_s: between two sends; 0 for as fast as they are taken.
+    """
+
+    def __init__(self, begin: bytes, unit: bytes, pause_s: float) -> None:
+        self._begin = begin
+        self._unit = unit
+        self._pause_s = pause_s
+        self.sent_bytes = 0
+        self.closed = threading.Event()
+
+    def __call__(self, sock: socket.socket) -> None:
+        """Serve one connection."""
+        end_s = time.monotonic() + SENDS_FOR_S
+        sock.settimeout(SENDS_FOR_S)
+        sock.recv(65_536)
+        try:
+            sock.sendall(self._begin)
+            while time.monotonic() < end_s:
+                sock.sendall(self._unit)
+                self.sent_bytes += len(self._unit)
+                time.sleep(self._pause_s)
+        except ConnectionError:
+            self.closed.set()
+
+
+class Caller:
+    """A request whose answer is noted instead of sent."""
+
+    def __init__(self) -> None:
+        self.begun = False
+        self.finished = False
+        self.bytes_sent = 0
+
+    def answer(
+        self, _status: int, _headers: list[serving.Header], body: bytes
+    ) -> None:
+        """Take a whole answer."""
+        self.begun = self.finished = True
+        self.bytes_sent = len(body)
+
+    def start(self, _status: int, _headers: list[serving.Header]) -> None:
+        """Take the begin of an answer."""
+        self.begun = True
+
+    def send(self, chunk: bytes) -> None:
+        """Take a part of an answer."""
+        self.bytes_sent += len(chunk)
+
+    def finish(self) -> None:
+        """Take the end of an answer."""
+        self.finished = True
+
+    def abort(self) -> None:
+        """Take that an answer was cut."""
+
+
+@contextlib.contextmanager
+def asked(
+    peer: Endless, left_s: float = LEFT_S
+) -> collections.abc.Iterator[
+    tuple[collections.abc.Callable[[], _exchange.Answer], socket.socket]
+]:
+    """Yield what asks a peer, and the far end of its caller's connection."""
+    with test_exchange.upstream(peer) as address:
+        pool = _pool.Pool(address)
+        ours, theirs = socket.socketpair()
+        request = test_exchange.call(left_s=left_s)
+        with ours, theirs:
+            yield lambda: _exchange.ask(
+                pool,
+                request,
+                request.headers,
+                ours,
+                platform.Protocol().read_answer,
+            ), theirs
+        assert not pool._idle
+
+
+BURST = 0.0
+TRICKLE_S = 0.02
+LINE = b"X-Filler: " + b"x" * 1_000 + b"\r\n"
+
+ENDLESS_HEADS = {
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "a status line": (b"HTTP/1.1 200 ", b"x"),
+    "header lines": (test_exchange.OWN, b"X-Filler: x\r\n"),
+    "a header line": (test_exchange.OWN + b"X-Filler: ", b"x"),
+    "bytes that are no head": (b"", b"\x00"),
+    "an earlier answer, chunked": (LATE_CHUNKED, b"3\r\nabc\r\n"),
+    "an earlier answer, long": (
+        test_exchange.LATE.replace(b": 3", b": 999999999"),
+        b"x" * 100,
+    ),
+    "earlier answers": (b"", test_exchange.LATE),
+    "an earlier answer's trailers": (LATE_CHUNKED + b"0\r\n", b"T: r\r\n"),
+}
+
+ENDLESS_BODIES = {
+    "a length": (
+        test_exchange.OWN + b"Content-Length: 60000\r\n\r\n",
+        b"x",
+    ),
+    "no length": (test_exchange.OWN + b"\r\n", b"x"),
+    "chunks": (CHUNKED, b"3\r\nabc\r\n"),
+    "a chunk size": (CHUNKED, b"0"),
+    "a chunk extension": (CHUNKED + b"3;x=", b"x"),
+    "trailers": (CHUNKED + b"3\r\nabc\r\n0\r\n", b"T: r\r\n"),
+    "a trailer": (CHUNKED + b"3\r\nabc\r\n0\r\nT: ", b"r"),
+    "a negative chunk size": (CHUNKED + b"-5\r\n", b"x"),
+}
+
+
+def _ask_in_vain(peer: Endless) -> None:
+    """Ask for an answer that is none, and check how that ends."""
+    with asked(peer) as (ask, _):
+        started_s = time.monotonic()
+        with pytest.raises(errors.OutcomeUnknown) as caught:
+            ask()
+        assert time.monotonic() - started_s < LEFT_S + SLACK_S
+        assert caught.value.ran == "unknown"
+        assert peer.closed.wait(1)
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_HEADS))
+def test_a_head_without_end_is_read_up_to_a_size(kind: str) -> None:
+    """Interim heads in a burst held a thread for ever."""
+    begin, unit = ENDLESS_HEADS[kind]
+    _ask_in_vain(Endless(begin, unit * 1_000, BURST))
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_HEADS))
+def test_a_head_that_trickles_is_given_up_at_the_deadline(kind: str) -> None:
+    """Each read had a limit, and all together had none."""
+    _ask_in_vain(Endless(*ENDLESS_HEADS[kind], TRICKLE_S))
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_BODIES))
+def test_a_body_that_trickles_is_held_until_the_deadline(kind: str) -> None:
+    """A held answer without end left its caller without any."""
+    peer = Endless(*ENDLESS_BODIES[kind], TRICKLE_S)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        started_s = time.monotonic()
+        with pytest.raises(errors.AnswerCut):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        took_s = time.monotonic() - started_s
+        assert took_s < LEFT_S + SLACK_S
+        assert not caller.begun
+        assert peer.closed.wait(1)
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_BODIES))
+def test_a_body_in_a_burst_is_read_up_to_a_size(kind: str) -> None:
+    """A failure's body without end was read into memory whole."""
+    begin, unit = ENDLESS_BODIES[kind]
+    begin = begin.replace(b": 60000", b": 99999999")
+    peer = Endless(begin, unit * 1_000, BURST)
+    with asked(peer) as (ask, _):
+        started_s = time.monotonic()
+        with pytest.raises(errors.AnswerCut):
+            ask().read()
+        assert time.monotonic() - started_s < LEFT_S + SLACK_S
+        assert peer.closed.wait(1)
+    assert peer.sent_bytes < 16 * _exchange.MAX_READ_BYTES
+
+
+def test_trailers_in_a_burst_end_a_download() -> None:
+    """They aren't passed on, so no caller's hang-up could end them."""
+    begin = CHUNKED + b"30000\r\n" + b"x" * 0x30000 + b"\r\n0\r\n"
+    peer = Endless(begin, b"T: r\r\n" * 1_000, BURST)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        with pytest.raises(errors.AnswerCut):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert caller.begun and not caller.finished
+        assert peer.closed.wait(1)
+
+
+@pytest.mark.parametrize("size", [b"-5", b"+5", b"0x5", b"", b"4", b"6"])
+def test_a_chunk_that_is_not_as_long_as_said_is_no_body(size: bytes) -> None:
+    """A negative size stood for all that came, and a sign was overlooked."""
+    sent = CHUNKED + size + b"\r\nabcde\r\n0\r\n\r\n"
+    serve = test_exchange.answering(sent)
+    with test_exchange.upstream(serve) as address:
+        with pytest.raises(errors.AnswerCut):
+            test_exchange.ask(address, test_exchange.call())
+
+
+def test_small_chunks_may_take_more_framing_than_body() -> None:
+    """The limit on framing is for what isn't needed."""
+    body = b"x" * 10_000
+    sent = CHUNKED + b"1\r\nx\r\n" * len(body) + b"0\r\n\r\n"
+    serve = test_exchange.answering(sent)
+    with test_exchange.upstream(serve) as address:
+        assert test_exchange.ask(address, test_exchange.call())[0] == body
+
+
+def test_a_download_that_was_begun_goes_on_past_the_deadline() -> None:
+    """The deadline bounds what isn't passed on yet, and nothing else."""
+    size = 3 * _exchange.SMALL_ANSWER_BYTES
+    begin = test_exchange.OWN + b"Content-Length: %d\r\n" % size
+    # One whose connection isn't kept.
+    begin += b"Connection: close\r\n\r\n"
+    peer = Endless(begin, b"x" * (size // 60), TRICKLE_S)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        started_s = time.monotonic()
+        _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert time.monotonic() - started_s > LEFT_S
+    assert caller.finished and caller.bytes_sent == size
+
+
+def test_a_large_answer_of_which_nothing_comes_is_refused() -> None:
+    """Its caller got a cut connection, and no other upstream was asked."""
+    begin = test_exchange.OWN + b"Content-Length: 9999999\r\n\r\n"
+    peer = Endless(begin, b"", TRICKLE_S)
+    caller = Caller()
+    with asked(peer) as (ask, _):
+        with pytest.raises(errors.AnswerCut):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert not caller.begun
+
+
+@pytest.mark.parametrize("size", [1_000, 10_000_000])
+def test_a_caller_who_hangs_up_ends_an_answer_that_trickles(
+    size: int,
+) -> None:
+    """A send was the first to see it, and after a pause of the peer's."""
+    begin = test_exchange.OWN + b"Content-Length: %d\r\n\r\nbegin" % size
+    peer = Endless(begin, b"", 10.0)
+    caller = Caller()
+    with asked(peer, left_s=3.0) as (ask, far_end):
+        threading.Timer(0.3, far_end.close).start()
+        started_s = time.monotonic()
+        with pytest.raises(errors.CallerGone):
+            _exchange.pass_on(ask(), caller)  # type: ignore[arg-type]
+        assert time.monotonic() - started_s < 0.3 + SLACK_S
+
+
+def test_a_caller_who_hangs_up_ends_a_head_that_trickles() -> None:
+    """Once a head had begun, nobody looked at the caller any more."""
+    peer = Endless(test_exchange.OWN, LINE, 0.5)
+    with asked(peer, left_s=3.0) as (ask, far_end):
+        threading.Timer(0.3, far_end.close).start()
+        started_s = time.monotonic()
+        with pytest.raises(errors.CallerGone):
+            ask()
+        assert time.monotonic() - started_s < 0.3 + SLACK_S
+
+
+def test_a_body_that_nobody_wants_holds_its_caller_for_a_moment() -> None:
+    """A refusal that trickled kept its caller until the deadline."""
+    begin = test_exchange.OWN + b"Content-Length: 60000\r\n\r\n"
+    peer = Endless(begin, b"x", TRICKLE_S)
+    with asked(peer) as (ask, _):
+        answer = ask()
+        started_s = time.monotonic()
+        answer.discard()
+        assert time.monotonic() - started_s < SLACK_S
+        assert peer.closed.wait(1)
+
+
+BODY = b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n"
+ENDLESS_CALLS = {
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "header lines": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x"),
+    "a length": (BODY, b"x"),
+    "no length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "a chunk size": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"0",
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"T: r\r\n",
+    ),
+    "zipped zeros": (
+        b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n",
+        gzip.compress(bytes(100_000_000), 9),
+    ),
+}
+
+
+@pytest.mark.parametrize("pause_s", [TRICKLE_S, BURST])
+@pytest.mark.parametrize("kind", list(ENDLESS_CALLS))
+@pytest.mark.parametrize("peer_kind", ["store", "daemon"])
+def test_a_call_whose_answer_never_ends_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+    kind: str,
+    pause_s: float,
+    peer_kind: str,
+) -> None:
+    """Each read had a limit, all together none, and the size neither."""
+    monkeypatch.setattr(http_calls, "ANSWER_S", LEFT_S)
+    monkeypatch.setattr(http_calls, "MAX_ANSWER_BYTES", 1_000_000)
+    begin, unit = ENDLESS_CALLS[kind]
+    peer = Endless(begin, unit * (1 if pause_s else 1_000), pause_s)
+    with test_exchange.upstream(peer) as address:
+        started_s = time.monotonic()
+        if peer_kind == "store":
+            asked_store = platform.ObjectStore(address, 0.3)
+            with pytest.raises(errors.StoreUnavailable):
+                asked_store.get(store.Kind.MEMBERS, "a")
+        else:
+            peers = _peer.Peers(1, 0.3)
+            with pytest.raises(errors.PeerUnavailable):
+                peers.post(address, "/", b"", 0.3)
+        assert time.monotonic() - started_s < LEFT_S + 2 * SLACK_S
+        assert peer.closed.wait(1)
+
+
+def test_an_answer_that_comes_slowly_is_read_while_it_goes_on() -> None:
+    """A link that is nearly full delays an answer beyond the first limit."""
+    begin = BODY.replace(b"999999999", b"50")
+    peer = Endless(begin, b"x", TRICKLE_S)
+    with test_exchange.upstream(peer) as address:
+        peers = _peer.Peers(1, 0.3)
+        assert peers.post(address, "/", b"", 0.3) == b"x" * 50
