Who was overtaken counts as asked, and the one that overtakes has its time

Now the limit ends with the head, and one that was overtaken counts as asked. The two tests failed before: 502 for 200, and 4 upstreams of 3.

--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -271,6 +271,9 @@
         except errors.Refusal as refusal:
             _upstreams.learn_refusal(track, refusal)
             raise
+        except _exchange.Overtaken:
+            attempts.ended += 1
+            raise
         finally:
             self._upstreams.count(track, -1)
         attempts.served_by = chosen.instance
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -299,6 +299,7 @@
         if exchange.failure is not None:
             raise exchange.failure
         assert exchange.answer is not None, "report this: no answer"
+        connection.pause_at_most(_stall_s(call))
         return exchange.answer
     except BaseException:
         connection.close()
@@ -472,6 +473,11 @@
             return False
 
 
+def _stall_s(call: _call.Call) -> float:
+    """Return how long a peer may pause within an answer."""
+    return max(MIN_STALL_S, min(STALL_S, call.left_ms() / 1000))
+
+
 def _await_answer(
     exchange: _Exchange,
     caller: socket.socket,
@@ -499,7 +505,7 @@
         buffered = exchange.connection.has_data()
         ready = dict(poll.poll(0 if buffered else max(0, wait_ms)))
         if buffered or exchange.fileno() in ready:
-            exchange.advance(max(MIN_STALL_S, min(STALL_S, left_ms / 1000)))
+            exchange.advance(_stall_s(call))
             continue
         for number in earlier.keys() & ready.keys():
             earlier[number].advance(EARLIER_STALL_S)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -388,6 +388,29 @@
         request.answer(204, (), b"")
 
 
+Answering = collections.abc.Callable[[serving.Request], None]
+
+
+def _whole(request: serving.Request) -> None:
+    request.answer(200, (), b"done")
+
+
+def _pausing(request: serving.Request) -> None:
+    """Answer as over a link that others keep busy."""
+    request.start(200, [("Content-Length", "4")])
+    request.send(b"do")
+    time.sleep(0.6)
+    request.send(b"ne")
+    request.finish()
+
+
+def _cut(request: serving.Request) -> None:
+    """Break an answer off."""
+    request.start(200, [("Content-Length", "4")])
+    request.send(b"do")
+    request.abort()
+
+
 class _AtWork(serving.Handler):
     """Guards too busy for probes, whose upstreams are at work.
 
@@ -406,7 +429,7 @@
             time.sleep(3.0)
             request.answer(204, (), b"")
             return
-        work_s, refusal = next(self._outcomes)
+        work_s, outcome = next(self._outcomes)
         end_s = time.monotonic() + work_s
         while time.monotonic() < end_s:
             if serving.hung_up(request.socket):
@@ -414,9 +437,9 @@
                 raise errors.CallerGone("the entry left")
             time.sleep(0.01)
         self.done += 1
-        if refusal is not None:
-            raise refusal
-        request.answer(200, (), b"done")
+        if isinstance(outcome, errors.Refusal):
+            raise outcome
+        (outcome or _whole)(request)
 
 
 # Guards against work that is broken off at a daemon taken for lost, for a 502.
@@ -475,3 +498,24 @@
         address = stack.enter_context(entry_before(*guards))
         status, _ = get(address, "/read")
     assert (status, guard.done, guard.broken_off) == (200, most, 0)
+
+
+# Guards against an answer that is cut for a pause, as another was asked since.
+def test_an_answer_that_overtakes_has_the_time_of_any_other() -> None:
+    guard = _AtWork((1.2, _pausing), (9.0, None))
+    with running(guard) as first, running(guard) as second:
+        with entry_before(first, second) as address:
+            status, _ = get(address, "/read")
+    assert (status, guard.done, guard.broken_off) == (200, 1, 1)
+
+
+# Guards against one upstream too many, after work that was broken off.
+def test_who_was_overtaken_counts_as_asked() -> None:
+    most = config.Kind(1, True, 3_000).max_attempts
+    lost = (0.0, errors.OutcomeUnknown("reset"))
+    guard = _AtWork((1.2, _cut), (9.0, None), *[lost] * most)
+    with contextlib.ExitStack() as stack:
+        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
+        address = stack.enter_context(entry_before(*guards))
+        status, _ = get(address, "/read")
+    assert (status, guard.done + guard.broken_off) == (502, most)
