A planned stop answers all requests before its limit

What callers saw: a whole request without an answer or a refusal.

Cause: a request's deadline knew nothing of the daemon's own end. At the limit the sockets were closed under whoever waited, for an upstream's answer or in a guard's queue. Guards in a stop didn't refuse those who waited too long either, as the main thread that sees to it was waiting for the end.

Ruled out: a kill (the process ended by itself, within its grace), a caller who left.

Now a stop sets the time by which all requests of the entry and the guard are due, those in hand too; one that can't be served by then is refused as soon as that is known, or gets 504 or 503 (not run) at the limit less 0.15 s, which answers need on their way.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -44,6 +44,10 @@
 """How long the thread that probes may overlook a stop while nothing waits."""
 
 GUARD_TICK_S: typing.Final = 0.05
+LAST_ANSWERS_S: typing.Final = 0.15
+"""What the answers that are due at the limit of a planned stop need to be sent
+before its end."""
+
 GUARD_GRACE_S: typing.Final = 0.5
 """What other daemons need to hear that this one stops."""
 
@@ -293,6 +297,11 @@
         end_s = time.monotonic() + traffic_options.drain_limit_ms / 1000
         leave_after_s = traffic_options.leave_after_ms / 1000
         _log.info("Draining.")
+        for part in (self._entry, self._guard):
+            part.end_by(end_s - LAST_ANSWERS_S)
+        threading.Thread(
+            target=self._tick_until_left, name="ticking", daemon=True
+        ).start()
         self._plane.announce(membership.State.DRAINING)
         # Others hear of it before they are refused.
         threading.Timer(GUARD_GRACE_S, self._close_guard).start()
@@ -322,6 +331,11 @@
         _log.info("Stopped.")
         serving.stop_all((*self._border_servers, *reversed(self._servers)))
 
+    def _tick_until_left(self) -> None:
+        """Refuse who waits too long, as long as requests are in hand."""
+        while not self._peers_left.wait(GUARD_TICK_S):
+            self._guard.tick()
+
     def _close_guard(self) -> None:
         self._guard.draining = True
 
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -81,6 +81,16 @@
         """Tell whether there is an answer that a caller is to have."""
 
 
+@dataclasses.dataclass(slots=True)
+class Limit:
+    """When all requests of a daemon are due, in monotonic seconds.
+
+    A planned stop sets it for requests that are in hand, too.
+    """
+
+    at_s: float = clock.NEVER_S
+
+
 class Body:
     """A request's body: held when small, else streamed once.
 
@@ -150,14 +160,14 @@
 class Call:
     """One request, matched to its route.
 
-    ``deadline_s`` is in monotonic seconds.  ``depth`` counts the calls above
-    this one.  ``key`` is the caller's idempotency key or empty.
-    ``caller_service`` is the service beside the daemon that took it.
-    ``objective_s`` is when its answer begins to count as late, and ``inner``
-    says that a running request of an upstream waits for it.  ``second``
-    decides whether an upstream's failure is replaced by another's answer,
-    and ``kept`` is such a failure.  ``pending`` holds what was sent and
-    isn't answered, the oldest first.
+    ``deadline_s`` is in monotonic seconds, and ``limit`` may be sooner.
+    ``depth`` counts the calls above this one. ``key`` is the caller's
+    idempotency key or empty. ``caller_service`` is the service beside the
+    daemon that took it. ``objective_s`` is when its answer begins to count as
+    late, and ``inner`` says that a running request of an upstream waits for
+    it. ``second`` decides whether an upstream's failure is replaced by
+    another's answer, and ``kept`` is such a failure. ``pending`` holds what
+    was sent and isn't answered, the oldest first.
     """
 
     id: str
@@ -178,10 +188,16 @@
     second: _second.Second | None = None
     kept: tuple[int, list[serving.Header], bytes] | None = None
     pending: list[Pending] = dataclasses.field(default_factory=list)
+    limit: Limit = dataclasses.field(default_factory=Limit)
+
+    @property
+    def due_s(self) -> float:
+        """Return when it is to be answered, in monotonic seconds."""
+        return min(self.deadline_s, self.limit.at_s)
 
     def left_ms(self) -> float:
         """Return how much time is left."""
-        return (self.deadline_s - time.monotonic()) * 1000
+        return (self.due_s - time.monotonic()) * 1000
 
     def upstream_headers(
         self, protocol: wire.Protocol, upstream_id: str
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -81,6 +81,7 @@
         self._patience = _patience.Patience()
         self._own_host = options.upstream.address.rpartition(":")[0]
         self._sampler = logs.Sampler()
+        self._limit = _call.Limit()
         self._ids = itertools.count(1)
         self._id_prefix = f"{options.instance}-{uuid.uuid4().hex[:8]}"
 
@@ -107,6 +108,13 @@
         self._options = options
         self._budget.change(_terms(options.retries))
 
+    def end_by(self, end_s: float) -> None:
+        """Answer all requests by a time, those in hand too.
+
+        :param end_s: in monotonic seconds.
+        """
+        self._limit.at_s = end_s
+
     def candidates(self, service: str) -> list[_balancer.Candidate]:
         """Return the upstreams of a service as this entry sees them."""
         return self._upstreams.candidates(service)
@@ -243,6 +251,7 @@
             caller_service=self._options.service,
             objective_s=objective_s,
             inner=inner,
+            limit=self._limit,
         )
         return call, route
 
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -57,6 +57,10 @@
 """How often a request that may be repeated looks, after that, whether its peer
 lives."""
 
+STOP_WAKE_MS: typing.Final = 500
+"""How often a request that waits looks whether a planned stop has set a limit;
+stops give several times as long."""
+
 ReadTerms = collections.abc.Callable[
     [int, collections.abc.Callable[[str, str], str]], wire.AnswerTerms
 ]
@@ -291,7 +295,7 @@
     exchange = _Exchange(pool, connection, call, read_terms)
     call.pending.append(exchange)
     try:
-        connection.end_by(call.deadline_s + MIN_STALL_S)
+        connection.end_by(call.due_s + MIN_STALL_S)
         connection.read_for(caller)
         exchange.send(headers)
         while not exchange.ended:
@@ -500,7 +504,7 @@
     wake_ms = FIRST_WAKE_MS
     while not exchange.ended:
         left_ms = call.left_ms()
-        wait_ms = min(left_ms, wake_ms) if elsewhere else left_ms
+        wait_ms = min(left_ms, wake_ms if elsewhere else STOP_WAKE_MS)
         wake_ms = WAKE_MS
         buffered = exchange.connection.has_data()
         ready = dict(poll.poll(0 if buffered else max(0, wait_ms)))
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -36,6 +36,7 @@
 SHED_RETRY_AFTER_MS: typing.Final = 200
 UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
 TIMEOUT_FACTOR: typing.Final = 2.0
+STOP_WAKE_S: typing.Final = _exchange.STOP_WAKE_MS / 1000
 
 _FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
 _NO_LIMITS: typing.Final = _admission.Limits(slots=10_000, queue_length=0)
@@ -72,6 +73,7 @@
         self._admission = _admission.Admission(
             _FALLBACK_LIMITS, policies[options.traffic.admission]
         )
+        self._limit = _call.Limit()
         self._sampler = logs.Sampler()
         self.draining = False
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
@@ -183,6 +185,13 @@
         with self._lock:
             self._admission.advance(time.monotonic())
 
+    def end_by(self, end_s: float) -> None:
+        """Answer all requests by a time, those in hand too.
+
+        :param end_s: in monotonic seconds.
+        """
+        self._limit.at_s = end_s
+
     def retire(self) -> None:
         """Close the connections to the upstream that have long been idle."""
         self._pool.retire()
@@ -209,6 +218,7 @@
             caller_service=request.header(_call.CALLER),
             objective_s=_objective_s(request),
             inner=bool(request.header(_call.INNER)),
+            limit=self._limit,
         )
 
     def _limits(self) -> _admission.Limits:
@@ -228,7 +238,7 @@
             team=call.team,
             kind=call.kind_name,
             weight=call.kind.weight,
-            deadline_s=call.deadline_s,
+            deadline_s=call.due_s,
             arrived_s=now_s,
             objective_s=call.objective_s,
             inner=call.inner,
@@ -240,7 +250,7 @@
         if not ticket.decided.is_set():
             if first:
                 self.on_queue()
-            self._wait(ticket)
+            self._wait(ticket, call)
             self._recorder.took("queue", time.monotonic() - now_s)
         if ticket.refusal is not None:
             reason = ticket.refusal.reason
@@ -271,8 +281,10 @@
             "left_ms": int(call.left_ms()),
         }
 
-    def _wait(self, ticket: _admission.Ticket) -> None:
-        ticket.decided.wait(max(0.0, ticket.deadline_s - time.monotonic()))
+    def _wait(self, ticket: _admission.Ticket, call: _call.Call) -> None:
+        left_s = call.left_ms() / 1000
+        while left_s > 0 and not ticket.decided.wait(min(STOP_WAKE_S, left_s)):
+            left_s = call.left_ms() / 1000
         with self._lock:
             if not self._admission.withdraw(ticket):
                 return
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -415,10 +415,12 @@
     """Guards too busy for probes, whose upstreams are at work.
 
     :param outcomes: for each request in turn how long the work takes, in
-        seconds, and in which refusal it ends.
+        seconds, and how it is answered or in which refusal it ends.
     """
 
-    def __init__(self, *outcomes: tuple[float, errors.Refusal | None]) -> None:
+    def __init__(
+        self, *outcomes: tuple[float, errors.Refusal | Answering | None]
+    ) -> None:
         self._outcomes = iter(outcomes)
         self.broken_off = 0
         self.done = 0
