Who was broken off for an answer counts as asked

What callers saw: nothing but a later answer; their upstreams saw a request on one more of them than `max_attempts` allows. A daemon taken for lost answers while others run the request; they are broken off (`Overtaken`) without being counted. Where the answer is then cut, another one was asked: the test gives 4 where 3 are allowed on and on. `Overtaken` is raised only after a send, so each one counts.

--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -163,6 +163,9 @@
                 return True
             except _exchange.AnsweredElsewhere:
                 return True
+            except _exchange.Overtaken:
+                attempts.ended += 1
+                raise
             except errors.Refusal as refusal:
                 attempts.failed(refusal)
                 if not self._try_again(attempts, refusal):
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -475,3 +475,55 @@
         address = stack.enter_context(entry_before(*guards))
         status, _ = get(address, "/read")
     assert (status, guard.done, guard.broken_off) == (200, most, 0)
+
+
+class _Scripted(serving.Handler):
+    """Guards too busy for probes; each request in turn has a script.
+
+    :param scripts: how long the work takes, in seconds, the status, how much
+        of a body of ten bytes is sent, and whether the rest is kept back
+        (or else the connection is closed).
+    """
+
+    def __init__(self, *scripts: tuple[float, int, int, bool]) -> None:
+        self._scripts = iter(scripts)
+        self.begun = 0
+        self.broken_off = 0
+
+    def handle(self, request: serving.Request) -> None:
+        """Answer one request."""
+        if request.path == _guard.PROBE_PATH:
+            time.sleep(3.0)
+            request.answer(204, (), b"")
+            return
+        work_s, status, sent_bytes, stalls = next(self._scripts)
+        self.begun += 1
+        self._work(request, work_s)
+        if sent_bytes == 10:
+            request.answer(status, (), bytes(10))
+            return
+        request.start(status, [("Content-Length", "10")])
+        request.send(bytes(sent_bytes))
+        if stalls:
+            self._work(request, 9.0)
+        request.abort()
+
+    def _work(self, request: serving.Request, work_s: float) -> None:
+        end_s = time.monotonic() + work_s
+        while time.monotonic() < end_s:
+            if serving.hung_up(request.socket):
+                self.broken_off += 1
+                raise errors.CallerGone("the entry left")
+            time.sleep(0.01)
+
+
+# Guards against more upstreams than allowed, after some were broken off.
+def test_who_was_broken_off_for_an_answer_counts_as_asked() -> None:
+    most = config.Kind(1, True, 3_000).max_attempts
+    at_work, done = (9.0, 200, 10, False), (0.0, 200, 10, False)
+    guard = _Scripted((2.3, 200, 3, False), *[at_work] * (most - 1), done)
+    with contextlib.ExitStack() as stack:
+        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
+        address = stack.enter_context(entry_before(*guards))
+        get(address, "/read")
+    assert (guard.begun, guard.broken_off) == (most, most - 1)
