An upstream's failure ends no exchange that may still give an answer

What callers saw: a 500 of the last upstream that may be asked, while the first, whose daemon is silent, was at work and would have answered; its run was broken off. A failure was kept back only while a further upstream could be asked. Now it is also while another exchange of the request is open or has an answer for the caller; if none comes, the failure is what the caller gets, as before, unless that one ends without any (then 502 or 504). It costs no retry.

--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -397,13 +397,22 @@
 
     :raises errors.UpstreamFailed: when it is kept.
     """
-    if call.second is None or not call.second.replaces(answer.status):
+    if not _is_replaced(call, answer.status):
         return
     headers = _call.end_to_end(answer.headers)
     call.kept = (answer.status, headers, answer.read())
     raise errors.UpstreamFailed(f"the upstream answered {answer.status}")
 
 
+def _is_replaced(call: _call.Call, status: int) -> bool:
+    """Tell whether an answer is dropped for that of another upstream."""
+    failed = status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+    if failed and any(each.served or not each.ended for each in call.pending):
+        # It costs no retry: the other one has been asked already.
+        return True
+    return call.second is not None and call.second.replaces(status)
+
+
 def _objective_s(request: serving.Request) -> float:
     """Return when the answer to an entry's request counts as late."""
     text = request.header(_call.OBJECTIVE_MS)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -527,3 +527,15 @@
         address = stack.enter_context(entry_before(*guards))
         get(address, "/read")
     assert (guard.begun, guard.broken_off) == (most, most - 1)
+
+
+# Guards against a failure that breaks off work which gives an answer.
+def test_a_failure_of_another_breaks_off_no_work() -> None:
+    most = config.Kind(1, True, 3_000).max_attempts
+    failure = (0.0, 500, 10, False)
+    guard = _Scripted((1.5, 200, 10, False), *[failure] * (most - 1))
+    with contextlib.ExitStack() as stack:
+        guards = [stack.enter_context(running(guard)) for _ in range(most)]
+        address = stack.enter_context(entry_before(*guards))
+        status, _ = get(address, "/read")
+    assert (status, guard.begun, guard.broken_off) == (200, most, 0)
