--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -539,3 +539,22 @@
         address = stack.enter_context(entry_before(*guards))
         status, _ = get(address, "/read")
     assert (status, guard.begun, guard.broken_off) == (200, most, 0)
+
+
+# Guards against work that is broken off for an answer that is then cut.
+def test_an_answer_that_is_cut_breaks_off_no_other_work() -> None:
+    guard = _Scripted((1.2, 200, 3, False), (1.5, 200, 10, False))
+    with running(guard) as first, running(guard) as second:
+        with entry_before(first, second) as address:
+            status, _ = get(address, "/read")
+    assert (status, guard.broken_off) == (200, 0)
+
+
+# Guards against an answer left unread while another's body doesn't come.
+def test_an_answer_that_stalls_hides_no_whole_one() -> None:
+    guard = _Scripted((1.4, 200, 10, False), (0.0, 200, 3, True))
+    with running(guard) as first, running(guard) as second:
+        with entry_before(first, second) as address:
+            status, took_s = get(address, "/read")
+    assert status == 200
+    assert took_s < 2.5
