An answer goes before a failure that is read with it

What callers saw: an answer that came later, or none: where two upstreams answered while a third one was awaited, the later one's failure hid the earlier one's answer. A further upstream was asked, and as exchanges that have ended aren't watched, its answer was awaited. The test (both end during a wake) raises nothing before.

--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -509,7 +509,7 @@
             raise AnsweredElsewhere
         for number in [n for n, each in earlier.items() if each.ended]:
             poll.unregister(number)
-            if earlier.pop(number).served and not exchange.ended:
+            if earlier.pop(number).served and not exchange.served:
                 raise Overtaken
         if caller.fileno() in ready:
             if serving.hung_up(caller):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -24,6 +24,7 @@
 from chiveroad.traffic import _entry
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _guard
+from chiveroad.traffic import _hop
 from chiveroad.traffic import _pool
 from chiveroad import wire
 from standins import mesh
@@ -471,3 +472,55 @@
     passed = sum(sampler.passes() for _ in range(1_000))
     assert 10 <= passed <= 30
     assert sampler.left_out == 1_000 - passed
+
+
+def _mute(sock: socket.socket) -> None:
+    sock.recv(1)
+
+
+class _Earlier(_call.Pending):
+    """A request that was sent before, and whose answer can be had."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.answered = False
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection to the peer."""
+        return self._sock.fileno()
+
+    def advance(self, stall_s: float) -> None:
+        """Read nothing."""
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether it has been answered."""
+        return self.answered
+
+    @property
+    def served(self) -> bool:
+        """Tell whether it has been answered."""
+        return self.answered
+
+
+# Guards against one more upstream asked though an earlier one has answered.
+def test_an_answer_goes_before_a_failure_that_comes_with_it() -> None:
+    ours, theirs = socket.socketpair()
+    caller, client = socket.socketpair()
+    asked = call()
+    with ours, theirs, caller, client, upstream(_mute) as address:
+        pool = _pool.Pool(address)
+        connection = pool.take()
+        own = _exchange._Exchange(pool, connection, asked, _hop.read_terms)
+        earlier = _Earlier(ours)
+        asked.pending += [earlier, own]
+
+        def elsewhere() -> bool:
+            own.failure = errors.OutcomeUnknown("reset")
+            earlier.answered = True
+            return False
+
+        with pytest.raises(_exchange.Overtaken):
+            while not own.ended:
+                _exchange._await_answer(own, caller, asked, elsewhere)
+        connection.close()
