A daemon that takes a probe's connection is doubted, not lost

What callers saw: a daemon that was busy, so that it took longer than 0.2 s to answer a probe, was LOST after two of them. Entries left exchanges at which its upstream had just begun to work, and where all daemons of a service were busy, requests were refused for want of an upstream.

Cause: each probe was closed after 0.2 s and the next began from nothing, so a daemon that needed 0.3 s for each was silent for as long as it was probed; and a connection that the other machine had accepted counted like one into the void. That it was accepted shows power and a path. What is left is a process that is busy or frozen, and only the answer tells which.

A probe now stays open until it is answered or a second old, and a late answer, or a late connection, counts. Who takes the connection is doubted: new requests prefer others, and go there before they are refused. A frozen process is thus still found out, and one that was cut off is as soon as before. An answer to any request while the probe lasts clears the daemon.

Weighed: what may be repeated now leaves a frozen process after 1.3 to 1.6 s (sum of the constants) in place of 0.7 s. Only a doubt, never a loss, was tried as an idea and dropped: the test that such a request is served within 2 s is right. Fewer probes reach a busy daemon: one at a time, not one per round.

Evidence: test_a_busy_daemon_that_takes_connections_is_only_doubted failed on (LOST, where the answer came after the first round). The test of the living, the mute and the absent tells the mute from the absent now, too.

--- a/src/chiveroad/traffic/_reach.py
+++ b/src/chiveroad/traffic/_reach.py
@@ -5,6 +5,9 @@
 its deadline.  So a daemon that is silent while a request waits for it is
 probed, and so is one that took no connection.  The misses in a row decide
 whether it gets new requests.
+
+A daemon that takes a connection has power and a path; whether its process is
+frozen or only busy shows in whether the answer comes at all.
 """
 
 from __future__ import annotations
@@ -33,6 +36,10 @@
 LOST_AFTER_MISSES: typing.Final = 2
 """A single miss may be a lost packet, which is sent again only later."""
 
+UNANSWERED_S: typing.Final = 1.0
+"""For how long a daemon that takes connections may leave a probe unanswered:
+callers give up one that hasn't read their request for a second."""
+
 _REQUEST: typing.Final = (
     b"GET %b HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n"
 )
@@ -53,7 +60,8 @@
     ``waiting`` counts the requests that wait for an answer from it,
     ``quiet_since_s`` is when it was last heard, or when the first of them
     began to wait, and ``misses`` counts failed attempts since it was last
-    heard.  Times are in monotonic seconds.
+    heard.  ``frozen`` says that it takes connections and answers nothing.
+    Times are in monotonic seconds.
     """
 
     waiting: int = 0
@@ -62,11 +70,12 @@
     probed_s: float = 0.0
     heard_s: float = 0.0
     missed_s: float = 0.0
+    frozen: bool = False
 
     @property
     def state(self) -> State:
         """Return whether the daemon can be reached."""
-        if self.misses >= LOST_AFTER_MISSES:
+        if self.frozen or self.misses >= LOST_AFTER_MISSES:
             return State.LOST
         return State.DOUBTED if self.misses else State.REACHED
 
@@ -84,6 +93,18 @@
         """Note a sign of life."""
         self.quiet_since_s = self.heard_s = now_s
         self.misses = 0
+        self.frozen = False
+
+    def connected(self, frozen: bool, began_s: float) -> bool:
+        """Note that it takes connections, but didn't answer; see ``missed``.
+
+        :param frozen: whether it was silent for ``UNANSWERED_S``.
+        """
+        if began_s < self.heard_s:
+            return False
+        self.misses = 1
+        self.frozen = self.frozen or frozen
+        return True
 
     def missed(self, began_s: float, now_s: float) -> bool:
         """Note an attempt that reached nobody; tell whether it counts.
@@ -106,47 +127,125 @@
         return self.waiting > 0 and now_s - self.quiet_since_s >= QUIET_S
 
 
-def probe(
-    addresses: collections.abc.Iterable[str],
-    path: str,
-    timeout_s: float = PROBE_TIMEOUT_S,
-) -> set[str]:
-    """Return which of several daemons answer a request within a time.
+class Signs(typing.NamedTuple):
+    """The signs of life that daemons gave by the end of a probe.
 
-    They are asked side by side, so that one probe of many lasts no longer
-    than one of a single daemon.  Any byte of an answer counts.  The time for
-    an answer begins with the request, and what has arrived is read before
-    the time is found to be over: a thread that got no processor meanwhile
-    tells nothing of the daemons.
+    Those in ``connected`` took a connection and haven't answered yet, those
+    in ``frozen`` haven't for ``UNANSWERED_S``.
     """
-    end_s = time.monotonic() + timeout_s
-    asked: dict[int, tuple[str, socket.socket]] = {}
-    living: set[str] = set()
-    poll = select.poll()
-    try:
-        for address in addresses:
-            sock = _begin(address)
-            if sock is not None:
-                asked[sock.fileno()] = (address, sock)
-                poll.register(sock, select.POLLOUT)
-        while asked:
-            left_s = max(0.0, end_s - time.monotonic())
+
+    answered: set[str]
+    connected: set[str]
+    frozen: set[str]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Probe:
+    """One probe; ``began_s`` is when its connection, or request, began."""
+
+    address: str
+    sock: socket.socket
+    began_s: float
+    asked: bool = False
+
+
+class Prober:
+    """Asks daemons for a sign of life.
+
+    A probe that has no answer in time stays open, and its answer counts
+    whenever it comes: a daemon that takes a little longer than the time
+    would else be silent for as long as it is probed.
+
+    :param path: what to ask for.
+    """
+
+    def __init__(self, path: str) -> None:
+        self._request = _REQUEST % path.encode("latin-1")
+        self._open: list[_Probe] = []
+
+    def probe(
+        self,
+        addresses: collections.abc.Iterable[str],
+        timeout_s: float = PROBE_TIMEOUT_S,
+    ) -> Signs:
+        """Return who gives a sign of life within a time.
+
+        They are asked side by side, so that one probe of many lasts no
+        longer than one of a single daemon.  Any byte of an answer counts.
+        The time for an answer begins with the request, and what has arrived
+        is read before the time is found to be over: a thread that got no
+        processor meanwhile tells nothing of the daemons.
+        """
+        looked_s = time.monotonic()
+        end_s = looked_s + timeout_s
+        self._begin(addresses)
+        answered: set[str] = set()
+        poll = select.poll()
+        open_ = {probe.sock.fileno(): probe for probe in self._open}
+        for number, probe in open_.items():
+            poll.register(
+                number, select.POLLIN if probe.asked else select.POLLOUT
+            )
+        while open_:
+            looked_s = time.monotonic()
+            left_s = max(0.0, end_s - looked_s)
             events = poll.poll(left_s * 1000)
             if not (events or left_s):
                 break
             for number, event in events:
-                address, sock = asked[number]
-                if _go_on(sock, event, poll, path):
-                    end_s = max(end_s, time.monotonic() + timeout_s)
+                probe = open_[number]
+                if self._ask(probe, event):
+                    poll.modify(number, select.POLLIN)
+                    end_s = max(end_s, probe.began_s + timeout_s)
                     continue
-                if event & select.POLLIN and _answered(sock):
-                    living.add(address)
+                if event & select.POLLIN and _answered(probe.sock):
+                    answered.add(probe.address)
                 poll.unregister(number)
-                asked.pop(number)[1].close()
-    finally:
-        for _, sock in asked.values():
-            sock.close()
-    return living
+                open_.pop(number).sock.close()
+        return self._judge(open_.values(), answered, looked_s)
+
+    def _begin(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Open a connection to each that hasn't been asked yet."""
+        asked = {probe.address for probe in self._open if probe.asked}
+        for address in addresses:
+            sock = None if address in asked else _begin(address)
+            if sock is not None:
+                self._open.append(_Probe(address, sock, time.monotonic()))
+
+    def _ask(self, probe: _Probe, event: int) -> bool:
+        """Send the request once connected; False when that isn't all."""
+        if event & (select.POLLIN | select.POLLERR | select.POLLHUP):
+            return False
+        try:
+            probe.sock.send(self._request)
+        except OSError:
+            return False
+        probe.asked = True
+        probe.began_s = time.monotonic()
+        return True
+
+    def _judge(
+        self,
+        unanswered: collections.abc.Iterable[_Probe],
+        answered: set[str],
+        looked_s: float,
+    ) -> Signs:
+        """Keep the probes that may still be answered, and end the others.
+
+        :param looked_s: until when all that arrived has been seen.
+        """
+        old_s = looked_s - UNANSWERED_S
+        signs = Signs(answered, set(), set())
+        self._open = []
+        for probe in unanswered:
+            old = probe.began_s <= old_s
+            if probe.asked and probe.address not in answered:
+                (signs.frozen if old else signs.connected).add(probe.address)
+            if old or probe.address in answered:
+                probe.sock.close()
+            else:
+                self._open.append(probe)
+        return signs
 
 
 def _begin(address: str) -> socket.socket | None:
@@ -159,20 +258,6 @@
     return None
 
 
-def _go_on(
-    sock: socket.socket, event: int, poll: select.poll, path: str
-) -> bool:
-    """Send the request once connected; False when there is no more to do."""
-    if event & (select.POLLIN | select.POLLERR | select.POLLHUP):
-        return False
-    try:
-        sock.send(_REQUEST % path.encode("latin-1"))
-    except OSError:
-        return False
-    poll.modify(sock, select.POLLIN)
-    return True
-
-
 def _answered(sock: socket.socket) -> bool:
     try:
         return bool(sock.recv(1))
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -55,6 +55,7 @@
         self._pools: dict[str, _pool.Pool] = {}
         self._reaches: dict[str, _reach.Reach] = {}
         self._missing: dict[str, _reach.Reach] = {}
+        self._prober = _reach.Prober(_guard.PROBE_PATH)
         self._answer_bytes: dict[str, float] = {}
         self._lock = threading.Lock()
         self._rng = random.Random()
@@ -136,12 +137,15 @@
             return any(reach.waiting or reach.misses for _, reach in reaches)
         for reach in due.values():
             reach.probed_s = now_s
-        living = _reach.probe(due, _guard.PROBE_PATH)
-        for address in due:
-            if address in living:
-                self._heard(address)
-            else:
-                self._missed(address, now_s)
+        signs = self._prober.probe(due)
+        for address in signs.answered:
+            self._heard(address)
+        for address in signs.connected - signs.frozen:
+            self._connected(address, False, now_s)
+        for address in signs.frozen:
+            self._connected(address, True, now_s - _reach.UNANSWERED_S)
+        for address in set(due).difference(*signs):
+            self._missed(address, now_s)
         return True
 
     def _heard(self, address: str) -> None:
@@ -159,6 +163,16 @@
         if reach.misses == _reach.LOST_AFTER_MISSES:
             _log.warning("The daemon at {} can't be reached.", address)
 
+    def _connected(self, address: str, frozen: bool, began_s: float) -> None:
+        """Note a daemon that took a connection and hasn't answered since."""
+        reach = self.reach(address)
+        before = reach.frozen
+        if not reach.connected(frozen, began_s):
+            return
+        self._missing[address] = reach
+        if frozen and not before:
+            _log.warning("The daemon at {} doesn't answer.", address)
+
     def _state(self, member: membership.Member) -> _reach.State:
         reach = self._missing.get(member.guard)
         return _reach.State.REACHED if reach is None else reach.state
