A part of a body is a sign of life of its daemon

What callers saw: daemons with large answers were LOST to the entries that were receiving these answers: nobody was sent there, and others' requests that waited there were left.

Cause: only the head of an answer counted as a sign of life. While a daemon's link is full of the bodies that it sends, its part of a new connection waits behind them for longer than the 0.2 s that a connection or a probe is given.

Each part of a body notes the time on the pool of its connections, and a miss that began before doesn't count. A part has up to 64 KB; each costs a reading of the clock, no system call.

Not covered: entries that receive nothing from such a daemon at the time, and parts that have arrived and weren't read yet.

--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -13,6 +13,7 @@
 import itertools
 import select
 import socket
+import time
 import typing
 
 import urllib3.exceptions
@@ -102,6 +103,7 @@
         """
         try:
             while chunk := self._response.read1(_CHUNK_BYTES):
+                self._pool.heard_s = time.monotonic()
                 yield chunk
         except _FAILURES as exc:
             self.close()
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -172,7 +172,8 @@
     that doesn't may be a second answer to an earlier request.  ``trusted``
     turns False once the peer has spoken without being asked: if its answers
     name no requests, nothing tells the next second answer from the one
-    awaited, and each request gets a connection of its own.
+    awaited, and each request gets a connection of its own.  ``heard_s`` is
+    when a part of a body last came, in monotonic seconds.
 
     :param connect_timeout_s: how long opening a connection may take.
     """
@@ -186,6 +187,7 @@
         self._connect_timeout_s = connect_timeout_s
         self.echoes = False
         self.trusted = True
+        self.heard_s = 0.0
         self._limit = IdleLimit()
         self._idle: list[Connection] = []
         self._lock = threading.Lock()
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -156,7 +156,7 @@
 
     def _missed(self, address: str, began_s: float) -> None:
         """Note an attempt that reached nobody, and when it began."""
-        reach = self.reach(address)
+        reach = self._with_bodies(address)
         if not reach.missed(began_s, time.monotonic()):
             return
         self._missing[address] = reach
@@ -165,7 +165,7 @@
 
     def _connected(self, address: str, frozen: bool, began_s: float) -> None:
         """Note a daemon that took a connection and hasn't answered since."""
-        reach = self.reach(address)
+        reach = self._with_bodies(address)
         before = reach.frozen
         if not reach.connected(frozen, began_s):
             return
@@ -173,6 +173,15 @@
         if frozen and not before:
             _log.warning("The daemon at {} doesn't answer.", address)
 
+    def _with_bodies(self, address: str) -> _reach.Reach:
+        """Return what is known of the way, with bodies that came since."""
+        reach = self.reach(address)
+        pool = self._pools.get(address)
+        if pool is not None and pool.heard_s > reach.heard_s:
+            reach.heard(pool.heard_s)
+            self._missing.pop(address, None)
+        return reach
+
     def _state(self, member: membership.Member) -> _reach.State:
         reach = self._missing.get(member.guard)
         return _reach.State.REACHED if reach is None else reach.state
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -23,12 +23,14 @@
 from chiveroad.serving import _stream
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _entry
+from chiveroad.traffic import _exchange
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _reach
 from chiveroad.traffic import _upstreams
 from chiveroad import wire
 from standins import mesh
 from tests import fakes
+from tests import test_exchange
 
 LOST, DOUBTED, REACHED = (
     _reach.State.LOST,
@@ -319,6 +321,41 @@
     assert took_s >= _reach.UNANSWERED_S
 
 
+# A daemon whose link was full of our own answers was LOST while they came.
+def test_a_part_of_a_body_is_a_sign_of_life() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs, socket.create_server(("127.0.0.1", 0)) as listener:
+        guard = f"127.0.0.1:{listener.getsockname()[1]}"
+        known = upstreams(guard)
+
+        def answer() -> None:
+            accepted, _ = listener.accept()
+            with accepted:
+                accepted.recv(65_536)
+                accepted.sendall(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx"
+                )
+                theirs.recv(1)
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        sent = test_exchange.call()
+        began_s = time.monotonic()
+        with known.waiting(guard):
+            found = _exchange.ask(
+                known.pool(guard), sent, (), ours, wire.Native().read_answer
+            )
+        attempt_s = time.monotonic()
+        assert next(found.chunks()) == b"x"
+        known._missed(guard, attempt_s)
+        known._missed(guard, attempt_s)
+        known._connected(guard, True, began_s)
+        assert known.reach(guard).state is REACHED
+        ours.send(b".")
+        thread.join()
+        found.close()
+
+
 # A probe that wasn't answered outweighed an answer to a request meanwhile.
 @pytest.mark.parametrize("frozen", [False, True])
 def test_an_answer_during_a_probe_goes_before_its_silence(
