Bytes that came while their thread had no processor are read

What callers saw: answers cut with 'the peer is too slow', and requests refused as too slow, whose bytes had arrived.

Cause: a read that found nothing waits once. When the wait ended without an event and the thread then waited for the processor, what came in between wasn't looked at. The time of an answer's pause is as short as what is left of the deadline, so a starved process cut many.

There is one look more after a wait that timed out. Reads that find something are as before.

--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -46,9 +46,9 @@
         if self.end_s is not None:
             left_s = max(0.0, self.end_s - time.monotonic())
             wait_s = left_s if wait_s is None else min(left_s, wait_s)
-        if not readable(
-            self._timed, None if wait_s is None else 1000 * wait_s
-        ):
+        wait_ms = None if wait_s is None else 1000 * wait_s
+        # Bytes may have come while this thread waited for the processor.
+        if not (readable(self._timed, wait_ms) or readable(self._timed)):
             raise TimeoutError("the peer is too slow")
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import http.client
+import select
 import socket
 import threading
 import time
@@ -17,10 +18,12 @@
 from chiveroad import serving
 from chiveroad.serving import _closer
 from chiveroad.serving import _http
+from chiveroad.serving import _stream
 from chiveroad.traffic import _pool
 from standins import mesh
 
 _PORTS = mesh.Ports()
+_REAL_POLL = select.poll
 
 HOST: typing.Final = b"Host: x\r\n"
 
@@ -409,6 +412,42 @@
     ours.close()
 
 
+class _LatePoll:
+    """A poll whose caller gets the processor only after bytes have come."""
+
+    peer: socket.socket
+
+    def __init__(self) -> None:
+        self._poll = _REAL_POLL()
+
+    def register(self, sock: socket.socket, events: int) -> None:
+        """Register a socket."""
+        self._poll.register(sock, events)
+
+    def poll(self, timeout_ms: float) -> list[tuple[int, int]]:
+        """Return what is there, or nothing after any wait."""
+        if not timeout_ms:
+            return self._poll.poll(0)
+        self.peer.sendall(b"here")
+        return []
+
+
+# Answers and requests that had arrived were cut: "the peer is too slow".
+@pytest.mark.parametrize("whole", [False, True])
+def test_what_arrives_before_a_thread_looks_again_is_read(
+    monkeypatch: pytest.MonkeyPatch, whole: bool
+) -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.settimeout(5)
+        _LatePoll.peer = theirs
+        monkeypatch.setattr(select, "poll", _LatePoll)
+        reader = _stream.Reader(ours)
+        if whole:
+            reader.end_by(time.monotonic() + 5)
+        assert reader.read(4) == b"here"
+
+
 def test_a_sender_retires_connections_before_the_receiver_closes() -> None:
     assert _pool.RETIRE_IDLE_S * 2 <= serving.IDLE_TIMEOUT_S
 
