An idle connection isn't closed over a request that has arrived

What callers saw: a connection reset in place of an answer, at the end of its idle time, and for every idle connection in the moment in which a planned stop ends them.

Cause: the thread that owns idle connections asks which have something to read, hands those over, and then closes those that have been idle for too long by its clock. Between the two it may wait for the processor; a request that comes in between is closed unread, which resets the connection.

When an idle connection was last used is now asked of the connection: past its time it looks whether anything has arrived, and if so isn't idle; the next turn hands it over. That is one poll for a connection that is about to be closed.

Evidence: the new test puts a connection whose request has arrived through the library's closing of idle ones. What comes after the look is still reset: only the peer can close that race, by leaving first, as our own senders do.

--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -218,8 +218,26 @@
 
         self._open = True
         self._rhythm = Rhythm()
+        self._last_used_s = 0.0
         server.opened()
 
+    @property
+    def last_used(self) -> float:
+        """When it was last used, as the library sees it.
+
+        The library closes it by this once it has been idle for too long; one
+        on which a request has just arrived isn't idle.
+        """
+        now_s = time.time()
+        idle_s = now_s - self._last_used_s
+        if idle_s > self.server.timeout and self.has_arrived():
+            return now_s
+        return self._last_used_s
+
+    @last_used.setter
+    def last_used(self, at_s: float) -> None:
+        self._last_used_s = at_s
+
     def communicate(self) -> bool:
         """Serve requests until the connection is quiet or over."""
         self._rhythm.asked(time.monotonic())
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -412,6 +412,27 @@
     ours.close()
 
 
+# A request that arrived while its idle connection was being ended was reset.
+@pytest.mark.parametrize("asked", [False, True])
+def test_an_idle_connection_isnt_closed_over_a_request(asked: bool) -> None:
+    address = _PORTS.take()
+    server = serving.Server(address, Echo(), threads=1)
+    server.prepare()
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as client:
+        idle = server._connections._from_server_socket(server.socket)
+        server._connections.put(idle)
+        if asked:
+            client.sendall(b"GET / HTTP/1.1\r\n")
+            assert _stream.readable(idle.socket, 5_000)
+        time.sleep(0.01)
+        server.timeout = 0
+        server._connections._expire(time.time() - server.timeout)
+        assert (idle.socket.fileno() >= 0) is asked
+        assert server._connections._num_connections == int(asked)
+    server.stop()
+
+
 class _LatePoll:
     """A poll whose caller gets the processor only after bytes have come."""
 
