--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -56,7 +56,8 @@
             arrived = readable(self._timed, wait_ms)
         else:
             arrived = self._readable_for(self.caller, wait_ms)
-        if not arrived:
+        # Bytes may have come while this thread waited for the processor.
+        if not (arrived or readable(self._timed)):
             raise TimeoutError("the peer is too slow")
 
     def _readable_for(
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -124,6 +124,7 @@
         """
         try:
             while chunk := self._response.read1(_CHUNK_BYTES):
+                self._pool.heard_s = time.monotonic()
                 yield chunk
         except _FAILURES as exc:
             self.close()
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -55,6 +55,7 @@
         self._pools: dict[str, _pool.Pool] = {}
         self._reaches: dict[str, _reach.Reach] = {}
         self._missing: dict[str, _reach.Reach] = {}
+        self._prober = _reach.Prober(_guard.PROBE_PATH)
         self._answer_bytes: dict[str, float] = {}
         self._lock = threading.Lock()
         self._rng = random.Random()
@@ -136,12 +137,15 @@
             return any(reach.waiting or reach.misses for _, reach in reaches)
         for reach in due.values():
             reach.probed_s = now_s
-        living = _reach.probe(due, _guard.PROBE_PATH)
-        for address in due:
-            if address in living:
-                self._heard(address)
-            else:
-                self._missed(address, "probe", now_s)
+        signs = self._prober.probe(due)
+        for address in signs.answered:
+            self._heard(address)
+        for address in signs.connected - signs.frozen:
+            self._connected(address, False, now_s)
+        for address in signs.frozen:
+            self._connected(address, True, now_s - _reach.UNANSWERED_S)
+        for address in set(due).difference(*signs):
+            self._missed(address, "probe", now_s)
         return True
 
     def _heard(self, address: str) -> None:
@@ -152,9 +156,8 @@
 
     def _missed(self, address: str, attempt: str, began_s: float) -> None:
         """Note an attempt that reached nobody, and when it began."""
-        reach = self.reach(address)
-        now_s = time.monotonic()
-        if not reach.missed(began_s, now_s):
+        reach = self._with_bodies(address)
+        if not reach.missed(began_s, time.monotonic()):
             return
         self._missing[address] = reach
         if reach.misses != _reach.LOST_AFTER_MISSES:
@@ -162,15 +165,45 @@
         _log.warning(
             "The daemon at {} can't be reached.",
             address,
-            extra={
-                "attempt": attempt,
-                "waiting": reach.waiting,
-                "quiet_ms": int(1000 * (now_s - reach.quiet_since_s)),
-                "probed_ms_ago": int(1000 * (now_s - reach.probed_s)),
-                "missing": len(self._missing),
-            },
+            extra=self._log_fields(reach, attempt),
         )
 
+    def _log_fields(
+        self, reach: _reach.Reach, attempt: str
+    ) -> dict[str, object]:
+        """Return what a line on a silent daemon tells besides its message."""
+        now_s = time.monotonic()
+        return {
+            "attempt": attempt,
+            "waiting": reach.waiting,
+            "quiet_ms": int(1000 * (now_s - reach.quiet_since_s)),
+            "probed_ms_ago": int(1000 * (now_s - reach.probed_s)),
+            "missing": len(self._missing),
+        }
+
+    def _connected(self, address: str, frozen: bool, began_s: float) -> None:
+        """Note a daemon that took a connection and hasn't answered since."""
+        reach = self._with_bodies(address)
+        before = reach.frozen
+        if not reach.connected(frozen, began_s):
+            return
+        self._missing[address] = reach
+        if frozen and not before:
+            _log.warning(
+                "The daemon at {} doesn't answer.",
+                address,
+                extra=self._log_fields(reach, "probe"),
+            )
+
+    def _with_bodies(self, address: str) -> _reach.Reach:
+        """Return what is known of the way, with bodies that came since."""
+        reach = self.reach(address)
+        pool = self._pools.get(address)
+        if pool is not None and pool.heard_s > reach.heard_s:
+            reach.heard(pool.heard_s)
+            self._missing.pop(address, None)
+        return reach
+
     def _state(self, member: membership.Member) -> _reach.State:
         reach = self._missing.get(member.guard)
         return _reach.State.REACHED if reach is None else reach.state
