A request's body in chunks is never held whole, nor a line of its framing

The library holds a chunk whole before any limit on the body is looked at, and reads the line of its size without a limit: one caller could have a daemon hold as much as it cared to send, at the entry, the guard, and the servers for heartbeats and control messages. A size of -1 stood for the end.

Such bodies are now read piece by piece, with the limits and the strictness that answers have; both use the same code.

The new tests can't be run on the old code, where the class is missing.

--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -1,5 +1,8 @@
 """The HTTP server: safe framing, streaming, and a stop that cuts nothing."""
 
+from chiveroad.serving._framing import CHUNK_LINE_BYTES
+from chiveroad.serving._framing import Lines
+from chiveroad.serving._framing import MAX_FRAMING_BYTES
 from chiveroad.serving._http import CODE_HEADER
 from chiveroad.serving._http import RAN_HEADER
 from chiveroad.serving._request import BodyCut
@@ -15,10 +18,13 @@
 
 __all__ = [
     "BodyCut",
+    "CHUNK_LINE_BYTES",
     "CODE_HEADER",
     "Handler",
     "Header",
     "IDLE_TIMEOUT_S",
+    "Lines",
+    "MAX_FRAMING_BYTES",
     "RAN_HEADER",
     "Reader",
     "Request",
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -16,6 +16,7 @@
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad.serving import _closer
+from chiveroad.serving import _framing
 from chiveroad.serving import _http
 from chiveroad.serving import _request
 from chiveroad.serving import _workers
@@ -51,6 +52,8 @@
 class _Gateway(cheroot_server.Gateway):
     def respond(self) -> None:
         server = self.req.server
+        if self.req.chunked_read:
+            self.req.rfile = _framing.ChunkedBody(self.req.conn.rfile)
         request = _request.Request(self.req)
         server.entered()
         try:
--- a/src/chiveroad/traffic/_answer.py
+++ b/src/chiveroad/traffic/_answer.py
@@ -12,24 +12,15 @@
 import re
 import typing
 
-MAX_FRAMING_BYTES: typing.Final = 64 * 1024
-"""A head may be as long, with all interim heads before it, and so may the
-lines that frame a body be beyond its own size.  The library allows as much
-for each line."""
+from chiveroad import serving
 
 MAX_HEADERS: typing.Final = 100
 """As in the library."""
 
-CHUNK_LINE_BYTES: typing.Final = 16
-"""What framing a chunk takes: the digits of its size, and two line ends."""
-
 _SKIP_BYTES: typing.Final = 64 * 1024
 _STATUS: typing.Final = re.compile(
     rb"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t]([^\r\n]*))?\r?\n"
 )
-_CHUNK_SIZE: typing.Final = re.compile(
-    rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*)?\r?\n"
-)
 _NAME: typing.Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _BODILESS: typing.Final = (
     http.HTTPStatus.NO_CONTENT,
@@ -61,25 +52,6 @@
         return self._items
 
 
-class _Lines:
-    """The lines of an answer that aren't its body, up to a size in all."""
-
-    def __init__(self, source: typing.Any) -> None:
-        self._source = source
-        self.left_bytes = MAX_FRAMING_BYTES
-
-    def read(self) -> bytes:
-        """Return a line with its end, or what there is before the end.
-
-        :raises http.client.HTTPException: when they are too long.
-        """
-        line: bytes = self._source.readline(self.left_bytes + 1)
-        self.left_bytes -= len(line)
-        if self.left_bytes < 0:
-            raise http.client.HTTPException("the framing is too long")
-        return line
-
-
 class Response(http.client.HTTPResponse):
     """An answer whose head and chunk sizes are read in a way of their own.
 
@@ -91,17 +63,17 @@
 
     _check_close: collections.abc.Callable[[], bool]
     _close_conn: collections.abc.Callable[[], None]
-    _safe_read: collections.abc.Callable[[int], bytes]
 
     def __init__(self, source: typing.Any, method: str) -> None:
         super().__init__(source, method=method)
         self._bodiless = method == "HEAD"
-        self._lines = _Lines(self.fp)
+        self._lines = serving.Lines(self.fp)
 
     def begin(self) -> None:
         """Read the head.
 
         :raises http.client.HTTPException: when it isn't one, or ends early.
+        :raises ValueError: when it is too long.
         """
         version, status, reason = self._read_status()
         while status < http.HTTPStatus.OK:
@@ -111,7 +83,7 @@
         self.reason = reason.strip()
         self.version = version
         found = Headers(_read_headers(self._lines))
-        self._lines.left_bytes = MAX_FRAMING_BYTES
+        self._lines.left_bytes = serving.MAX_FRAMING_BYTES
         self.headers = self.msg = typing.cast(typing.Any, found)
         encoding = found.get("transfer-encoding") or ""
         self._bodiless = self._bodiless or status in _BODILESS
@@ -128,7 +100,7 @@
             frames it.
         """
         while chunk := self.read1(_SKIP_BYTES):
-            limit_bytes -= len(chunk) + CHUNK_LINE_BYTES
+            limit_bytes -= len(chunk) + serving.CHUNK_LINE_BYTES
             if limit_bytes < 0:
                 raise http.client.HTTPException("too long to be skipped")
 
@@ -148,14 +120,10 @@
         left: int | None = self.chunk_left
         if left:
             return left
-        if left is not None and self._safe_read(2) != b"\r\n":
-            raise http.client.HTTPException("a chunk isn't as long as said")
-        found = _CHUNK_SIZE.fullmatch(self._lines.read())
-        if found is None:
-            raise http.client.HTTPException("malformed chunk size")
-        size = int(found[1], 16)
+        if left is not None:
+            self._lines.end_chunk()
+        size = self._lines.read_chunk_size()
         if size:
-            self._lines.left_bytes += size + CHUNK_LINE_BYTES
             self.chunk_left = size
             return size
         while self._lines.read() not in (b"\r\n", b"\n", b""):
@@ -175,7 +143,7 @@
         return int(text)
 
 
-def _read_headers(lines: _Lines) -> list[tuple[str, str]]:
+def _read_headers(lines: serving.Lines) -> list[tuple[str, str]]:
     """Read header lines up to the empty line.
 
     :raises http.client.HTTPException: when they aren't any, or the
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -285,7 +285,7 @@
     held = bytearray()
     for number, chunk in enumerate(chunks):
         held += chunk
-        if len(held) + number * _answer.CHUNK_LINE_BYTES > hold_bytes:
+        if len(held) + number * serving.CHUNK_LINE_BYTES > hold_bytes:
             return _Begin(bytes(held), whole=False)
     return _Begin(bytes(held), whole=True)
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -16,6 +16,7 @@
 from chiveroad import http_calls
 from chiveroad import platform
 from chiveroad import serving
+from chiveroad.serving import _framing
 from chiveroad import store
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _pool
@@ -353,3 +354,52 @@
     with test_exchange.upstream(peer) as address:
         peers = _peer.Peers(1, 0.3)
         assert peers.post(address, "/", b"", 0.3) == b"x" * 50
+
+
+class _Flood:
+    """What a caller sends without end, and how much of it was taken."""
+
+    def __init__(self, begin: bytes, unit: bytes) -> None:
+        self._begin = begin
+        self._unit = unit
+        self.taken_bytes = 0
+
+    def read(self, size: int) -> bytes:
+        """Return so many bytes."""
+        data = self._begin[:size]
+        self._begin = self._begin[len(data) :]
+        while len(data) < size:
+            data += self._unit * (1 + size // len(self._unit))
+        self.taken_bytes += size
+        return data[:size]
+
+    def readline(self, size: int = 1 << 24) -> bytes:
+        """Return a line, or so many bytes."""
+        line = b""
+        while not line.endswith(b"\n") and len(line) < size:
+            line += self.read(1)
+        return line
+
+
+@pytest.mark.parametrize(
+    ("begin", "unit", "served"),
+    [
+        (b"fffffff\r\n", b"x", True),
+        (b"", b"0", False),
+        (b"3;x=", b"x", False),
+        (b"-1\r\n", b"x", False),
+        (b"", b"1;" + b"x" * 1_000 + b"\r\nx\r\n", False),
+    ],
+)
+def test_what_a_caller_sends_in_chunks_is_taken_piece_by_piece(
+    begin: bytes, unit: bytes, served: bool
+) -> None:
+    """A chunk was held whole, whatever it said its size was."""
+    flood = _Flood(begin, unit)
+    body = _framing.ChunkedBody(flood)
+    if served:
+        assert body.read(1_000) == unit * 1_000
+    else:
+        with pytest.raises(ValueError):
+            body.read(1_000)
+    assert flood.taken_bytes <= 2 * serving.MAX_FRAMING_BYTES
