The whole of a request's body has a time, not only each read of it

A caller that sent a byte now and then held a worker for as long as it liked: at the entry and the guard while a small body was collected, and while a large one was sent on, past the deadline; at the servers for heartbeats and control messages; and where a request was refused without its body, the refusal itself waited until the library had read the rest.

The body is now due by the request's deadline, or within 10 s where the message is for the daemon itself; what comes too late is answered 408, which is true as nothing was sent on, or ends as unknown where it was. A body that is sent on without an end stops at the deadline, too. For a body that nobody reads an answer waits 0.2 s at most; what is left is then for the closer, as with large bodies. The wait is bounded, not the reading of what has arrived, and no system call is added.

--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -13,6 +13,11 @@
 
 BODY_CHUNK_BYTES: typing.Final = 64 * 1024
 DISCARD_BYTES: typing.Final = 1024 * 1024
+DISCARD_S: typing.Final = 0.2
+"""How long an answer waits for a body that nobody reads."""
+
+BODY_S: typing.Final = 10.0
+"""How long a message to the daemon itself may take, as an answer may."""
 
 _PHRASES: typing.Final = {
     status.value: f"{status.value} {status.phrase}".encode()
@@ -68,20 +73,28 @@
             yield name.decode("latin-1"), value.decode("latin-1")
 
     def read_body(self, limit: int) -> bytes:
-        """Read the whole body.
+        """Read the whole body of a message to the daemon itself.
 
         :raises errors.RequestTooLarge: when it is over ``limit`` bytes.
         :raises errors.BadRequest: when it ends before its length.
+        :raises errors.BodyTimeout: when it comes too slowly.
         """
         length = self.content_length
         if length is not None and length > limit:
             raise errors.RequestTooLarge(f"body over {limit} bytes")
+        self.end_body_by(self.received_s + BODY_S)
         try:
             chunks = list(self._chunks(limit))
         except BodyCut as exc:
+            if isinstance(exc.__cause__, TimeoutError):
+                raise errors.BodyTimeout("the body came too slowly") from exc
             raise errors.BadRequest("the body is shorter than said") from exc
         return b"".join(chunks)
 
+    def end_body_by(self, end_s: float) -> None:
+        """Bound reading the body, in monotonic seconds."""
+        self._raw.conn.rfile.end_by(end_s)
+
     def body(self) -> collections.abc.Iterator[bytes]:
         """Yield the body in chunks, for a body too large to hold.
 
@@ -125,9 +138,7 @@
         """
         raw = self._raw
         self.begun = True
-        if getattr(raw.rfile, "remaining", 0) > DISCARD_BYTES:
-            # Less than that the library reads and throws away, so that the
-            # connection can be kept; more is left to the closer.
+        if not self._discard():
             raw.close_connection = True
         if not raw.server.keeps_connections:
             raw.close_connection = True
@@ -140,6 +151,21 @@
         raw.sent_headers = True
         raw.send_headers()
 
+    def _discard(self) -> bool:
+        """Throw away a body that wasn't read, so that the connection is kept.
+
+        :returns: whether it is read now; if not, it is left to the closer.
+        """
+        remaining = getattr(self._raw.rfile, "remaining", 0)
+        if not 0 < remaining <= DISCARD_BYTES:
+            return not remaining
+        self.end_body_by(time.monotonic() + DISCARD_S)
+        try:
+            self._raw.rfile.read(remaining)
+        except OSError:
+            return False
+        return True
+
     def send(self, chunk: bytes) -> None:
         """Send a chunk of the body.
 
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -347,6 +347,8 @@
     chunked = call.body.length is None
     try:
         for chunk in call.body.stream():
+            if call.left_ms() <= 0:
+                raise errors.AnswerTimeout("the body goes on too long")
             if chunked:
                 chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
             if not _transmit(connection, chunk, call):
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -186,6 +186,7 @@
         timeout_ms = _call.number(request.header(_call.TIMEOUT_MS), 0)
         if not service or not timeout_ms:
             raise errors.BadRequest("a guard takes requests of entries")
+        request.end_body_by(request.received_s + timeout_ms / 1000)
         return _call.Call(
             id=request.header(_call.REQUEST),
             service=service,
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -5,23 +5,39 @@
 import collections.abc
 import contextlib
 import gzip
+import select
 import socket
 import threading
 import time
+import typing
 
 import pytest
 
+from chiveroad import config
+from chiveroad import control
 from chiveroad.control import _peer
 from chiveroad import errors
 from chiveroad import http_calls
+from chiveroad import membership
+from chiveroad import metrics
 from chiveroad import platform
+from chiveroad import presence
 from chiveroad import serving
 from chiveroad.serving import _framing
+from chiveroad.serving import _request
 from chiveroad import store
+from chiveroad.traffic import _call
+from chiveroad.traffic import _claims
+from chiveroad.traffic import _entry
 from chiveroad.traffic import _exchange
+from chiveroad.traffic import _guard
 from chiveroad.traffic import _pool
+from chiveroad import wire
+from standins import mesh
+from tests import fakes
 from tests import test_exchange
 
+_PORTS = mesh.Ports()
 LEFT_S = 0.6
 SLACK_S = 0.35
 """What a loaded machine may add to a time."""
@@ -403,3 +419,148 @@
         with pytest.raises(ValueError):
             body.read(1_000)
     assert flood.taken_bytes <= 2 * serving.MAX_FRAMING_BYTES
+
+
+class _Reading(serving.Handler):
+    """Reads the body of a request, or refuses it unread."""
+
+    def handle(self, request: serving.Request) -> None:
+        """Answer one request."""
+        if request.path == "/refused":
+            raise errors.NoRoute("there is none")
+        request.answer(200, (), request.read_body(1_000_000))
+
+
+@pytest.fixture(name="reading")
+def reading_server() -> collections.abc.Iterator[str]:
+    """Yield the address of a server that reads bodies."""
+    address = _PORTS.take()
+    server = serving.Server(address, _Reading(), 4)
+    server.open()
+    yield address
+    server.stop()
+
+
+LENGTH = b"Content-Length: 900000\r\n\r\n"
+IN_CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def _trickle(address: str, path: bytes, begin: bytes, unit: bytes) -> bytes:
+    """Send a request that never ends, and return its status in time."""
+    host, _, port = address.rpartition(":")
+    head = b"POST %b HTTP/1.1\r\nHost: h\r\n" % path
+    started_s = time.monotonic()
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(head + begin)
+        while time.monotonic() - started_s < SENDS_FOR_S:
+            sock.sendall(unit)
+            if select.select([sock], [], [], TRICKLE_S)[0]:
+                break
+        received = sock.recv(65_536)
+    assert time.monotonic() - started_s < LEFT_S + SLACK_S
+    return received.removeprefix(b"HTTP/1.1 ")
+
+
+@pytest.mark.parametrize(
+    ("path", "begin", "unit", "status"),
+    [
+        (b"/", LENGTH, b"x", b"408"),
+        (b"/", IN_CHUNKS, b"1\r\nx\r\n", b"408"),
+        (b"/", IN_CHUNKS, b"0", b"408"),
+        (b"/refused", LENGTH, b"x", b"404"),
+        (b"/refused", IN_CHUNKS, b"1\r\nx\r\n", b"404"),
+    ],
+)
+def test_a_body_that_trickles_in_holds_no_worker(
+    monkeypatch: pytest.MonkeyPatch,
+    reading: str,
+    path: bytes,
+    begin: bytes,
+    unit: bytes,
+    status: bytes,
+) -> None:
+    """Heartbeats, control messages and refused requests had no limit."""
+    monkeypatch.setattr(_request, "BODY_S", LEFT_S, raising=False)
+    assert _trickle(reading, path, begin, unit).startswith(status)
+
+
+class _EndlessSource:
+    """A request whose body never ends."""
+
+    content_length = None
+
+    def body(self) -> collections.abc.Iterator[bytes]:
+        """Yield the body."""
+        end_s = time.monotonic() + SENDS_FOR_S
+        while time.monotonic() < end_s:
+            yield b"x" * 10_000
+            time.sleep(TRICKLE_S)
+
+
+def test_a_body_without_end_is_sent_on_until_the_deadline() -> None:
+    """An upstream that takes all of it held its caller's thread for ever."""
+
+    def serve(sock: socket.socket) -> None:
+        while sock.recv(65_536):
+            """It takes whatever comes."""
+
+    request = test_exchange.call(left_s=LEFT_S)
+    source = typing.cast(serving.Request, _EndlessSource())
+    request.body = _call.Body(source)
+    with test_exchange.upstream(serve) as address:
+        started_s = time.monotonic()
+        with pytest.raises(errors.AnswerTimeout):
+            test_exchange.ask(address, request)
+        assert time.monotonic() - started_s < LEFT_S + SLACK_S
+
+
+def _entry_alone() -> serving.Handler:
+    """Return an entry with one route."""
+    kind = config.Kind(1, True, int(LEFT_S * 1000))
+    service = config.Service("glade", "t", 0, 10, 10, ("*",), {"k": kind})
+    route = config.Route("r", "t", "/", ("*",), "glade", "k")
+    items = dict([config.route_item(route), config.service_item(service)])
+    news = threading.Condition()
+    applied = control.Applied(news, confirmed_only=False)
+    applied.offer(1, config.digest(items), items)
+    return _entry.Entry(
+        fakes.options(),
+        applied,
+        membership.View(news),
+        typing.cast(_guard.Guard, None),
+        metrics.Recorder(),
+        wire.Native(),
+    )
+
+
+def _guard_alone() -> serving.Handler:
+    """Return a guard that has yet to hear of its upstream."""
+    return _guard.Guard(
+        fakes.options(),
+        control.Applied(threading.Condition(), confirmed_only=False),
+        typing.cast(_claims.Claims, None),
+        metrics.Recorder(),
+        wire.Native(),
+        typing.cast(presence.LocalUpstream, None),
+    )
+
+
+@pytest.mark.parametrize("begin", [LENGTH, IN_CHUNKS + b"fffff\r\n"])
+@pytest.mark.parametrize("make", [_entry_alone, _guard_alone])
+def test_a_request_that_trickles_in_is_refused_at_its_deadline(
+    make: collections.abc.Callable[[], serving.Handler], begin: bytes
+) -> None:
+    """Within the limit of each read it took for ever, and a worker with it."""
+    begin = begin.replace(b"900000", b"60000")
+    terms = (
+        f"{_call.SERVICE}: glade\r\n{_call.KIND}: k 1 1 900 0 1\r\n"
+        f"{_call.TIMEOUT_MS}: {int(LEFT_S * 1000)}\r\n"
+    )
+    address = _PORTS.take()
+    server = serving.Server(address, make(), 4)
+    server.open()
+    try:
+        sent = terms.encode() + begin
+        assert _trickle(address, b"/", sent, b"x").startswith(b"408")
+    finally:
+        server.stop()
