--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -375,7 +375,7 @@
     held = bytearray()
     for number, chunk in enumerate(chunks):
         held += chunk
-        if len(held) + number * _answer.CHUNK_LINE_BYTES > hold_bytes:
+        if len(held) + number * serving.CHUNK_LINE_BYTES > hold_bytes:
             return _Begin(bytes(held), whole=False)
     return _Begin(bytes(held), whole=True)
 
@@ -437,6 +437,8 @@
     chunked = call.body.length is None
     try:
         for chunk in call.body.stream():
+            if call.left_ms() <= 0:
+                raise errors.AnswerTimeout("the body goes on too long")
             if chunked:
                 chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
             if not _transmit(connection, chunk, call):
