Soak: faults end when they are to, though a stop takes longer

Trace: glade-1 was frozen at 6.8 s for 2.3 s, and thawed after 12.2 s; the run waited for the planned stop of bramble-2 (11.5 s, an idle caller's 10 s) before it took anything else back. The request was due 4 s after it was sent, three seconds before the freeze: its entry had no processor.

Planned stops are now waited for beside the run, and the next fault of a daemon waits for its start. No check is changed.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -157,6 +157,8 @@
         self._mesh = on
         self._steps = steps
         self._stopping: dict[str, subprocess.Popen[bytes]] = {}
+        self._starting: dict[str, concurrent.futures.Future[None]] = {}
+        self._starters = concurrent.futures.ThreadPoolExecutor()
         self.killed_s: dict[str, list[float]] = {}
         self.hung: list[str] = []
 
@@ -176,11 +178,16 @@
 
     def finish(self) -> None:
         """Wait for planned stops, and start what isn't running."""
+        for starting in self._starting.values():
+            starting.result()
+        self._starters.shutdown()
         for name in list(self._stopping):
             self._start(name)
 
     def _begin(self, step: Step) -> None:
         on, name, kind = self._mesh, step.target, step.kind
+        if kind in DAEMON_KINDS and name in self._starting:
+            self._starting.pop(name).result()
         if kind == "kill":
             self._kill(name)
         elif kind in ("stop", "stop-kill"):
@@ -205,7 +212,8 @@
             self._killed(name)
             self._stopping[name].kill()
         if kind in ("kill", "stop", "stop-kill"):
-            self._start(name)
+            # A stop takes its time, and the other faults are to end in time.
+            self._starting[name] = self._starters.submit(self._start, name)
         elif kind == "freeze":
             on.thaw(name)
         elif kind == "upstream-kill":
