How long a connection is idle isn't told by the time of day

What callers saw: with a step of the machine's time of day by more than the idle time, all idle connections of a daemon were closed at once, as late as a request on its way to it; after a step backwards none was for as long.

Cause: the library keeps the time of day at which a connection was last used.

Our connection keeps it on the steady clock, and answers the library in the time of day of the moment.

Evidence: the new test failed on the commit before for the steps forward (ended) and backward (kept after its time). Left as it is: how often the library looks is told by the time of day, too, so after a step backwards the next look at idle connections is late by the step.

--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -226,17 +226,17 @@
         """When it was last used, as the library sees it.
 
         The library closes it by this once it has been idle for too long; one
-        on which a request has just arrived isn't idle.
+        on which a request has just arrived isn't idle.  The library counts by
+        the time of day, which may jump; what is kept here doesn't.
         """
-        now_s = time.time()
-        idle_s = now_s - self._last_used_s
+        idle_s = time.monotonic() - self._last_used_s
         if idle_s > self.server.timeout and self.has_arrived():
-            return now_s
-        return self._last_used_s
+            return time.time()
+        return time.time() - idle_s
 
     @last_used.setter
     def last_used(self, at_s: float) -> None:
-        self._last_used_s = at_s
+        self._last_used_s = time.monotonic() + at_s - time.time()
 
     def communicate(self) -> bool:
         """Serve requests until the connection is quiet or over."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -433,6 +433,30 @@
     server.stop()
 
 
+# A step of the time of day ended all idle connections, or none of them.
+@pytest.mark.parametrize(
+    ("step_s", "idle_s", "kept"),
+    [(60.0, 0.0, True), (-60.0, 0.0, True), (-60.0, 60.0, False)],
+)
+def test_how_long_a_connection_is_idle_isnt_told_by_the_time_of_day(
+    monkeypatch: pytest.MonkeyPatch, step_s: float, idle_s: float, kept: bool
+) -> None:
+    address = _PORTS.take()
+    server = serving.Server(address, Echo(), threads=1)
+    server.prepare()
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), 5):
+        idle = server._connections._from_server_socket(server.socket)
+        server._connections.put(idle)
+        with monkeypatch.context() as clocks:
+            wall, steady = time.time, time.monotonic
+            clocks.setattr(time, "time", lambda: wall() + step_s)
+            clocks.setattr(time, "monotonic", lambda: steady() + idle_s)
+            server._connections._expire(time.time() - server.timeout)
+        assert server._connections._num_connections == int(kept)
+    server.stop()
+
+
 class _LatePoll:
     """A poll whose caller gets the processor only after bytes have come."""
 
