Two misses ten minutes apart don't remove a record

What callers saw: nothing known; found by reading. The record of a living daemon could be removed, until it wrote it again: meanwhile it gets no requests from those that hear of it.

Cause: a daemon counts as gone once it took no connection in the first and in the last turn of ten minutes, and in each between; where the looking process was stopped in between, there was no turn to show that it lives.

Turns further apart than three pauses begin the count anew.

--- a/src/chiveroad/control/_sweeper.py
+++ b/src/chiveroad/control/_sweeper.py
@@ -33,6 +33,10 @@
 """A daemon that took no connection for this long is gone for good: an
 instance that restarts is back sooner."""
 
+MAX_GAP_S: typing.Final = 3 * SWEEP_S
+"""Turns that are further apart don't show what was in between: the process
+was stopped, or its turns took that long."""
+
 MAX_SUCCESSORS: typing.Final = 8
 """How many daemons are looked at in one turn, so that a turn is short."""
 
@@ -71,6 +75,7 @@
 
     def __init__(self) -> None:
         self._since = _since.Since()
+        self._turn_s = 0.0
 
     def lost(
         self,
@@ -86,6 +91,9 @@
         """
         if asked > 1 and len(silent) == asked:
             silent = ()
+        if now_s - self._turn_s > MAX_GAP_S:
+            self._since = _since.Since()
+        self._turn_s = now_s
         return self._since.longer(silent, now_s, LOST_AFTER_S)
 
 
--- a/tests/test_sweeper.py
+++ b/tests/test_sweeper.py
@@ -36,24 +36,31 @@
     assert "".join(member.instance for member in asked) == found
 
 
+# A daemon that was stopped for ten minutes took two misses for all of them.
 @pytest.mark.parametrize(
     ("silent_at", "asked", "lost"),
     [
-        ({0: "b", 5: "b", 10: "b"}, 2, ""),
-        ({0: "b", 5: "b", 11: "b"}, 2, "b"),
-        ({0: "b", 5: "", 11: "b"}, 2, ""),
-        ({0: "b", 5: "bc", 11: "bc"}, 3, "b"),
-        ({0: "bc", 5: "bc", 11: "bc"}, 2, ""),
-        ({0: "b", 11: "b"}, 1, "b"),
+        (["b"] * 11, 2, ""),
+        (["b"] * 12, 2, "b"),
+        (["b"] * 5 + [""] + ["b"] * 6, 2, ""),
+        (["b"] * 5 + ["bc"] * 7, 3, "b"),
+        (["bc"] * 12, 2, ""),
+        (["b"] * 12, 1, "b"),
+        (["b", "b", None, "b"] + ["b"] * 8, 2, "b"),
+        (["b"] + [None] * 10 + ["b"], 2, ""),
+        (["b"] + [None] * 10 + ["b"] * 10, 2, ""),
+        (["b"] + [None] * 10 + ["b"] * 12, 2, "b"),
     ],
 )
 def test_who_is_gone_for_good(
-    silent_at: dict[int, str], asked: int, lost: str
+    silent_at: list[str | None], asked: int, lost: str
 ) -> None:
+    """There is a turn each minute, but where None stands."""
     absences = _sweeper.Absences()
     found: list[str] = []
-    for minute, silent in silent_at.items():
-        found = absences.lost(silent, asked, minute * MINUTE_S)
+    for minute, silent in enumerate(silent_at):
+        if silent is not None:
+            found = absences.lost(silent, asked, minute * MINUTE_S)
     assert "".join(found) == lost
 
 
