A list of the store's whose pages don't end is given up

A list was read page by page for as long as the store said that there is more, though the page was the same or the pages were without number. It now ends, as a call without an answer does, when a page ends with a name that one before it ended with, or when all pages together are over the 64 MiB that one answer may have.

Failed before: 1,000 calls, after which the test's store closed.

--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chiveroad import errors
+from chiveroad import http_calls
 from chiveroad import store
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
@@ -79,6 +80,8 @@
         """Return the objects whose names begin with the prefix."""
         objects: list[store.StoredObject] = []
         after = ""
+        ends: set[str] = set()
+        left_bytes = http_calls.MAX_ANSWER_BYTES
         while True:
             url = self._url(kind, query={"after": after} if after else None)
             body = self._client.call("GET", url)
@@ -88,6 +91,10 @@
             if not page.has_more or not found:
                 return store.Listing(page.as_of, tuple(objects))
             after = found[-1].name
+            left_bytes -= len(body)
+            if after in ends or left_bytes < 0:
+                raise errors.StoreUnavailable(f"{kind.value}: endless list")
+            ends.add(after)
 
     def put(
         self, kind: store.Kind, name: str, spec: object, version: int
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import gzip
+import itertools
 import select
 import socket
 import threading
@@ -564,3 +565,31 @@
         assert _trickle(address, b"/", sent, b"x").startswith(b"408")
     finally:
         server.stop()
+
+
+PAGE = b'{"items":[{"metadata":{"name":"a","revision":1}}],"has_more":true,'
+
+
+@pytest.mark.parametrize("named", [b"a", b"%d"])
+def test_a_list_whose_pages_never_end_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, named: bytes
+) -> None:
+    """One page that says there is more was asked for again and again."""
+    monkeypatch.setattr(http_calls, "MAX_ANSWER_BYTES", 10_000)
+    numbers = itertools.count()
+    calls: list[bytes] = []
+
+    def serve(sock: socket.socket) -> None:
+        while len(calls) < 1_000 and sock.recv(65_536):
+            name = named % next(numbers) if b"%" in named else named
+            body = PAGE.replace(b'"a"', b'"%b"' % name) + b'"as_of":1}'
+            calls.append(name)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+            sock.sendall(head % len(body) + body)
+
+    with test_exchange.upstream(serve) as address:
+        asked_store = platform.ObjectStore(address, 0.3)
+        with pytest.raises(errors.StoreUnavailable):
+            asked_store.list(store.Kind.MEMBERS)
+        asked_store._client._calls._pools.clear()
+    assert len(calls) < 300
