An event of a watch is bounded in bytes

Events of the native store come a line each. A line without an end was held up to the limit of a whole answer, and joined and searched anew with each of its pieces. It may now be twice as long as a value.

Failed before: the line was read until the test's store closed, and the watch ended as if nothing had been wrong.

--- a/src/chiveroad/store/_http.py
+++ b/src/chiveroad/store/_http.py
@@ -18,6 +18,9 @@
 READ_TIMEOUT_S: typing.Final = 3.0
 WATCH_GRACE_S: typing.Final = 5.0
 
+MAX_EVENT_BYTES: typing.Final = 2 * _base.MAX_VALUE_BYTES
+"""A value, and what is said about it."""
+
 _PATH: typing.Final = "/apis/chiveroad/v1"
 
 
@@ -130,6 +133,8 @@
     pending = b""
     for chunk in response.stream(64 * 1024):
         *lines, pending = (pending + chunk).split(b"\n")
+        if len(pending) > MAX_EVENT_BYTES:
+            raise errors.StoreUnavailable("an event is too long")
         for line in lines:
             event = _outcome.decode_answer(_event_decoder, line)
             version = _version(event.object.metadata)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -593,3 +593,15 @@
             asked_store.list(store.Kind.MEMBERS)
         asked_store._client._calls._pools.clear()
     assert len(calls) < 300
+
+
+def test_an_event_without_end_is_given_up() -> None:
+    """It was held whole, and read anew with each of its pieces."""
+    begin = b"HTTP/1.1 200 OK\r\n\r\n"
+    peer = Endless(begin, b"x" * 1_000_000, BURST)
+    with test_exchange.upstream(peer) as address:
+        watch = store.HttpStore(address).watch(store.Kind.MEMBERS, 1, 1.0)
+        with pytest.raises(errors.StoreUnavailable):
+            next(watch)
+        assert peer.closed.wait(1)
+    assert peer.sent_bytes < 16_000_000
