A judge that was stopped hears its children before it judges

What callers saw: nothing known; found by reading. In the native control plane a relay whose process was stopped for four seconds declared its only child, or two of them, dead as soon as it ran: no entry that heard of it sent them requests until they refuted it.

Cause: silence counted by the clock alone, though what the children had sent lay unread. Three and more were kept by the rule for those that fall silent at once.

After a pause between two looks that is over half the time after which a member is dead, silence counts from the look.

Evidence: the new test (a relay stopped for a minute with one child) failed on the commit before; the child is still declared dead when it stays silent for the whole time after that.

--- a/src/chiveroad/control/_judge.py
+++ b/src/chiveroad/control/_judge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import typing
 
 from chiveroad.control import _gone
 from chiveroad.control import _lease
@@ -10,6 +11,10 @@
 from chiveroad import logs
 from chiveroad import membership
 
+MAX_PAUSE_S: typing.Final = membership.DEAD_AFTER_S / 2
+"""After a longer pause between two looks this process was stopped: what its
+children sent meanwhile hasn't been read yet."""
+
 _log = logs.Logger("membership")
 
 
@@ -20,12 +25,17 @@
         self._node = node
         self._keeper = keeper
         self._gone = _gone.Gone(node.view, node.member.instance)
+        self._looked_s = time.monotonic()
 
     def tick(self, relay: str) -> None:
         """Judge once; ``relay`` is the domain's root as far as known."""
         now_s = time.monotonic()
         self._expect(relay)
         children = self._node.children
+        if now_s - self._looked_s > MAX_PAUSE_S:
+            for name in list(children):
+                self._node.heard(name)
+        self._looked_s = now_s
         judgement = membership.judge(
             {name: child.heard_s for name, child in list(children.items())},
             now_s,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,6 +4,8 @@
 
 import random
 import threading
+import time
+import types
 import typing
 
 import hypothesis
@@ -14,6 +16,7 @@
 from chiveroad import config
 from chiveroad.control import _agent
 from chiveroad.control import _applied
+from chiveroad.control import _judge
 from chiveroad.control import _lease
 from chiveroad.control import _merger
 from chiveroad.control import _messages
@@ -433,3 +436,28 @@
     assert status.omitted == 5_001 - _merger.MAX_VERDICTS
     platform = fakes.FaultyStore()
     platform.put(store.Kind.STATUSES, "files", status, store.ABSENT)
+
+
+# A relay that was stopped took the daemons that report to it for dead.
+def test_a_judge_that_was_stopped_hears_its_children_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = 1000.0
+    monkeypatch.setattr(time, "monotonic", lambda: now_s)
+    node = _node.Node(fakes.member("a"))
+    node.take([fakes.member("b")])
+    keeper = types.SimpleNamespace(held=False)
+    judge = _judge.Judge(node, typing.cast(_lease.Keeper, keeper))
+
+    def look(from_s: float, until_s: float) -> bool:
+        nonlocal now_s
+        now_s = from_s
+        while now_s <= until_s:
+            judge.tick("a")
+            now_s += 0.5
+        member = node.view.get("b")
+        return member is not None and member.alive
+
+    assert look(1000.0, 1003.0)
+    assert look(1060.0, 1063.0)
+    assert not look(1063.5, 1065.0)
