Before another is asked the earlier peers are looked at; the probing thread stays

Two findings of the review, each with a test that failed before:

- While a connection was opened elsewhere, or the own guard's queue waited, an answer of a peer asked before wasn't seen, and the request was sent once more for nothing.
It is looked for before the send.
That opening and waiting themselves take their time stays open (docs/PROOFS.md).
- One error of a socket, such as no descriptors left, ended the thread that probes others: whoever was lost then stayed so.
It is logged, and the thread goes on.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -272,7 +272,13 @@
     def _probe_peers(self) -> None:
         """Ask silent daemons for a sign of life while requests wait."""
         while not self._peers_left.wait(PEER_PROBE_TICK_S):
-            if not self._entry.probe():
+            try:
+                idle = not self._entry.probe()
+            except OSError as exc:
+                # Without this thread whoever is lost would stay so.
+                _log.warning("Other daemons can't be probed: {}.", exc)
+                continue
+            if idle:
                 self._entry.wait_for_work(PEER_IDLE_S)
 
     def _collect(self) -> None:
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -298,6 +298,8 @@
     try:
         connection.end_by(call.due_s + MIN_STALL_S)
         connection.read_for(caller)
+        # Opening a connection, or the wait for a slot, has taken time.
+        _look_at_earlier(exchange, call)
         exchange.send(headers)
         while not exchange.ended:
             _await_answer(exchange, caller, call, elsewhere)
@@ -480,6 +482,27 @@
             return False
 
 
+def _look_at_earlier(exchange: _Exchange, call: _call.Call) -> None:
+    """Read what peers that were asked before have sent by now.
+
+    :raises Overtaken: when there is an answer among it.
+    """
+    earlier = {
+        pending.fileno(): pending
+        for pending in call.pending
+        if pending is not exchange and not pending.ended
+    }
+    if not earlier:
+        return
+    poll = select.poll()
+    for number in earlier:
+        poll.register(number, select.POLLIN)
+    for number, _ in poll.poll(0):
+        earlier[number].advance(EARLIER_STALL_S)
+        if earlier[number].served:
+            raise Overtaken
+
+
 def _stall_s(call: _call.Call) -> float:
     """Return how long a peer may pause within an answer."""
     return max(MIN_STALL_S, min(STALL_S, call.left_ms() / 1000))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -557,6 +557,30 @@
         return self.answered
 
 
+# Guards against a request sent once more though its answer has come.
+def test_nothing_is_sent_once_an_earlier_peer_has_answered() -> None:
+    received: list[bytes] = []
+
+    def serve(sock: socket.socket) -> None:
+        received.append(sock.recv(65_536))
+
+    class Answering(_Earlier):
+        """One whose answer has arrived and isn't read yet."""
+
+        def advance(self, stall_s: float) -> None:
+            """Read the answer."""
+            self.answered = True
+
+    ours, theirs = socket.socketpair()
+    asked = call()
+    with ours, theirs, upstream(serve) as address:
+        theirs.sendall(b"HTTP/1.1 200 OK")
+        asked.pending.append(Answering(ours))
+        with pytest.raises(_exchange.Overtaken):
+            ask(address, asked)
+    assert received == [b""]
+
+
 # Guards against one more upstream asked though an earlier one has answered.
 def test_an_answer_goes_before_a_failure_that_comes_with_it() -> None:
     ours, theirs = socket.socketpair()
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import errno
 import http.client
 import socket
 import threading
@@ -16,6 +17,7 @@
 
 from chiveroad import config
 from chiveroad import control
+from chiveroad import daemon
 from chiveroad import errors
 from chiveroad import membership
 from chiveroad import metrics
@@ -728,3 +730,26 @@
         with entry_before(first, second) as address:
             status, _ = get(address, "/read")
     assert (status, guard.done, guard.broken_off) == (200, 2, 0)
+
+
+# A daemon out of descriptors probed no others any more, so the lost stayed so.
+def test_the_thread_that_probes_outlives_an_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    entry, guard, control = (_PORTS.take() for _ in range(3))
+    found = daemon.Daemon(
+        fakes.options(entry=entry, guard=guard, control=control)
+    )
+    probed = 0
+
+    def probe() -> bool:
+        nonlocal probed
+        probed += 1
+        if probed == 1:
+            raise OSError(errno.EMFILE, "too many open files")
+        found._peers_left.set()
+        return True
+
+    monkeypatch.setattr(found._entry, "probe", probe)
+    found._probe_peers()
+    assert probed == 2
