--- a/src/chiveroad/traffic/_reach.py
+++ b/src/chiveroad/traffic/_reach.py
@@ -204,6 +204,12 @@
                 open_.pop(number).sock.close()
         return self._judge(open_.values(), answered, looked_s)
 
+    def end(self) -> None:
+        """End the probes that are open; an answer would be old once read."""
+        for probe in self._open:
+            probe.sock.close()
+        self._open = []
+
     def _begin(self, addresses: collections.abc.Iterable[str]) -> None:
         """Open a connection to each that hasn't been asked yet."""
         asked = {probe.address for probe in self._open if probe.asked}
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -134,6 +134,8 @@
             if reach.probe_due(now_s)
         }
         if not due:
+            if not self._missing:
+                self._prober.end()
             return any(reach.waiting or reach.misses for _, reach in reaches)
         for reach in due.values():
             reach.probed_s = now_s
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -302,6 +302,26 @@
         assert reach.state is REACHED
 
 
+# An old answer to a probe kept a daemon that had vanished since.
+def test_a_probe_is_ended_once_its_daemon_was_heard() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(5)
+        guard = f"127.0.0.1:{listener.getsockname()[1]}"
+        known = upstreams(guard)
+        reach = known.reach(guard)
+        reach.sent(time.monotonic() - 1)
+        known.probe()
+        accepted, _ = listener.accept()
+        with accepted:
+            accepted.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            known._heard(guard)
+            known.probe()
+        listener.close()
+        reach.quiet_since_s = 0.0
+        known.probe()
+        assert reach.state is DOUBTED
+
+
 # A daemon whose process is frozen takes connections for as long as it is.
 def test_a_daemon_that_answers_nothing_for_long_is_lost() -> None:
     with mute() as guard:
