--- a/src/chiveroad/cli/_explain.py
+++ b/src/chiveroad/cli/_explain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 import urllib3
 
@@ -9,9 +11,12 @@
 from chiveroad import config
 from chiveroad import control
 from chiveroad import errors
+from chiveroad import http_calls
 from chiveroad import store
 from chiveroad import traffic
 
+TIMEOUT_S: typing.Final = 2.0
+
 
 class Explanation(msgspec.Struct):
     """Which route takes a request, who set it, and who would be asked.
@@ -56,10 +61,16 @@
     """Ask a daemon how it sees the upstreams of a service."""
     url = f"http://{address}{traffic.UPSTREAMS_PATH}?{service}"
     try:
-        response = urllib3.request("GET", url, timeout=2.0, retries=False)
+        calls = http_calls.Calls(1, TIMEOUT_S)
+        response = calls.request("GET", url, None, TIMEOUT_S)
     except urllib3.exceptions.HTTPError as exc:
         raise errors.PeerUnavailable(f"{address}: {exc}") from exc
-    return msgspec.json.decode(response.data, type=list[traffic.UpstreamView])
+    try:
+        return msgspec.json.decode(
+            response.data, type=list[traffic.UpstreamView]
+        )
+    except msgspec.DecodeError as exc:
+        raise errors.PeerUnavailable(f"{address}: {exc}") from exc
 
 
 def report(found: Explanation) -> _output.Report:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from chiveroad.cli import _explain
 from chiveroad import config
 from chiveroad import control
 from chiveroad.control import _peer
@@ -338,7 +339,7 @@
 
 @pytest.mark.parametrize("pause_s", [TRICKLE_S, BURST])
 @pytest.mark.parametrize("kind", list(ENDLESS_CALLS))
-@pytest.mark.parametrize("peer_kind", ["store", "daemon"])
+@pytest.mark.parametrize("peer_kind", ["store", "daemon", "explained"])
 def test_a_call_whose_answer_never_ends_is_given_up(
     monkeypatch: pytest.MonkeyPatch,
     kind: str,
@@ -356,6 +357,10 @@
             asked_store = platform.ObjectStore(address, 0.3)
             with pytest.raises(errors.StoreUnavailable):
                 asked_store.get(store.Kind.MEMBERS, "a")
+        elif peer_kind == "explained":
+            monkeypatch.setattr(_explain, "TIMEOUT_S", 0.3, raising=False)
+            with pytest.raises(errors.PeerUnavailable):
+                _explain.ask_daemon(address, "glade")
         else:
             peers = _peer.Peers(1, 0.3)
             with pytest.raises(errors.PeerUnavailable):
