Read once more: one look-up of what else is pending, one way to read in tests

What else of a request is pending was looked up by two copies; the tests of exchanges side by side each built their guards and entry, and two of them were one with another refusal. A docstring has the spacing of its neighbours again, a time-out its reason.

--- a/src/chiveroad/cli/_explain.py
+++ b/src/chiveroad/cli/_explain.py
@@ -16,6 +16,7 @@
 from chiveroad import traffic
 
 TIMEOUT_S: typing.Final = 2.0
+"""What an operator waits for a daemon, to connect and to answer, each."""
 
 
 class Explanation(msgspec.Struct):
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -161,12 +161,12 @@
     """One request, matched to its route.
 
     ``deadline_s`` is in monotonic seconds, and ``limit`` may be sooner.
-    ``depth`` counts the calls above this one. ``key`` is the caller's
-    idempotency key or empty. ``caller_service`` is the service beside the
-    daemon that took it. ``objective_s`` is when its answer begins to count as
-    late, and ``inner`` says that a running request of an upstream waits for
-    it. ``second`` decides whether an upstream's failure is replaced by
-    another's answer, and ``kept`` is such a failure. ``pending`` holds what
+    ``depth`` counts the calls above this one.  ``key`` is the caller's
+    idempotency key or empty.  ``caller_service`` is the service beside the
+    daemon that took it.  ``objective_s`` is when its answer begins to count
+    as late, and ``inner`` says that a running request of an upstream waits
+    for it.  ``second`` decides whether an upstream's failure is replaced by
+    another's answer, and ``kept`` is such a failure.  ``pending`` holds what
     was sent and isn't answered, the oldest first.
     """
 
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -482,16 +482,23 @@
             return False
 
 
+def _earlier(
+    exchange: _Exchange, call: _call.Call
+) -> dict[int, _call.Pending]:
+    """Return what else is pending, by the descriptors of its connections."""
+    return {
+        pending.fileno(): pending
+        for pending in call.pending
+        if pending is not exchange and not pending.ended
+    }
+
+
 def _look_at_earlier(exchange: _Exchange, call: _call.Call) -> None:
     """Read what peers that were asked before have sent by now.
 
     :raises Overtaken: when there is an answer among it.
     """
-    earlier = {
-        pending.fileno(): pending
-        for pending in call.pending
-        if pending is not exchange and not pending.ended
-    }
+    earlier = _earlier(exchange, call)
     if not earlier:
         return
     poll = select.poll()
@@ -518,11 +525,7 @@
 
     Peers that were asked before may answer meanwhile.
     """
-    earlier = {
-        pending.fileno(): pending
-        for pending in call.pending
-        if pending is not exchange and not pending.ended
-    }
+    earlier = _earlier(exchange, call)
     poll = select.poll()
     poll.register(caller, select.POLLIN | select.POLLRDHUP)
     for number in (exchange.fileno(), *earlier):
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -571,17 +571,21 @@
         (outcome or _whole)(request)
 
 
+def read_before(*handlers: serving.Handler) -> tuple[int, float]:
+    """Read at an entry before a guard each; return status and time, in s."""
+    with contextlib.ExitStack() as stack:
+        guards = [stack.enter_context(running(each)) for each in handlers]
+        address = stack.enter_context(entry_before(*guards))
+        return get(address, "/read")
+
+
 # Guards against work that is broken off at a daemon taken for lost, for a 502.
 @pytest.mark.parametrize("others", [0, 1, 3])
 def test_work_is_not_given_up_where_nobody_else_takes_the_request(
     others: int,
 ) -> None:
     guard = _AtWork((2.5, None))
-    with contextlib.ExitStack() as stack:
-        handlers = [guard, *(_Full() for _ in range(others))]
-        guards = [stack.enter_context(running(each)) for each in handlers]
-        address = stack.enter_context(entry_before(*guards))
-        status, took_s = get(address, "/read")
+    status, took_s = read_before(guard, *(_Full() for _ in range(others)))
     assert (status, guard.done, guard.broken_off) == (200, 1, 0)
     assert took_s < 3.5
 
@@ -589,19 +593,21 @@
 # Guards against an answer that is lost, as another one was asked since.
 def test_the_first_of_two_answers_goes_to_the_caller() -> None:
     guard = _AtWork((2.2, None), (3.6, None))
-    with running(guard) as first, running(guard) as second:
-        with entry_before(first, second) as address:
-            status, took_s = get(address, "/read")
+    status, took_s = read_before(guard, guard)
     assert (status, guard.done, guard.broken_off) == (200, 1, 1)
     assert took_s < 3.0
 
 
 # Guards against work that is broken off for a refusal of who was asked before.
-def test_a_refusal_that_comes_late_breaks_off_no_other_work() -> None:
-    guard = _AtWork((2.2, errors.Overloaded("no time left")), (1.8, None))
-    with running(guard) as first, running(guard) as second:
-        with entry_before(first, second) as address:
-            status, _ = get(address, "/read")
+@pytest.mark.parametrize(
+    "refusal",
+    [errors.Overloaded("no time left"), errors.BodyTimeout("too slow")],
+)
+def test_a_refusal_that_comes_late_breaks_off_no_other_work(
+    refusal: errors.Refusal,
+) -> None:
+    guard = _AtWork((2.2, refusal), (1.8, None))
+    status, _ = read_before(guard, guard)
     assert (status, guard.done, guard.broken_off) == (200, 2, 0)
 
 
@@ -609,10 +615,7 @@
 def test_no_more_are_at_work_than_may_be_asked() -> None:
     most = MAX_ATTEMPTS
     guard = _AtWork(*[(9.0, None)] * most, (0.0, None))
-    with contextlib.ExitStack() as stack:
-        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
-        address = stack.enter_context(entry_before(*guards))
-        status, took_s = get(address, "/read")
+    status, took_s = read_before(*[guard] * (most + 1))
     assert (status, guard.done, guard.broken_off) == (504, 0, most)
     assert 5.9 <= took_s < 6.5
 
@@ -622,19 +625,14 @@
     most = MAX_ATTEMPTS
     lost = (0.0, errors.OutcomeUnknown("reset"))
     guard = _AtWork((4.5, None), *[lost] * most)
-    with contextlib.ExitStack() as stack:
-        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
-        address = stack.enter_context(entry_before(*guards))
-        status, _ = get(address, "/read")
+    status, _ = read_before(*[guard] * (most + 1))
     assert (status, guard.done, guard.broken_off) == (200, most, 0)
 
 
 # Guards against an answer that is cut for a pause, as another was asked since.
 def test_an_answer_that_overtakes_has_the_time_of_any_other() -> None:
     guard = _AtWork((2.2, _pausing), (9.0, None))
-    with running(guard) as first, running(guard) as second:
-        with entry_before(first, second) as address:
-            status, _ = get(address, "/read")
+    status, _ = read_before(guard, guard)
     assert (status, guard.done, guard.broken_off) == (200, 1, 1)
 
 
@@ -643,10 +641,7 @@
     most = MAX_ATTEMPTS
     lost = (0.0, errors.OutcomeUnknown("reset"))
     guard = _AtWork((2.2, _cut), (9.0, None), *[lost] * most)
-    with contextlib.ExitStack() as stack:
-        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
-        address = stack.enter_context(entry_before(*guards))
-        status, _ = get(address, "/read")
+    status, _ = read_before(*[guard] * (most + 1))
     assert (status, guard.done + guard.broken_off) == (502, most)
 
 
@@ -655,10 +650,7 @@
     most = MAX_ATTEMPTS
     at_work = [(9.0, None)] * (most - 1)
     guard = _AtWork((4.5, _cut), *at_work, (0.0, None))
-    with contextlib.ExitStack() as stack:
-        guards = [stack.enter_context(running(guard)) for _ in range(most + 1)]
-        address = stack.enter_context(entry_before(*guards))
-        get(address, "/read")
+    read_before(*[guard] * (most + 1))
     assert (guard.done, guard.broken_off) == (1, most - 1)
 
 
@@ -666,43 +658,25 @@
 def test_a_failure_of_another_breaks_off_no_work() -> None:
     most = MAX_ATTEMPTS
     guard = _AtWork((2.5, None), *[(0.0, _failing)] * (most - 1))
-    with contextlib.ExitStack() as stack:
-        guards = [stack.enter_context(running(guard)) for _ in range(most)]
-        address = stack.enter_context(entry_before(*guards))
-        status, _ = get(address, "/read")
+    status, _ = read_before(*[guard] * most)
     assert (status, guard.done, guard.broken_off) == (200, most, 0)
 
 
 # Guards against work that is broken off for an answer that is then cut.
 def test_an_answer_that_is_cut_breaks_off_no_other_work() -> None:
     guard = _AtWork((2.2, _cut), (1.8, None))
-    with running(guard) as first, running(guard) as second:
-        with entry_before(first, second) as address:
-            status, _ = get(address, "/read")
+    status, _ = read_before(guard, guard)
     assert (status, guard.broken_off) == (200, 0)
 
 
 # Guards against an answer left unread while another's body doesn't come.
 def test_an_answer_that_stalls_hides_no_whole_one() -> None:
     guard = _AtWork((2.4, None), (0.0, _stalling))
-    with running(guard) as first, running(guard) as second:
-        with entry_before(first, second) as address:
-            status, took_s = get(address, "/read")
+    status, took_s = read_before(guard, guard)
     assert status == 200
     assert took_s < 3.5
 
 
-# Guards against work that is broken off for a refusal which isn't a failure.
-def test_a_refusal_that_comes_late_with_any_status_is_none_to_pass_on() -> (
-    None
-):
-    guard = _AtWork((2.2, errors.BodyTimeout("too slow")), (1.8, None))
-    with running(guard) as first, running(guard) as second:
-        with entry_before(first, second) as address:
-            status, _ = get(address, "/read")
-    assert (status, guard.done, guard.broken_off) == (200, 2, 0)
-
-
 # A daemon out of descriptors probed no others any more, so the lost stayed so.
 def test_the_thread_that_probes_outlives_an_error(
     monkeypatch: pytest.MonkeyPatch,
