Control log: how old a confirmation was, and why the store gave no version

Why the store didn't answer was logged at debug only, and no line said how old the confirmation was when a version came into force or the store was asked. One line for each pause after a failure, so the volume stays bounded.

--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -146,17 +146,24 @@
             verdict = weigh((current.number, current.digest), (number, digest))
             if verdict is not Offer.NEWER:
                 return verdict
+            confirmed_s, now_s = self._confirmed_s, clock.now_s()
+            unconfirmed_ms = (
+                None
+                if confirmed_s is None
+                else int(1000 * (now_s - confirmed_s))
+            )
             self._remember(current)
             self.current = Version(
                 number, digest, ready_made, time.time() * 1000, revision
             )
-            self.changed_s = clock.now_s()
+            self.changed_s = now_s
             self._news.notify_all()
         _log.info(
             "Version {} in force, {} services, {} routes.",
             number,
             len(ready_made.services),
             len(ready_made.routes),
+            extra={"unconfirmed_ms": unconfirmed_ms},
         )
         return Offer.NEWER
 
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -292,7 +292,14 @@
 
     def _watch(self, reason: str) -> None:
         if not self._watching:
-            _log.info("Asks the store itself: {}.", reason)
+            _log.info(
+                "Asks the store itself: {}.",
+                reason,
+                extra={
+                    "unconfirmed_ms": self._unconfirmed_ms(),
+                    "place": self._parents.place(),
+                },
+            )
         with self._watch_changed:
             self._watching = True
             self._watch_changed.notify_all()
@@ -343,9 +350,24 @@
             except errors.StoreExpired:
                 gap = True
             except errors.ChiveroadError as exc:
-                _log.debug("No version from the store: {}.", exc)
+                self._log_failure(exc)
                 backoff.wait()
 
+    def _log_failure(self, exc: errors.ChiveroadError) -> None:
+        """Log that the store gave no version; one line in each pause."""
+        _log.info(
+            "No version from the store: {}.",
+            exc,
+            extra={"unconfirmed_ms": self._unconfirmed_ms()},
+        )
+
+    def _unconfirmed_ms(self) -> int | None:
+        """Return the age of the last confirmation, or None."""
+        confirmed_s = self._node.applied.confirmed_s
+        if confirmed_s is None:
+            return None
+        return int(1000 * (clock.now_s() - confirmed_s))
+
     def _likely_missed(self) -> bool:
         """Tell whether a watch would bring several versions, each whole."""
         applied = self._node.applied
