A daemon that nobody answers asks the store in time, wherever it stands

Cause: from the fifth daemon of a region on each asked the store 50 ms later than the one before it, past the bound: with 3 s allowed and 2.1 s after which the store is to be asked, the one at place 30 asked after 3.45 s, before the 0.9 s that the store's answer may take. 'isolated' meant that nobody had answered for 2.1 s; answers from before the version was in doubt, or a single one, kept a daemon waiting for a turn that others no longer served.

Ruled out: an error in the ages that answers carry (read again; both sides of each estimate round towards older).

Now a turn applies only to a daemon that is answered at present by one that stands before it, whose turn is sooner; who isn't asks at the bound. One that is behind is asked again often enough to count as answering.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -308,8 +308,8 @@
         """Return the time until it is this daemon's turn at the store."""
         now_s = clock.now_s()
         bounds = self._bounds
-        isolated = now_s - self._answered_s > bounds.stale_s
-        turn_s = bounds.turn_s(self._parents.place(), isolated)
+        answered = bounds.relies_on(self._answered_s, now_s)
+        turn_s = bounds.turn_s(self._parents.place(), answered)
         return bounds.left_s(self._node.applied.confirmed_s, now_s, turn_s)
 
     def _wait_until_watching(self) -> None:
--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -36,9 +36,10 @@
 MAX_AVOID_S: typing.Final = 16.0
 """A parent that failed is left out for this long, twice as long each time."""
 
-BEHIND_S: typing.Final = 0.4
+BEHIND_S: typing.Final = 0.15
 """One that answers, but is behind, is asked again after this time where all
-others are left out as well."""
+others are left out as well: often enough to be relied on, see
+``Bounds.relies_on``, where a version is to be in force within two seconds."""
 
 MAX_FIRST: typing.Final = 4
 """How many of the first of the own region, and then of all, are asked once
@@ -48,11 +49,8 @@
 """By how much later each daemon of a region asks the store than the one that
 stands before it, but for the first ``MAX_FIRST``: about the time that a whole
 configuration takes between regions, so that those who wait for a parent that
-is behind don't fill the link which it needs to catch up."""
-
-NEXT_ISOLATED_TURN_S: typing.Final = 0.01
-"""The same where no daemon has answered for as long as a version may go
-unconfirmed: then the store is all there is."""
+is behind don't fill the link which it needs to catch up.  Only a daemon that
+is answered waits for its turn, see ``Bounds.turn_s``."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,18 +113,32 @@
             return 0.0
         return max(0.0, confirmed_s + self.stale_s + turn_s - now_s)
 
-    def turn_s(self, place: int, isolated: bool) -> float:
+    def turn_s(self, place: int, answered: bool) -> float:
         """Return how much later than the bound a daemon asks the store.
 
-        The first of a region asks sooner: all others wait for it.
+        The first of a region asks sooner: all others wait for it.  One that
+        is answered by a daemon that stands before it relies on that one's
+        turn, which is sooner than its own, and so on up to the first.  One
+        that isn't can rely on nobody, wherever it stands.
 
         :param place: how many of its region stand before it.
-        :param isolated: whether no other daemon answers it.
+        :param answered: as told by ``relies_on``.
         """
         if not place:
             return self.doubt_s - self.stale_s
-        turn_s = NEXT_ISOLATED_TURN_S if isolated else NEXT_TURN_S
-        return turn_s * max(0, place - MAX_FIRST + 1)
+        if not answered:
+            return 0.0
+        return NEXT_TURN_S * max(0, place - MAX_FIRST + 1)
+
+    def relies_on(self, answered_s: float, now_s: float) -> bool:
+        """Tell whether other daemons have answered lately.
+
+        One that answers at this moment takes part in what is going on; what
+        it said before the version became doubtful tells nothing.
+
+        :param answered_s: when one of them answered last.
+        """
+        return now_s - answered_s <= self.stale_s - self.doubt_s
 
     def hold_s(self, confirmed_s: float | None, now_s: float) -> float:
         """Return how long an answer without a confirmation may take."""
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -278,7 +278,7 @@
     """112 whole configurations at once filled the link between regions."""
     bounds = _freshness.Bounds(3.0)
     left_s = [
-        bounds.left_s(0.0, 0.0, bounds.turn_s(place, isolated=False))
+        bounds.left_s(0.0, 0.0, bounds.turn_s(place, answered=True))
         for place in range(112)
     ]
     assert left_s[0] == pytest.approx(bounds.doubt_s)
@@ -288,8 +288,57 @@
         asking = [other for other in left_s if at_s <= other < at_s + 0.5]
         asked_mb = len(asking) * CONFIGURATION_MB
         assert asked_mb <= 0.5 * LINK_MB_PER_S / 2
-    last_s = bounds.left_s(0.0, 0.0, bounds.turn_s(111, isolated=True))
-    assert last_s <= bounds.stale_s + 1.2
+
+
+# Daemons far back in a large region asked the store after the bound.
+@pytest.mark.parametrize("apply_within_s", [2.0, 3.0, 13.0])
+def test_a_version_is_in_time_at_any_place_of_a_region_of_any_size(
+    apply_within_s: float,
+) -> None:
+    """Each is asked in time, or relies on one that stands before it."""
+    bounds = _freshness.Bounds(apply_within_s)
+    for place in range(LETTER_DAEMONS):
+        turn_s = bounds.turn_s(place, answered=False)
+        asked_s = bounds.left_s(0.0, 0.0, turn_s)
+        assert asked_s + _freshness.STORE_S <= apply_within_s + 0.001
+    for place in range(1, LETTER_DAEMONS):
+        before, own = (
+            bounds.left_s(0.0, 0.0, bounds.turn_s(at, answered=True))
+            for at in (place - 1, place)
+        )
+        assert before <= own
+
+
+@pytest.mark.parametrize("apply_within_s", [2.0, 3.0, 13.0])
+def test_only_one_that_is_answered_all_along_waits_for_its_turn(
+    apply_within_s: float,
+) -> None:
+    """An answer from before the version was in doubt tells nothing."""
+    bounds = _freshness.Bounds(apply_within_s)
+    assert not bounds.relies_on(bounds.doubt_s - 0.01, bounds.stale_s)
+    assert bounds.relies_on(bounds.doubt_s + 0.01, bounds.stale_s)
+    asked_again_s = _freshness.BEHIND_S
+    assert bounds.relies_on(0.0, asked_again_s)
+
+
+@hypothesis.given(
+    st.integers(1, 400), st.sets(st.integers(0, 399)), st.sampled_from([2, 3])
+)
+def test_who_is_answered_has_a_version_in_time_from_those_before_it(
+    size: int, unanswered: set[int], apply_within_s: int
+) -> None:
+    """The store's answer takes as long as it may for whoever asks."""
+    bounds = _freshness.Bounds(apply_within_s)
+    in_force_s: list[float] = []
+    for place in range(size):
+        answered = bool(place) and place not in unanswered
+        turn_s = bounds.turn_s(place, answered)
+        asked_s = bounds.left_s(0.0, 0.0, turn_s)
+        own_s = asked_s + _freshness.STORE_S
+        in_force_s.append(
+            min([own_s, *in_force_s[-1:]] if answered else [own_s])
+        )
+    assert max(in_force_s) <= apply_within_s + 0.001
 
 
 def test_whoever_holds_the_view_can_ask_whom_to_follow() -> None:
