Large answers leave the link to what is small

Cause: a guard wrote answers as they came.

A caller that hung up meanwhile is sent no more.

Before: 1.6 MB of answers that end together kept a later byte waiting for 3 s. After: 0.2 s at most (test_uplink.py).

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -145,7 +145,11 @@
             listen.control, self._control, CONTROL_THREADS, FEW_THREADS
         )
         guard_server = serving.Server(
-            listen.guard, self._guard, options.threads, FEW_THREADS
+            listen.guard,
+            self._guard,
+            options.threads,
+            FEW_THREADS,
+            uplink=serving.Uplink(self._options.capacity.link_mbps),
         )
         entry_server = serving.Server(
             listen.entry,
--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -15,6 +15,7 @@
 from chiveroad.serving._stream import hung_up
 from chiveroad.serving._stream import Reader
 from chiveroad.serving._stream import send_now
+from chiveroad.serving._uplink import Uplink
 
 __all__ = [
     "BodyCut",
@@ -29,6 +30,7 @@
     "Reader",
     "Request",
     "Server",
+    "Uplink",
     "hung_up",
     "send_now",
     "stop_all",
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -19,6 +19,7 @@
 from chiveroad.serving import _framing
 from chiveroad.serving import _http
 from chiveroad.serving import _request
+from chiveroad.serving import _uplink
 from chiveroad.serving import _workers
 
 IDLE_TIMEOUT_S: typing.Final = 10
@@ -82,6 +83,7 @@
         fractions of a second.
     :param expire_s: how often connections that have been idle for too long
         are looked for.
+    :param uplink: the link that large answers to other instances share.
     :raises errors.AddressInUse: from ``open`` when it can't listen.
     """
 
@@ -104,11 +106,13 @@
         idle_timeout_s: int = IDLE_TIMEOUT_S,
         fractional_retry: bool = False,
         expire_s: float = EXPIRE_S,
+        uplink: _uplink.Uplink | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), _Gateway, minthreads=threads)
         self.requests = _workers.Workers(self, few_threads or threads, threads)
         self.closer = _closer.Closer()
+        self.uplink = uplink
         self.handler = handler
         self.timeout = idle_timeout_s
         self.expiration_interval = expire_s
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -10,6 +10,7 @@
 import typing
 
 from chiveroad import errors
+from chiveroad.serving import _uplink
 
 READ_BUFFER_BYTES: typing.Final = 8 * 1024
 
@@ -114,11 +115,13 @@
 class Writer:
     """A socket writer that sends a head together with what follows it.
 
-    While held, writes gather; ``release`` sends them in one call.
+    While held, writes gather; ``release`` sends them in one call, or in
+    several where the link is shared, see ``Uplink``.
     """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
+        self.uplink: _uplink.Uplink | None = None
         self._held = False
         self._pending: list[bytes] = []
         self.bytes_written = 0
@@ -148,6 +151,24 @@
         """Do nothing: writes are sent when made or released."""
 
     def _send(self, data: bytes) -> None:
+        if self.uplink is None:
+            self._send_all(data)
+            return
+        if len(data) <= _uplink.PIECE_BYTES:
+            self.uplink.reserve(len(data))
+            self._send_all(data)
+            return
+        view = memoryview(data)
+        for begin in range(0, len(data), _uplink.PIECE_BYTES):
+            piece = view[begin : begin + _uplink.PIECE_BYTES]
+            wait_s = self.uplink.reserve(len(piece))
+            if wait_s > 0:
+                time.sleep(wait_s)
+                if hung_up(self._sock):
+                    raise BrokenPipeError("the peer hung up")
+            self._send_all(piece)
+
+    def _send_all(self, data: bytes | memoryview[typing.Any]) -> None:
         sent = send_now(self._sock, data)
         if sent < len(data):
             self._sock.sendall(memoryview(data)[sent:])
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -81,8 +81,9 @@
     """What the instance has for the daemon.
 
     ``cpu_share`` is a share of a processor that is ``cores`` times as fast
-    as one core, ``link_mbps`` its link in Mbit/s.  Daemons with more of it
-    stand above others in the tree, see ``control``.
+    as one core, ``link_mbps`` its link in Mbit/s, each way.  Daemons with
+    more of it stand above others in the tree, see ``control``, and large
+    answers take no more of the link than ``serving.Uplink`` leaves them.
     """
 
     cpu_share: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
--- /dev/null
+++ b/tests/test_uplink.py
@@ -0,0 +1,121 @@
+"""Large answers wait for their share of the instance's link."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+
+import pytest
+
+from chiveroad import serving
+from chiveroad.serving import _stream
+from chiveroad.serving import _uplink
+from tests import fakes
+
+MBPS = 4.2
+DOWNLOAD_BYTES = 90 * 1024
+DOWNLOADS = 18
+"""As many as an upstream has slots: 1.6 MB, three seconds of the link."""
+
+QUEUE_S = 0.2
+"""How long a new connection or a control message may wait in the link."""
+
+
+class Link:
+    """A moved clock, and a link that sends what has been written."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.clock = fakes.Clock()
+        self.empty_s = self.clock.now_s
+        monkeypatch.setattr(time, "monotonic", self.clock)
+
+    def write(self, count: int) -> float:
+        """Return how long the bytes wait in the link's queue."""
+        begin_s = max(self.clock.now_s, self.empty_s)
+        self.empty_s = begin_s + count * 8 / (MBPS * 1_000_000)
+        return begin_s - self.clock.now_s
+
+
+# New versions and connections waited for seconds behind downloads.
+def test_downloads_that_end_together_leave_the_link_to_what_is_small(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    link = Link(monkeypatch)
+    uplink = serving.Uplink(MBPS)
+    piece = _uplink.PIECE_BYTES
+    due = [
+        (link.clock.now_s, download, DOWNLOAD_BYTES)
+        for download in range(DOWNLOADS)
+    ]
+    waits: list[float] = []
+    while due:
+        due.sort()
+        at_s, download, left = due.pop(0)
+        link.clock.now_s = max(link.clock.now_s, at_s)
+        count = min(piece, left)
+        wait_s = uplink.reserve(count)
+        # A piece is written after its wait; nothing else waits for that.
+        before_s = link.clock.now_s
+        link.clock.now_s += wait_s
+        waits.append(link.write(count))
+        written_s, link.clock.now_s = link.clock.now_s, before_s
+        if left > count:
+            due.append((written_s, download, left - count))
+    assert max(waits) <= QUEUE_S
+    took_s = link.empty_s - 100.0
+    least_s = DOWNLOADS * DOWNLOAD_BYTES * 8 / (MBPS * 1_000_000)
+    assert least_s <= took_s <= 1.2 * least_s
+
+
+def test_small_answers_wait_for_nothing_and_count() -> None:
+    uplink = serving.Uplink(0.8)
+    near, far = socket.socketpair()
+    near.settimeout(5)
+    writer = _stream.Writer(near)
+    writer.uplink = uplink
+    uplink.reserve(90_000)
+    began_s = time.monotonic()
+    writer.write(b"small")
+    assert time.monotonic() - began_s < 0.5
+    assert far.recv(16) == b"small"
+    assert uplink.reserve(1) > 0.9
+    near.close()
+    far.close()
+
+
+def test_a_large_answer_is_whole_and_takes_its_time() -> None:
+    near, far = socket.socketpair()
+    near.settimeout(5)
+    writer = _stream.Writer(near)
+    writer.uplink = serving.Uplink(8.0)
+    body = bytes(range(256)) * 1_024
+    received = bytearray()
+
+    def read() -> None:
+        while data := far.recv(65_536):
+            received.extend(data)
+
+    reader = threading.Thread(target=read)
+    reader.start()
+    began_s = time.monotonic()
+    writer.write(body)
+    took_s = time.monotonic() - began_s
+    near.close()
+    reader.join(5)
+    far.close()
+    assert bytes(received) == body
+    assert took_s >= 0.2
+
+
+def test_an_answer_that_nobody_reads_on_takes_no_more_of_the_link() -> None:
+    near, far = socket.socketpair()
+    near.settimeout(5)
+    writer = _stream.Writer(near)
+    uplink = writer.uplink = serving.Uplink(8.0)
+    uplink.reserve(200_000)
+    far.close()
+    with pytest.raises(OSError):
+        writer.write(bytes(1_000_000))
+    assert uplink.reserve(1) < 0.5
+    near.close()
