An exchange with a parent stays open while the next one is asked beside it

A parent that didn't answer 0.4 s after it was due was given up together with its connection, the next had 0.3 s to take a new one, and each was left out for 2 to 16 s.

Ruled out: parents that were down (others reached them meanwhile).

Now an answer that is late leaves its exchange open, for two seconds and more, and the next parent is asked beside it; whatever arrives counts, also late. One exchange at a time is waited for, so a healthy daemon has one, as before. A delta is applied to what the parent was told of, as another answer may have come first. One that failed before isn't asked to hold its answer back, so a dead parent costs 0.4 s each time it is tried again.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -15,6 +15,7 @@
 from chiveroad import clock
 from chiveroad import config
 from chiveroad import connection
+from chiveroad.control import _asks
 from chiveroad.control import _backoff
 from chiveroad.control import _freshness
 from chiveroad.control import _helper
@@ -58,8 +59,15 @@
 """Longer than confirmations are apart; with ``GRACE_S``, a silent parent is
 found out before the store must be asked, see ``_freshness.Bounds``."""
 
-CONNECT_TIMEOUT_S: typing.Final = 0.3
 GRACE_S: typing.Final = 0.4
+"""How long an answer that isn't held may take before another parent is asked
+beside it."""
+
+CONNECT_TIMEOUT_S: typing.Final = 1.5
+ANSWER_GRACE_S: typing.Final = 2.0
+"""For how long an exchange with a parent stays open: over a full link a new
+connection and an answer each take a second."""
+
 RETRY_S: typing.Final = 0.15
 MAX_RETRY_VERSIONS_S: typing.Final = 0.6
 """A version is to be in force two seconds after its acceptance."""
@@ -72,8 +80,7 @@
 across regions, several times over."""
 
 PARENT_ANSWER_S: typing.Final = 0.4
-"""How long it waits for a parent's answer: one that can't be reached is known
-after ``CONNECT_TIMEOUT_S``."""
+"""How long it waits for a parent's answer, as in ``GRACE_S``."""
 
 MAX_SLEEP_S: typing.Final = 0.5
 """How long a thread that has nothing to do may overlook a stop."""
@@ -111,9 +118,9 @@
         self._address = options.platform.address
         self._upstream_address = options.upstream.address
         self._distance_ms = 0
-        self._source = _source.ParentSource(
-            node, CONNECT_TIMEOUT_S, GRACE_S, confirmations=True
-        )
+        self._followed = ""
+        self._asks = _asks.Asks(self._ask, self._new_source, GRACE_S)
+        self._judging = threading.Lock()
         self._parents = _parents.Parents(self._mine, node.view)
         self._answered_s = 0.0
         self._helper = _helper.Helper(node)
@@ -131,7 +138,7 @@
     @property
     def parent(self) -> str:
         """Return the address last asked for news, or an empty string."""
-        return "" if self._watching else self._source.address
+        return "" if self._watching else self._followed
 
     @property
     def relay(self) -> str:
@@ -207,7 +214,8 @@
     # Whom to follow.
 
     def _choose(self) -> membership.Member | None:
-        return self._parents.choose(confirmed=not self._doubtful())
+        pending = self._asks.pending()
+        return self._parents.choose(not self._doubtful(), pending)
 
     def _doubtful(self) -> bool:
         confirmed_s = self._node.applied.confirmed_s
@@ -220,30 +228,48 @@
 
     def _follow_parent(self) -> None:
         while not self.stopped:
+            self._asks.wait()
             chosen = self._choose()
-            if chosen is None:
-                if self._parents.place() < _freshness.MAX_FIRST:
+            if chosen is None or not self._begin(chosen):
+                pending = self._asks.pending()
+                first = self._parents.place() < _freshness.MAX_FIRST
+                if first and not pending:
                     self._watch("no daemon before this one helps")
                 time.sleep(TICK_S)
-                continue
-            if self._ask(chosen):
-                self._judge_freshness(chosen)
+        self._asks.stop()
+
+    def _begin(self, chosen: membership.Member) -> bool:
+        """Ask a parent; one that has failed before answers at once."""
+        failure = self._parents.failures.get(chosen.instance)
+        failed = failure is not None and not failure.behind
+        return self._asks.begin(chosen, 0 if failed else self._hold_ms())
 
-    def _ask(self, chosen: membership.Member) -> bool:
-        self._source.address = chosen.control
+    def _new_source(self) -> _source.ParentSource:
+        return _source.ParentSource(
+            self._node, CONNECT_TIMEOUT_S, ANSWER_GRACE_S, confirmations=True
+        )
+
+    def _ask(
+        self,
+        source: _source.ParentSource,
+        chosen: membership.Member,
+        hold_ms: int,
+    ) -> None:
+        source.address = chosen.control
         domain = self._node.member.failure_domain
         try:
-            self._source.sync(
+            answer = source.sync(
                 chosen.control,
-                self._hold_ms(),
+                hold_ms,
                 unconfirmed=False,
                 region=chosen.failure_domain != domain,
             )
         except errors.ChiveroadError as exc:
             self._parents.put_aside(chosen, f"failed: {exc}")
-            return False
-        self._answered_s = clock.now_s()
-        return True
+            return
+        with self._judging:
+            self._answered_s = clock.now_s()
+            self._judge_freshness(chosen, answer)
 
     def _hold_ms(self) -> int:
         """Return how long a parent may hold its answer back.
@@ -275,17 +301,19 @@
             time.sleep(_sweeper.SWEEP_S)
             self._sweeper.tick()
 
-    def _judge_freshness(self, parent: membership.Member) -> None:
+    def _judge_freshness(
+        self, parent: membership.Member, answer: _messages.SyncAnswer
+    ) -> None:
         """Decide from a parent's answer whom to ask next."""
-        answer = self._source.answer
         if not self._left_s():
             self._watch("the version is unconfirmed")
         if self._doubtful():
             self._parents.put_aside(parent, "is behind", behind=True)
             return
         self._parents.rely_on(parent)
-        if self._watching and answer and self._bounds.is_current(answer):
-            _log.info("Follows {}.", self._source.address)
+        self._followed = parent.control
+        if self._watching and self._bounds.is_current(answer):
+            _log.info("Follows {}.", parent.control)
             with self._watch_changed:
                 self._watching = False
                 self._watch_changed.notify_all()
--- a/src/chiveroad/control/_freshness.py
+++ b/src/chiveroad/control/_freshness.py
@@ -170,12 +170,15 @@
     tree: _order.Tree,
     failures: collections.abc.Mapping[str, Failure],
     now_s: float,
+    pending: collections.abc.Container[str] = frozenset(),
 ) -> membership.Member | None:
     """Return the daemon to follow, or None where there is none at present.
 
     That is the nearest above in the tree that hasn't just failed, or else
     one of the first of its region, or of all.  Only daemons that stand before
     this one are followed, so that no two wait for each other.
+
+    :param pending: the names of those that are asked already.
     """
     near = (m for m in tree.before(mine) if m.region == mine.region)
     first = itertools.islice(tree.before(mine), MAX_FIRST)
@@ -183,6 +186,8 @@
     for member in itertools.chain(
         tree.above(mine), itertools.islice(near, MAX_FIRST), first
     ):
+        if member.instance in pending:
+            continue
         failure = failures.get(member.instance)
         if failure is None or not failure.avoided(now_s):
             return member
--- a/src/chiveroad/control/_parents.py
+++ b/src/chiveroad/control/_parents.py
@@ -56,7 +56,11 @@
         self._update()
         return self._settled
 
-    def choose(self, confirmed: bool) -> membership.Member | None:
+    def choose(
+        self,
+        confirmed: bool,
+        pending: collections.abc.Container[str] = frozenset(),
+    ) -> membership.Member | None:
         """Return whom to ask next, or None.
 
         Daemons that haven't settled are asked where this one hasn't, either:
@@ -64,6 +68,7 @@
 
         :param confirmed: whether the version is known to be the newest; one
             that isn't is asked for from daemons that haven't settled, too.
+        :param pending: the names of those that are asked already.
         """
         self._update()
         mine = self._mine()
@@ -73,7 +78,9 @@
         if young or not confirmed:
             trees.append(self._whole)
         for tree in trees:
-            found = _freshness.parent(mine, tree, self.failures, now_s)
+            found = _freshness.parent(
+                mine, tree, self.failures, now_s, pending
+            )
             if found is not None:
                 return found
         return None
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -170,7 +170,7 @@
         # Another source at the address is a new life of the parent.
         again = address == self._told_to and answer.source != self._source
         self._told_to = "" if again else address
-        self._take(answer, asked_s)
+        self._take(answer, asked_s, current.config.items)
         self._tell_records(answer, region)
         if answer.wants_snapshot:
             self._hand_up(address)
@@ -190,7 +190,17 @@
             self._node.tell_again(region, after=known)
         self._told_records = (answer.source, max(known, as_of))
 
-    def _take(self, answer: _messages.SyncAnswer, asked_s: float) -> None:
+    def _take(
+        self,
+        answer: _messages.SyncAnswer,
+        asked_s: float,
+        asked_with: config.Items,
+    ) -> None:
+        """Take in an answer.
+
+        :param asked_with: what the version held the items of that the parent
+            was told of; another answer may have brought a newer one since.
+        """
         node = self._node
         node.take(answer.members)
         # What was left out are records that this daemon had named as known.
@@ -198,7 +208,7 @@
         self._source = answer.source
         self._epoch = answer.epoch
         self.answer = answer
-        items = self._items(answer)
+        items = self._items(answer, asked_with)
         if items is not None:
             node.applied.offer(
                 answer.version,
@@ -214,17 +224,20 @@
             ago_ms = answer.confirmed_ago_ms - answer.held_ms
             node.applied.confirm(asked_s - ago_ms / 1000)
 
-    def _items(self, answer: _messages.SyncAnswer) -> config.Items | None:
+    def _items(
+        self, answer: _messages.SyncAnswer, asked_with: config.Items
+    ) -> config.Items | None:
+        if answer.version <= self._node.applied.current.number:
+            return None
         if answer.snapshot:
             return config.unpack(answer.snapshot, answer.digest)
         if not answer.delta:
             return None
-        held = self._node.applied.current.config.items
         try:
             delta = config.unpack_delta(answer.delta)
             if delta.digest != answer.digest:
                 raise errors.DigestMismatch("the delta gives another version")
-            return config.patch(held, delta)
+            return config.patch(asked_with, delta)
         except errors.DigestMismatch as exc:
             # The next request names another digest, and so gets a snapshot.
             _log.warning("Delta dropped: {}.", exc)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -17,6 +17,7 @@
 from chiveroad import config
 from chiveroad.config import _delta
 from chiveroad import control
+from chiveroad.control import _asks
 from chiveroad.control import _backoff
 from chiveroad.control import _follower
 from chiveroad.control import _freshness
@@ -30,11 +31,16 @@
 from chiveroad import serving
 from chiveroad import store
 from chiveroad import wire
+from standins import link
 from standins import memory_store
 from standins import mesh
 from tests import fakes
 
 WAIT_S = 20.0
+APPLY_WITHIN_S = 2.0
+"""What the settings of these daemons have."""
+
+FULL_LINK_ONE_WAY_S = 0.25
 
 
 def daemon(name: str, distance_ms: int = 0) -> membership.Member:
@@ -326,6 +332,7 @@
     def __init__(
         self, name: str, ports: mesh.Ports, platform: store.Store
     ) -> None:
+        self.ports = ports
         entry, guard, self.address = (ports.take() for _ in range(3))
         options = fakes.options(
             name, domain="a", entry=entry, guard=guard, control=self.address
@@ -371,6 +378,10 @@
         )
         self.plane.record(0.0)
 
+    def has_version(self, number: int) -> bool:
+        """Tell whether a version, or a newer one, is in force."""
+        return self.node.applied.current.number >= number
+
     def stop(self) -> None:
         """End at once."""
         self.plane.stopped = True
@@ -528,6 +539,92 @@
         assert len(asked) <= 1
 
 
+# A daemon behind a full link gave up each parent before its answer came.
+def test_answers_over_a_full_link_bring_versions_in_time() -> None:
+    """Each way takes 0.25 s, a new connection twice as long."""
+    with fleet("abc") as (shared, ways, planes):
+        links = [behind_a_full_link(planes[name]) for name in "ab"]
+        try:
+            for plane in planes.values():
+                plane.start()
+            last = planes["c"]
+            wait_for(lambda: len(last.node.view.all()) == 3)
+            wait_for(lambda: last.node.applied.current.number == 3)
+            ways["c"].cut = True
+            for number in range(4, 8):
+                time.sleep(0.9)
+                accept(shared, number)
+                accepted_s = time.monotonic()
+                wait_for(functools.partial(last.has_version, number))
+                took_s = time.monotonic() - accepted_s
+                assert took_s <= APPLY_WITHIN_S
+        finally:
+            for each in links:
+                each.stop()
+
+
+def behind_a_full_link(plane: Following) -> link.Link:
+    """Put a slow link in front of a daemon's control address."""
+    target = plane.ports.take()
+    plane.server = serving.Server(target, plane.server.handler, 8)
+    slow = link.Link(plane.address, target, FULL_LINK_ONE_WAY_S)
+    slow.start()
+    return slow
+
+
+class Asked:
+    """Parents that answer when they are let."""
+
+    def __init__(self) -> None:
+        self.let = {name: threading.Event() for name in "abc"}
+        self.answered: list[str] = []
+
+    def ask(
+        self, _: _source.ParentSource, parent: membership.Member, __: int
+    ) -> None:
+        """Wait for a parent's answer."""
+        self.let[parent.instance].wait(WAIT_S)
+        self.answered.append(parent.instance)
+
+
+# A parent whose answer was late was given up before another had answered.
+def test_a_late_answer_counts_while_others_are_asked_beside_it() -> None:
+    node = control.Node(fakes.member("d"), recorded=True)
+    asked = Asked()
+    asks = _asks.Asks(asked.ask, lambda: _source.ParentSource(node), 0.05)
+    try:
+        for name in "abc":
+            assert asks.begin(fakes.member(name), 0)
+            asks.wait()
+        assert asks.pending() == set("abc")
+        asked.let["b"].set()
+        wait_for(lambda: asks.pending() == set("ac"))
+        asked.let["a"].set()
+        wait_for(lambda: asks.pending() == {"c"})
+        assert asked.answered == ["b", "a"]
+    finally:
+        for event in asked.let.values():
+            event.set()
+        asks.stop()
+
+
+def test_no_more_parents_are_asked_at_once_than_there_are_workers() -> None:
+    node = control.Node(fakes.member("z"), recorded=True)
+    let = threading.Event()
+    asks = _asks.Asks(
+        lambda *_: None if let.wait(WAIT_S) else None,
+        lambda: _source.ParentSource(node),
+        0.01,
+    )
+    names = [f"p-{number}" for number in range(_asks.MAX_ASKS + 1)]
+    begun = [asks.begin(fakes.member(name), 0) for name in names]
+    let.set()
+    wait_for(lambda: not asks.pending())
+    assert begun == [True] * _asks.MAX_ASKS + [False]
+    assert asks.begin(fakes.member(names[0]), 0)
+    asks.stop()
+
+
 def test_a_daemon_that_starts_cut_off_from_the_store_is_helped() -> None:
     shared = memory_store.MemoryStore()
     accept(shared, 3)
