An answer ends the other exchanges once it can't be cut any more

Cause: the head of an answer ended the exchanges with the other upstreams that were asked, before its body had come. A body that was cut or stalled left nobody else.

Beside others an exchange now holds what arrives of its body, up to 64 KB, and goes on watching the others; it has answered once the body is whole, or too large to be held. A single exchange is passed on as before.

--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -65,9 +65,9 @@
 
     @abc.abstractmethod
     def advance(self, stall_s: float) -> None:
-        """Read the head of an answer that has begun to arrive.
+        """Read what has arrived of an answer.
 
-        :param stall_s: how long the peer may pause within it.
+        :param stall_s: how long the peer may pause within its head.
         """
 
     @property
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -33,6 +33,10 @@
 """How long a peer that was asked before may pause within an answer's head,
 while another's is awaited: a head is a packet or two."""
 
+HELD_STALL_S: typing.Final = 1.0
+"""How long a peer may pause within what frames a body, while others are
+awaited; between the parts of a body it may for as long as there is time."""
+
 MAX_READ_BYTES: typing.Final = 1024 * 1024
 """A body that is held or skipped isn't larger, with what frames it."""
 
@@ -72,8 +76,8 @@
 class Answer:
     """A peer's answer, its head read and its body still to come.
 
-    While nothing of it has been passed on, the body is due by the request's
-    deadline.
+    ``held`` is what has been read of the body already.  While nothing of it
+    has been passed on, the body is due by the request's deadline.
 
     An answer without a length ends with its connection; it is whole unless
     the connection is reset.
@@ -91,6 +95,8 @@
         self._connection = connection
         self._response = response
         self._found = typing.cast(_answer.Headers, response.headers)
+        self._stated = None if response.chunked else response.length
+        self.held = bytearray()
         self.status = response.status
         self.headers = self._found.items()
         self.bodiless = method == "HEAD" or response.status in _BODILESS
@@ -103,7 +109,7 @@
     @property
     def length(self) -> int | None:
         """Return the body's length in bytes, or None where it isn't told."""
-        return None if self._response.chunked else self._response.length
+        return self._stated
 
     def read(self, limit_bytes: int = MAX_READ_BYTES) -> bytes:
         """Read the whole body and give the connection back.
@@ -123,20 +129,46 @@
         :raises errors.CallerGone: when the caller has hung up before its end.
         """
         try:
-            while chunk := self._response.read1(_CHUNK_BYTES):
-                self._pool.heard_s = time.monotonic()
+            if self.held:
+                held, self.held = bytes(self.held), bytearray()
+                yield held
+            while chunk := self._read_some():
                 yield chunk
         except _FAILURES as exc:
             self.close()
             raise errors.AnswerCut(f"the answer was cut: {exc}") from exc
-        except errors.CallerGone:
+        except (errors.AnswerCut, errors.CallerGone):
             self.close()
             raise
-        if not self._response.chunked and self._response.length:
-            self.close()
-            raise errors.AnswerCut("the answer is shorter than said")
         self._release()
 
+    def hold(self) -> bool:
+        """Read what has arrived of the body; tell whether that is enough.
+
+        It is if the body is whole, or over ``SMALL_ANSWER_BYTES``.
+
+        :raises errors.AnswerCut: when it ends early.
+        """
+        if self.bodiless or self._response.length == 0:
+            return True
+        while len(self.held) <= SMALL_ANSWER_BYTES:
+            chunk = self._read_some()
+            self.held += chunk
+            if not chunk or self._response.length == 0:
+                return True
+            if not self._connection.has_data():
+                return False
+        return True
+
+    def _read_some(self) -> bytes:
+        """Return some of the body, or nothing at its end."""
+        chunk = self._response.read1(_CHUNK_BYTES)
+        if chunk:
+            self._pool.heard_s = time.monotonic()
+        elif not self._response.chunked and self._response.length:
+            raise errors.AnswerCut("the answer is shorter than said")
+        return chunk
+
     def lift_deadline(self) -> None:
         """Let the body take longer: the caller has a part of it."""
         self._connection.end_by(None)
@@ -178,9 +210,11 @@
 
 
 class _Exchange(_call.Pending):
-    """A request sent over one connection, until its answer's head is read.
+    """A request sent over one connection, until its answer has begun.
 
-    ``answer`` is that answer, and ``failure`` why there is none.
+    ``answer`` is that answer, and ``failure`` why there is none.  Beside
+    others an answer has begun once it can't be cut any more, or is too large
+    to be held: it ends their exchanges.
     """
 
     def __init__(
@@ -194,6 +228,7 @@
         self._call = call
         self._read_terms = read_terms
         self._crossed = 0
+        self._found: Answer | None = None
         self.connection = connection
         self.answer: Answer | None = None
         self.failure: errors.Refusal | None = None
@@ -219,18 +254,27 @@
             and answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
         )
 
-    def advance(self, stall_s: float) -> None:
-        """Read the head of an answer that has begun to arrive.
+    def advance(self, stall_s: float, alone: bool = False) -> None:
+        """Read what has arrived of an answer.
 
         One to an earlier request is passed over.
+
+        :param alone: whether no other peer is asked.
         """
         self.connection.pause_at_most(stall_s)
         try:
-            self._read_head()
+            if self._found is None:
+                self._read_head()
+            if self._found is None:
+                return
+            self.connection.pause_at_most(max(stall_s, HELD_STALL_S))
+            if alone or self._found.hold():
+                self.answer = self._found
         except errors.Refusal as refusal:
             self.failure = refusal
         except _FAILURES as exc:
-            self._pool.lost(self.connection)
+            if self._found is None:
+                self._pool.lost(self.connection)
             self.failure = errors.OutcomeUnknown(f"no answer: {exc!r}")
             self.failure.__cause__ = exc
 
@@ -247,7 +291,7 @@
         echoed = answer.terms.request_id
         self._pool.echoes = self._pool.echoes or echoed == call.id
         if echoed == call.id or _is_unnamed(answer, self._pool):
-            self.answer = answer
+            self._found = answer
             return
         self._crossed += 1
         endless = answer.length is None and not response.chunked
@@ -538,7 +582,9 @@
         buffered = exchange.connection.has_data()
         ready = dict(poll.poll(0 if buffered else max(0, wait_ms)))
         if buffered or exchange.fileno() in ready:
-            exchange.advance(_stall_s(call))
+            exchange.advance(
+                EARLIER_STALL_S if earlier else _stall_s(call), not earlier
+            )
             continue
         for number in earlier.keys() & ready.keys():
             earlier[number].advance(EARLIER_STALL_S)
