--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -231,9 +231,7 @@
             self._asks.wait()
             chosen = self._choose()
             if chosen is None or not self._begin(chosen):
-                pending = self._asks.pending()
-                first = self._parents.place() < _freshness.MAX_FIRST
-                if first and not pending:
+                if self._parents.place() < _freshness.MAX_FIRST:
                     self._watch("no daemon before this one helps")
                 time.sleep(TICK_S)
         self._asks.stop()
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -85,6 +85,7 @@
         accepted = options.control.source == "accepted"
         self._protocol = _protocol(options)
         self._recorder = metrics.Recorder()
+        self._uplink = serving.Uplink(options.capacity.link_mbps)
         self._platform = self._store(options.platform.timeout_ms / 1000)
         self._upstream = presence.LocalUpstream(options.upstream.address)
         self._node = control.Node(_first_word(options, accepted), accepted)
@@ -107,6 +108,7 @@
             self._guard,
             self._recorder,
             self._protocol,
+            self._uplink,
         )
         self._exporter = metrics.Exporter(
             self._recorder, gauges.of(self._node, self._entry, self._guard)
@@ -149,7 +151,7 @@
             self._guard,
             options.threads,
             FEW_THREADS,
-            uplink=serving.Uplink(self._options.capacity.link_mbps),
+            uplink=self._uplink,
         )
         entry_server = serving.Server(
             listen.entry,
--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -15,6 +15,7 @@
 from chiveroad.serving._stream import hung_up
 from chiveroad.serving._stream import Reader
 from chiveroad.serving._stream import send_now
+from chiveroad.serving._uplink import is_remote
 from chiveroad.serving._uplink import Uplink
 
 __all__ = [
@@ -32,6 +33,7 @@
     "Server",
     "Uplink",
     "hung_up",
+    "is_remote",
     "send_now",
     "stop_all",
 ]
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -21,6 +21,7 @@
 
 from chiveroad import errors
 from chiveroad.serving import _stream
+from chiveroad.serving import _uplink
 
 LINGER_MS: typing.Final = 20
 MAX_HEAD_BYTES: typing.Final = 32 * 1024
@@ -213,7 +214,7 @@
     ) -> None:
         sock.settimeout(READ_TIMEOUT_S)
         super().__init__(server, sock, _stream.make_file)
-        if server.uplink is not None and _is_remote(sock):
+        if server.uplink is not None and _uplink.is_remote(sock):
             self.wfile.uplink = server.uplink
         self.request: HttpRequest | None = None
         """The one in hand, or the one that has ended the connection."""
@@ -289,15 +290,6 @@
         return kept
 
 
-def _is_remote(sock: socket.socket) -> bool:
-    """Tell whether the peer is on another instance."""
-    try:
-        return bool(sock.getsockname()[0] != sock.getpeername()[0])
-    except OSError:
-        # It has hung up already.
-        return False
-
-
 def whole_refusal(
     status: int, refusal: errors.Refusal, fractional_retry: bool = False
 ) -> bytes:
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -154,18 +154,9 @@
         if self.uplink is None:
             self._send_all(data)
             return
-        if len(data) <= _uplink.PIECE_BYTES:
-            self.uplink.reserve(len(data))
-            self._send_all(data)
-            return
-        view = memoryview(data)
-        for begin in range(0, len(data), _uplink.PIECE_BYTES):
-            piece = view[begin : begin + _uplink.PIECE_BYTES]
-            wait_s = self.uplink.reserve(len(piece))
-            if wait_s > 0:
-                time.sleep(wait_s)
-                if hung_up(self._sock):
-                    raise BrokenPipeError("the peer hung up")
+        for piece in self.uplink.pieces(data):
+            if len(data) > len(piece) and hung_up(self._sock):
+                raise BrokenPipeError("the peer hung up")
             self._send_all(piece)
 
     def _send_all(self, data: bytes | memoryview[typing.Any]) -> None:
--- a/src/chiveroad/serving/_uplink.py
+++ b/src/chiveroad/serving/_uplink.py
@@ -1,13 +1,15 @@
-"""Sharing an instance's link between large answers and everything else.
+"""Sharing an instance's link between large bodies and everything else.
 
 What is written to a socket waits in the link's queue, and what is written
 after it waits behind it: new versions, probes, new connections, small
-answers.  So large answers are written in pieces, at a rate that leaves the
+answers.  So large bodies are written in pieces, at a rate that leaves the
 link room for the rest, and they wait here instead.
 """
 
 from __future__ import annotations
 
+import collections.abc
+import socket
 import threading
 import time
 import typing
@@ -23,9 +25,9 @@
 
 
 class Uplink:
-    """The rate at which answers leave the instance.
+    """The rate at which bodies leave the instance.
 
-    Answers of up to one piece are counted, but wait for nothing.
+    Those of up to one piece are counted, but wait for nothing.
 
     :param mbps: the link in Mbit/s.
     """
@@ -42,3 +44,24 @@
             start_s = max(now_s, self._free_s)
             self._free_s = start_s + count / self._bytes_per_s
             return start_s - now_s
+
+    def pieces(
+        self, data: bytes | memoryview[typing.Any]
+    ) -> collections.abc.Iterator[memoryview[typing.Any]]:
+        """Yield the parts of what is to be written, each when it is due."""
+        waits = len(data) > PIECE_BYTES
+        for begin in range(0, len(data), PIECE_BYTES):
+            piece = memoryview(data)[begin : begin + PIECE_BYTES]
+            wait_s = self.reserve(len(piece))
+            if waits and wait_s > 0:
+                time.sleep(wait_s)
+            yield piece
+
+
+def is_remote(sock: socket.socket) -> bool:
+    """Tell whether the peer is on another instance."""
+    try:
+        return bool(sock.getsockname()[0] != sock.getpeername()[0])
+    except OSError:
+        # It has hung up already.
+        return False
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -83,7 +83,7 @@
     ``cpu_share`` is a share of a processor that is ``cores`` times as fast
     as one core, ``link_mbps`` its link in Mbit/s, each way.  Daemons with
     more of it stand above others in the tree, see ``control``, and large
-    answers take no more of the link than ``serving.Uplink`` leaves them.
+    bodies take no more of the link than ``serving.Uplink`` leaves them.
     """
 
     cpu_share: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -57,6 +57,7 @@
     """The entry of one daemon.
 
     :param guard: the guard in this process, called without a network hop.
+    :param uplink: the link that large requests to other instances share.
     """
 
     def __init__(
@@ -67,13 +68,14 @@
         guard: _guard.Guard,
         recorder: metrics.Recorder,
         protocol: wire.Protocol,
+        uplink: serving.Uplink | None = None,
     ) -> None:
         self._recorder = recorder
         self._options = options
         self._applied = applied
         self._guard = guard
         self._protocol = protocol
-        self._upstreams = _upstreams.Upstreams(options, applied, view)
+        self._upstreams = _upstreams.Upstreams(options, applied, view, uplink)
         self._budget = _budget.Budget(
             _terms(options.retries), lambda: len(view.all())
         )
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -497,6 +497,20 @@
 
 def _transmit(
     connection: _pool.Connection, data: bytes, call: _call.Call
+) -> bool:
+    """Send bytes, large ones in pieces where the link is shared.
+
+    :returns: False when the peer answers before it has them all.
+    """
+    uplink = connection.uplink
+    pieces = (data,) if uplink is None else uplink.pieces(data)
+    return all(_transmit_piece(connection, each, call) for each in pieces)
+
+
+def _transmit_piece(
+    connection: _pool.Connection,
+    data: bytes | memoryview[typing.Any],
+    call: _call.Call,
 ) -> bool:
     """Send bytes; False when the peer answers before it has them all.
 
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -103,6 +103,7 @@
     """A connection that carries one request after the other.
 
     ``reusable`` turns False once the connection can't serve another request,
+    ``uplink`` is what paces large bodies, if anything does,
     ``idle_limit_s`` is how long it may be idle, and ``rested_s`` for how long
     it was idle before the present request.
     """
@@ -116,6 +117,7 @@
         self.idle_limit_s = RETIRE_IDLE_S
         self.rested_s = 0.0
         self.reusable = True
+        self.uplink: serving.Uplink | None = None
 
     def connect(self) -> None:
         """Open the connection."""
@@ -191,15 +193,20 @@
     when a part of a body last came, in monotonic seconds.
 
     :param connect_timeout_s: how long opening a connection may take.
+    :param uplink: the link that large bodies to another instance share.
     """
 
     def __init__(
-        self, address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        address: str,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        uplink: serving.Uplink | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
         self._connect_timeout_s = connect_timeout_s
+        self._uplink = uplink
         self.echoes = False
         self.trusted = True
         self.heard_s = 0.0
@@ -221,6 +228,8 @@
             kept.close()
         fresh = Connection(self._host, self._port, self._connect_timeout_s)
         fresh.connect()
+        if self._uplink is not None and serving.is_remote(fresh.sock):
+            fresh.uplink = self._uplink
         return fresh
 
     def give_back(self, connection: Connection) -> None:
--- a/src/chiveroad/traffic/_upstreams.py
+++ b/src/chiveroad/traffic/_upstreams.py
@@ -44,8 +44,10 @@
         options: settings.Settings,
         applied: control.Applied,
         view: membership.View,
+        uplink: serving.Uplink | None = None,
     ) -> None:
         self._options = options
+        self._uplink = uplink
         self._applied = applied
         self._view = view
         self._tracks: dict[str, _balancer.Track] = {}
@@ -302,7 +304,9 @@
         """Return the kept connections to a guard."""
         pool = self._pools.get(address)
         if pool is None:
-            made = _pool.Pool(address, _pool.PEER_CONNECT_TIMEOUT_S)
+            made = _pool.Pool(
+                address, _pool.PEER_CONNECT_TIMEOUT_S, self._uplink
+            )
             pool = self._pools.setdefault(address, made)
         return pool
 
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -1,16 +1,21 @@
-"""Large answers wait for their share of the instance's link."""
+"""Large bodies wait for their share of the instance's link."""
 
 from __future__ import annotations
 
 import socket
 import threading
 import time
+import types
+import typing
 
 import pytest
 
 from chiveroad import serving
 from chiveroad.serving import _stream
 from chiveroad.serving import _uplink
+from chiveroad.traffic import _call
+from chiveroad.traffic import _exchange
+from chiveroad.traffic import _pool
 from tests import fakes
 
 MBPS = 4.2
@@ -119,3 +124,30 @@
         writer.write(bytes(1_000_000))
     assert uplink.reserve(1) < 0.5
     near.close()
+
+
+# The body of a large request kept what is small waiting, as answers did.
+def test_the_body_of_a_request_is_sent_in_pieces(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(serving, "is_remote", lambda _: True)
+    uplink = serving.Uplink(8.0)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        pool = _pool.Pool(f"127.0.0.1:{port}", 1.0, uplink)
+        connection = pool.take()
+        assert connection.uplink is uplink
+        call = typing.cast(_call.Call, types.SimpleNamespace(left_ms=_time))
+        began_s = time.monotonic()
+        assert _exchange._transmit(connection, bytes(40_000), call)
+        # All but the last piece, at 0.9 MB/s.
+        assert time.monotonic() - began_s >= 0.036
+        taken, _ = listener.accept()
+        with taken:
+            connection.close()
+            received = taken.makefile("rb").read()
+        assert received == bytes(40_000)
+
+
+def _time() -> float:
+    return 5_000.0
