--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -146,17 +146,12 @@
             verdict = weigh((current.number, current.digest), (number, digest))
             if verdict is not Offer.NEWER:
                 return verdict
-            confirmed_s, now_s = self._confirmed_s, clock.now_s()
-            unconfirmed_ms = (
-                None
-                if confirmed_s is None
-                else int(1000 * (now_s - confirmed_s))
-            )
+            unconfirmed_ms = self.unconfirmed_ms()
             self._remember(current)
             self.current = Version(
                 number, digest, ready_made, time.time() * 1000, revision
             )
-            self.changed_s = now_s
+            self.changed_s = clock.now_s()
             self._news.notify_all()
         _log.info(
             "Version {} in force, {} services, {} routes.",
@@ -178,6 +173,12 @@
             if self.ready and not was_ready:
                 _log.info("Ready with version {}.", self.current.number)
 
+    def unconfirmed_ms(self) -> int | None:
+        """Return the age of the last confirmation, or None without one."""
+        if self._confirmed_s is None:
+            return None
+        return int(1000 * (clock.now_s() - self._confirmed_s))
+
     def earlier(self, digest: str) -> _Items | None:
         """Return the items of a recent version, to build a delta from."""
         if digest == self.current.digest:
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -322,7 +322,7 @@
                 "Asks the store itself: {}.",
                 reason,
                 extra={
-                    "unconfirmed_ms": self._unconfirmed_ms(),
+                    "unconfirmed_ms": self._node.applied.unconfirmed_ms(),
                     "place": self._parents.place(),
                 },
             )
@@ -384,16 +384,9 @@
         _log.info(
             "No version from the store: {}.",
             exc,
-            extra={"unconfirmed_ms": self._unconfirmed_ms()},
+            extra={"unconfirmed_ms": self._node.applied.unconfirmed_ms()},
         )
 
-    def _unconfirmed_ms(self) -> int | None:
-        """Return the age of the last confirmation, or None."""
-        confirmed_s = self._node.applied.confirmed_s
-        if confirmed_s is None:
-            return None
-        return int(1000 * (clock.now_s() - confirmed_s))
-
     def _likely_missed(self) -> bool:
         """Tell whether a watch would bring several versions, each whole."""
         applied = self._node.applied
