Log and measure the rate limit and the leave that a target states

The adapters decode Server-Limit and Server-Leaving (Chiveroad-Rate-Limit and Chiveroad-Leaving in the own protocol), the guard logs a change of either, and chiveroad.guard.rate_limit shows the limit beside chiveroad.guard.requests. Nothing decides by them yet.

--- a/src/chiveroad/gauges.py
+++ b/src/chiveroad/gauges.py
@@ -8,6 +8,7 @@
 from chiveroad import control
 from chiveroad import metrics
 from chiveroad import traffic
+from chiveroad import wire
 
 
 def readers(
@@ -21,6 +22,10 @@
             return {}
         return {"": clock.now_s() - applied.confirmed_s}
 
+    def rate_limit() -> metrics.Values:
+        per_s = guard.stated_rate_per_s
+        return {} if per_s in (None, wire.UNLIMITED) else {"": per_s}
+
     return {
         "chiveroad.config.version": lambda: {"": applied.current.number},
         "chiveroad.config.ready": lambda: {"": float(applied.ready)},
@@ -32,5 +37,6 @@
         "chiveroad.retries.left": entry.retries_left,
         "chiveroad.guard.running": lambda: {"": guard.running},
         "chiveroad.guard.waiting": lambda: {"": guard.waiting},
+        "chiveroad.guard.rate_limit": rate_limit,
         "chiveroad.guard.slots": lambda: {"": guard.slots},
     }
--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -36,6 +36,7 @@
     "chiveroad.members.missing": "Daemons that can't be reached.",
     "chiveroad.guard.running": "Requests running at the upstream.",
     "chiveroad.guard.waiting": "Requests waiting for a slot.",
+    "chiveroad.guard.rate_limit": "Requests a second that the upstream takes.",
     "chiveroad.guard.slots": "Requests that the upstream takes at once.",
     "chiveroad.retries.left": "Retries left in this window, by service.",
 }
--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -22,6 +22,10 @@
 SIGNATURE: typing.Final = "X-Server-Stamp"
 NOT_EXECUTED: typing.Final = "X-Not-Executed"
 LOAD: typing.Final = "X-Server-Load"
+RATE_LIMIT: typing.Final = "Server-Limit"
+"""Requests a second that the target takes from all daemons together."""
+
+LEAVING: typing.Final = "Server-Leaving"
 
 MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
 
@@ -110,6 +114,8 @@
                 float(idle_timeout.group(1)) if idle_timeout else 0.0
             ),
             load=_parse_load(header(LOAD, "")),
+            rate_limit_per_s=wire.parse_rate_limit(header(RATE_LIMIT, "")),
+            leaving=header(LEAVING, "") == "1",
         )
 
     def read_heartbeat(
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -76,6 +76,8 @@
         )
         self._limit = _call.Limit()
         self._sampler = logs.Sampler()
+        self._leaving_id = ""
+        self.stated_rate_per_s: float | None = wire.UNLIMITED
         self.draining = False
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
         """Called when the first request begins to wait for a slot."""
@@ -320,12 +322,28 @@
                 call, time.monotonic() - started_s, TIMEOUT_FACTOR
             )
             raise
+        self._log_statements(answer.terms, target_id)
         self._check_answer(answer, target_id)
         if answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
             # The duration of a failure says nothing about that of a success.
             self._record_duration(call, time.monotonic() - started_s)
         return answer
 
+    def _log_statements(
+        self, terms: wire.AnswerTerms, target_id: str
+    ) -> None:
+        """Log what the target states about itself, when that changes."""
+        if terms.rate_limit_per_s not in (None, self.stated_rate_per_s):
+            _log.info(
+                "Target {} states a limit of {} requests a second.",
+                target_id,
+                terms.rate_limit_per_s,
+            )
+            self.stated_rate_per_s = terms.rate_limit_per_s
+        if terms.leaving and target_id != self._leaving_id:
+            _log.info("Target {} states that it leaves.", target_id)
+            self._leaving_id = target_id
+
     def _check_answer(self, answer: _exchange.Answer, target_id: str) -> None:
         terms = answer.terms
         if terms.ran and terms.genuine:
--- a/src/chiveroad/wire/__init__.py
+++ b/src/chiveroad/wire/__init__.py
@@ -11,10 +11,12 @@
 from chiveroad.wire._protocol import Heartbeat
 from chiveroad.wire._protocol import Leave
 from chiveroad.wire._protocol import Load
+from chiveroad.wire._protocol import parse_rate_limit
 from chiveroad.wire._protocol import Protocol
 from chiveroad.wire._protocol import RequestTerms
 from chiveroad.wire._protocol import TargetState
 from chiveroad.wire._protocol import TargetTerms
+from chiveroad.wire._protocol import UNLIMITED
 
 __all__ = [
     "AcceptedVersion",
@@ -27,4 +29,6 @@
     "RequestTerms",
     "TargetState",
     "TargetTerms",
+    "UNLIMITED",
+    "parse_rate_limit",
 ]
--- a/src/chiveroad/wire/_native.py
+++ b/src/chiveroad/wire/_native.py
@@ -17,6 +17,8 @@
 DEPTH_HEADER: typing.Final = "Chiveroad-Depth"
 TARGET_HEADER: typing.Final = "Chiveroad-Upstream"
 CALLER_HEADER: typing.Final = "Chiveroad-Caller"
+RATE_LIMIT_HEADER: typing.Final = "Chiveroad-Rate-Limit"
+LEAVING_HEADER: typing.Final = "Chiveroad-Leaving"
 HEARTBEAT_PATH: typing.Final = "/upstream/v1/heartbeat"
 MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
 
@@ -88,6 +90,10 @@
             ran=header(serving.RAN_HEADER, "") != "no",
             misdirected=status == http.HTTPStatus.MISDIRECTED_REQUEST,
             retry_after_ms=1000 * parse_number(header("Retry-After", "")),
+            rate_limit_per_s=_protocol.parse_rate_limit(
+                header(RATE_LIMIT_HEADER, "")
+            ),
+            leaving=header(LEAVING_HEADER, "") == "1",
         )
 
     def read_heartbeat(
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -10,12 +10,19 @@
 import collections.abc
 import dataclasses
 import enum
+import re
+import typing
 
 import msgspec
 
 from chiveroad import config
 from chiveroad import serving
 
+UNLIMITED: typing.Final = float("inf")
+"""The rate limit of a target that states none."""
+
+_DECIMAL: typing.Final = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?", re.ASCII)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestTerms:
@@ -64,7 +71,10 @@
     ``misdirected`` says further that the address belongs to another target.
     ``genuine`` is False for a success without proof that the target sent it.
     ``idle_timeout_s`` is how long the target keeps the idle connection open,
-    or 0 if it doesn't state this.
+    or 0 if it doesn't state this.  ``rate_limit_per_s`` is how many requests
+    a second the target takes from all daemons together: ``UNLIMITED`` if it
+    states no limit, and None if its statement can't be read.  ``leaving`` is
+    set when the target states that it is about to exit.
     """
 
     request_id: str
@@ -74,6 +84,8 @@
     retry_after_ms: int = 0
     idle_timeout_s: float = 0.0
     load: Load | None = None
+    rate_limit_per_s: float | None = UNLIMITED
+    leaving: bool = False
 
 
 class TargetState(enum.Enum):
@@ -170,3 +182,16 @@
 
         :raises errors.BadMessage: when it can't be decoded.
         """
+
+
+def parse_rate_limit(text: str) -> float | None:
+    """Return the requests a second in a header, or ``UNLIMITED`` without one.
+
+    :returns: None when the header isn't a decimal number.
+
+    >>> parse_rate_limit("47.2")
+    47.2
+    """
+    if not text:
+        return UNLIMITED
+    return float(text) if _DECIMAL.fullmatch(text) else None
