--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -476,10 +476,19 @@
 
     def executions(self, name: str) -> dict[str, target.Execution]:
         """Return the executions that a target recorded, by request id."""
+        record = self._target_record(name)["record"]
+        return msgspec.convert(record, dict[str, target.Execution])
+
+    def arrivals(self, name: str) -> list[target.Arrival]:
+        """Return the requests that arrived at a target, in order."""
+        record = self._target_record(name)["arrivals"]
+        return msgspec.convert(record, list[target.Arrival])
+
+    def _target_record(self, name: str) -> dict[str, typing.Any]:
         url = f"http://{self.instances[name].target}/standin/record"
         data = self._http.request("GET", url, timeout=5.0).data
-        answer = msgspec.json.decode(data)
-        return msgspec.convert(answer["record"], dict[str, target.Execution])
+        record: dict[str, typing.Any] = msgspec.json.decode(data)
+        return record
 
     def run_counts(self) -> dict[str, int]:
         """Return the number of runs per request id, over all targets.
--- a/standins/target.py
+++ b/standins/target.py
@@ -39,7 +39,8 @@
     (load shedding: an answer that says that the request didn't run) and
     ``error`` (status 500).  For ``cold_s`` after the start of the target,
     requests take ten times as long.  ``reported_load``, unless negative, is
-    reported in place of the actual load.
+    reported in place of the actual load.  ``rate_limit`` is the text of the
+    limit that answers state, and ``leaving`` has them state a leave.
     """
 
     service_ms: float = 5.0
@@ -49,6 +50,24 @@
     cold_s: float = 0.0
     chunked: bool = False
     reported_load: int = -1
+    rate_limit: str = ""
+    leaving: bool = False
+
+
+class Arrival(msgspec.Struct):
+    """A request as it arrived, and what its answer stated.
+
+    ``request`` is the caller's id, and ``entry_request`` that of the entry,
+    which identifies the process of the entry.  Times are in monotonic
+    seconds, and ``answered_s`` is 0 without a complete answer.
+    """
+
+    request: str
+    entry_request: str
+    arrived_s: float
+    answered_s: float = 0.0
+    rate_limit: str = ""
+    leaving: bool = False
 
 
 class Execution(msgspec.Struct):
@@ -67,6 +86,7 @@
     name: str
     mode: Mode = dataclasses.field(default_factory=Mode)
     record: dict[str, Execution] = dataclasses.field(default_factory=dict)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     running: int = 0
     peak_running: int = 0
     connections: int = 0
@@ -95,6 +115,13 @@
                 self.over_slots += 1
             self.recent_requests.append(request)
 
+    def arrive(self, request: str, entry_request: str) -> Arrival:
+        """Record that a request has arrived."""
+        arrival = Arrival(request, entry_request, time.monotonic())
+        with self.lock:
+            self.arrivals.append(arrival)
+        return arrival
+
     def end(self, request: str, cancelled: bool) -> None:
         """Record that a request ended."""
         with self.lock:
@@ -189,6 +216,7 @@
                     "over_slots": target.over_slots,
                     "running": target.running,
                     "record": target.record,
+                    "arrivals": target.arrivals,
                 }
             )
 
@@ -199,16 +227,27 @@
             self.close_connection = True
             return
         body = self._read_body()
+        request = self.headers.get("X-Request-Id", "")
+        arrival = target.arrive(
+            request, self.headers.get("Chiveroad-Request", "")
+        )
         if mode.fault == "shed":
-            headers = {"Chiveroad-Ran": "no", "Retry-After": "1"}
+            headers = {
+                **_statements(mode),
+                "Chiveroad-Ran": "no",
+                "Retry-After": "1",
+            }
             self._answer(http.HTTPStatus.SERVICE_UNAVAILABLE, b"", headers)
             return
-        request = self.headers.get("X-Request-Id", "")
         cancelled = self._run_in_slot(request)
         if cancelled:
             self.close_connection = True
             return
-        self._answer_run(mode, request, body)
+        # The mode may have changed while the request ran.
+        stated = target.mode
+        self._answer_run(mode, request, body, _statements(stated))
+        arrival.rate_limit, arrival.leaving = stated.rate_limit, stated.leaving
+        arrival.answered_s = time.monotonic()
 
     def _read_body(self) -> bytes:
         if self.headers.get("Transfer-Encoding") == "chunked":
@@ -243,7 +282,13 @@
         poll.register(self.connection, select.POLLRDHUP)
         return bool(poll.poll(service_s * 1000))
 
-    def _answer_run(self, mode: Mode, request: str, body: bytes) -> None:
+    def _answer_run(
+        self,
+        mode: Mode,
+        request: str,
+        body: bytes,
+        statements: dict[str, str],
+    ) -> None:
         if mode.fault == "late":
             time.sleep(mode.late_ms / 1000)
         answer_id = request
@@ -263,6 +308,7 @@
         headers = {
             "X-Request-Id": answer_id,
             "Chiveroad-Request": chiveroad_request,
+            **statements,
         }
         status = http.HTTPStatus.OK
         if mode.fault == "error":
@@ -324,6 +370,16 @@
         self.wfile.flush()
 
 
+def _statements(mode: Mode) -> dict[str, str]:
+    """Return the headers in which a target states its limit and its leave."""
+    headers = {}
+    if mode.rate_limit:
+        headers["Chiveroad-Rate-Limit"] = mode.rate_limit
+    if mode.leaving:
+        headers["Chiveroad-Leaving"] = "1"
+    return headers
+
+
 class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
     """An HTTP server with a thread for each connection."""
 
