Keep to the rate limit that a target states in its answers

What callers saw: an upstream that stated how many requests a second it takes got two to three times as many (LIMIT); three others of its service were idle.

Cause: what a target states in an answer had no path to what decides. The guard admitted by slots, the balancer knew load and slots.

Change: the guard, through which each request to its target passes, keeps a token bucket at the stated rate beside its slots. What the rate can't start in time is refused at once with E4032, not run, and a Retry-After from the bucket; who waits is ordered as before. Guards report the limit to entries: the balancer counts what waits for the rate, and a service whose limits are all used up is refused without the hop. Entries tell a guard that was restarted, until its target answers. An answer without a limit lifts it only if its request was sent after the last answer with one, and a refusal lifts nothing; a new incarnation starts without a limit; text that is no decimal number changes nothing. A limit of zero still lets a request pass every two seconds, as only an answer can lift it.

--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -270,6 +270,13 @@
     hint = "wait as long as Retry-After says"
 
 
+class RateLimited(Refusal):
+    """The target takes fewer requests a second than arrive."""
+
+    code = 4032
+    hint = "wait as long as Retry-After says"
+
+
 class Draining(Refusal):
     """The target is draining and accepts no new requests."""
 
--- a/src/chiveroad/gauges.py
+++ b/src/chiveroad/gauges.py
@@ -23,8 +23,8 @@
         return {"": clock.now_s() - applied.confirmed_s}
 
     def rate_limit() -> metrics.Values:
-        per_s = guard.stated_rate_per_s
-        return {} if per_s in (None, wire.UNLIMITED) else {"": per_s}
+        per_s = guard.rate_limit_per_s
+        return {} if per_s == wire.UNLIMITED else {"": per_s}
 
     return {
         "chiveroad.config.version": lambda: {"": applied.current.number},
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -1,9 +1,9 @@
-"""Admission control: the guard's slots, its short queue and refusals.
+"""Admission control: slots, the rate limit, a short queue and refusals.
 
-The guard sees every request to its target, so its count of used slots is
-exact.  A request that can't run at once waits in a short queue.  A ``Policy``
-decides which request runs next, which is refused on arrival, and which is
-dropped from the queue.
+The guard sees every request to its target, so its counts of used slots and
+of requests a second are exact.  A request that can't run at once waits in a
+short queue.  A ``Policy`` decides which request runs next, which is refused
+on arrival, and which is dropped from the queue.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 import typing
 
 from chiveroad import clock
+from chiveroad.traffic import _rate_limit
 
 DEFAULT_SERVICE_MS: typing.Final = 20.0
 MIN_RETRY_MS: typing.Final = 50
@@ -65,10 +66,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TicketRefusal:
-    """Why a request was refused, and after what time to retry it."""
+    """Why a request was refused, and after what time to retry it.
+
+    ``rate_limited`` is set when the target's rate limit, rather than its
+    slots, determines that time.
+    """
 
     reason: str
     retry_after_ms: int
+    rate_limited: bool = False
 
 
 class Policy(abc.ABC):
@@ -108,6 +114,7 @@
 
     def __init__(self, limits: Limits, policy: Policy | None = None) -> None:
         self.limits = limits
+        self.rate_limit = _rate_limit.RateLimit()
         self.waiting: list[Ticket] = []
         self.running_by_team: dict[str, int] = {}
         self.running = 0
@@ -127,7 +134,7 @@
     def offer(self, ticket: Ticket, now_s: float) -> None:
         """Admit, queue or refuse a request."""
         self.update_slowdown(now_s)
-        free = self.running < self.limits.slots and not self.waiting
+        free = self.has_room(now_s) and not self.waiting
         if free and (self.meets_deadline(ticket, now_s) or not self.running):
             # A target that has become too slow still gets one request at a
             # time: nothing else shows that it has become fast again.
@@ -159,7 +166,7 @@
             reason = self._policy.drop_reason(self, ticket, now_s)
             if reason:
                 self.drop(ticket, reason)
-        while self.waiting and self.running < self.limits.slots:
+        while self.waiting and self.has_room(now_s):
             chosen = min(
                 self.waiting,
                 key=lambda ticket: self._policy.rank(self, ticket, now_s),
@@ -169,6 +176,11 @@
         if not self.waiting:
             self.queued_since_s = clock.NEVER_S
 
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether a slot is free and the rate limit allows a request."""
+        allowed = self.rate_limit.allows(now_s)
+        return allowed and self.running < self.limits.slots
+
     def withdraw(self, ticket: Ticket) -> bool:
         """Remove a waiting ticket; False if it is no longer waiting."""
         if ticket not in self.waiting:
@@ -210,6 +222,10 @@
 
     def wait_ms(self, ahead: int) -> float:
         """Return the expected wait of a request behind ``ahead`` others."""
+        rate_wait_ms = self.rate_limit.wait_ms(ahead)
+        return max(self._slot_wait_ms(ahead), rate_wait_ms)
+
+    def _slot_wait_ms(self, ahead: int) -> float:
         mean_ms = self._mean_ms * self._slowdown
         return (ahead + 1) * mean_ms / max(1, self.limits.slots)
 
@@ -228,8 +244,13 @@
 
     def refuse(self, ticket: Ticket, reason: str) -> None:
         """Refuse a ticket, with the expected wait as its retry delay."""
-        retry_ms = int(self.wait_ms(len(self.waiting)))
-        ticket.refusal = TicketRefusal(reason, max(MIN_RETRY_MS, retry_ms))
+        ahead = len(self.waiting)
+        retry_ms = int(self.wait_ms(ahead))
+        ticket.refusal = TicketRefusal(
+            reason,
+            max(MIN_RETRY_MS, retry_ms),
+            self.rate_limit.wait_ms(ahead) > self._slot_wait_ms(ahead),
+        )
         ticket.decided.set()
 
     def drop(self, ticket: Ticket, reason: str) -> None:
@@ -240,6 +261,7 @@
     def _admit(self, ticket: Ticket, now_s: float) -> None:
         ticket.admitted = True
         self.running += 1
+        self.rate_limit.take()
         ticket.begun_s = now_s
         self._running.add(ticket)
         count = self.running_by_team.get(ticket.team, 0)
@@ -281,7 +303,7 @@
             for waiting_ticket in state.waiting
             if waiting_ticket.weight >= ticket.weight
         )
-        if state.running < state.limits.slots:
+        if state.has_room(now_s):
             ahead = 0
         need_ms = state.wait_ms(ahead) + state.service_ms(ticket.kind)
         if now_s + need_ms / 1000 > ticket.deadline_s:
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -22,6 +22,7 @@
 import typing
 
 from chiveroad.traffic import _reachability
+from chiveroad import wire
 
 MAX_DOMAIN_LOAD: typing.Final = 0.5
 MAX_REGION_LOAD: typing.Final = 1.0
@@ -63,8 +64,10 @@
     """What an entry has learnt about one target.
 
     ``reported`` counts the running and queued requests that its guard last
-    reported, and ``slots`` is its number of slots.  ``reported_s`` and the
-    other times are in monotonic seconds.
+    reported, and ``slots`` is its number of slots.  ``rate_limit_per_s`` is
+    the target's rate limit, which is used up until
+    ``rate_limited_until_s``.  ``reported_s`` and the other times are in
+    monotonic seconds.
     """
 
     since_s: float
@@ -76,6 +79,8 @@
     failure_share: float = 0.0
     ejected_until_s: float = 0.0
     blocked_until_s: float = 0.0
+    rate_limited_until_s: float = 0.0
+    rate_limit_per_s: float = wire.UNLIMITED
     service_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def record_load(
@@ -97,13 +102,18 @@
         """Return the expected completion time of a request at this target.
 
         It is the service time of a single request, plus the time for the
-        requests queued before it when they outnumber the slots.  A target
-        without a reported service time counts as fast, so that it is tried.
+        requests queued before it when they outnumber the slots, or exceed
+        the rate limit.  A target without a reported service time counts as
+        fast, so that it is tried.
         """
         service_ms = self.service_ms.get(kind, DEFAULT_SERVICE_MS)
         rounds = (outstanding + 1) / self.slots
-        queued = max(0.0, rounds - 1.0)
-        return service_ms * (1.0 + rounds * CROWDING_SLOWDOWN + queued)
+        queued_ms = max(
+            service_ms * (rounds - 1.0),
+            self._rate_wait_ms(service_ms, outstanding),
+            0.0,
+        )
+        return service_ms * (1.0 + rounds * CROWDING_SLOWDOWN) + queued_ms
 
     def outstanding(self, now_s: float) -> int:
         """Return the estimated number of running and queued requests."""
@@ -139,8 +149,24 @@
 
     def load(self, outstanding: int, now_s: float) -> float:
         """Return the load; 1 means that all slots are taken."""
-        capacity = self.slots * self._slow_start_share(now_s)
-        return (outstanding + 1) / capacity - 1 / self.slots
+        mean_ms = DEFAULT_SERVICE_MS
+        if self.service_ms:
+            mean_ms = sum(self.service_ms.values()) / len(self.service_ms)
+        slots = self._usable_slots(mean_ms)
+        capacity = slots * self._slow_start_share(now_s)
+        return (outstanding + 1) / capacity - 1 / slots
+
+    def _rate_wait_ms(self, service_ms: float, outstanding: int) -> float:
+        """Return how long the requests beyond the rate limit take to start."""
+        if self.rate_limit_per_s == wire.UNLIMITED:
+            return 0.0
+        waiting = outstanding + 1 - self._usable_slots(service_ms)
+        return max(0.0, 1000 * waiting / self.rate_limit_per_s)
+
+    def _usable_slots(self, service_ms: float) -> float:
+        """Return how many slots the rate limit keeps busy."""
+        busy = self.rate_limit_per_s * max(1.0, service_ms) / 1000
+        return min(self.slots, max(1.0, busy))
 
     def _slow_start_share(self, now_s: float) -> float:
         share = (now_s - self.since_s) / SLOW_START_S
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -34,6 +34,10 @@
 OBJECTIVE_MS: typing.Final = "Chiveroad-Objective-Ms"
 INNER: typing.Final = "Chiveroad-Inner"
 LOAD: typing.Final = "Chiveroad-Load"
+RATE_LIMIT: typing.Final = "Chiveroad-Rate-Limit"
+"""The target's rate limit, from the guard with each answer; from the entry,
+which may know it while a guard that was restarted doesn't."""
+
 RETRY_AFTER_MS: typing.Final = "Chiveroad-Retry-After-Ms"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
 
@@ -173,6 +177,7 @@
     waits for this one.  ``failover`` decides whether a target's failure is
     replaced by another target's answer, and ``failure_answer`` is such a
     failure.  ``pending`` holds the open exchanges, the oldest first.
+    ``rate_limit_per_s`` is the target's rate limit as far as the entry knows.
     """
 
     id: str
@@ -194,6 +199,7 @@
     failure_answer: tuple[int, list[serving.Header], bytes] | None = None
     pending: list[Pending] = dataclasses.field(default_factory=list)
     limit: Limit = dataclasses.field(default_factory=Limit)
+    rate_limit_per_s: float = wire.UNLIMITED
 
     @property
     def due_s(self) -> float:
@@ -237,6 +243,8 @@
             yield OBJECTIVE_MS, str(int(left_s * 1000))
         if self.inner:
             yield INNER, "1"
+        if self.rate_limit_per_s != wire.UNLIMITED:
+            yield RATE_LIMIT, f"{self.rate_limit_per_s:.3f}"
 
 
 def write_kind(name: str, kind: config.Kind) -> str:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -288,6 +288,7 @@
         self._recorder.count("chiveroad.entry.picks", distance)
         stats = self._targets.stats(member)
         call.failover = self._failover(attempts)
+        call.rate_limit_per_s = stats.rate_limit_per_s
         self._targets.count(stats, 1)
         try:
             self._serve(attempts, member, stats)
@@ -340,6 +341,7 @@
             finally:
                 load = self._guard.load(call.kind_name)
                 _targets.learn_local_load(stats, load, call.kind_name)
+                stats.rate_limit_per_s = self._guard.rate_limit_per_s
             return
         with self._targets.awaiting_answer(member.guard):
             answer = _exchange.send_request(
@@ -350,7 +352,7 @@
                 _guard_answer.read_terms,
                 self._hedge(attempts, member, stats),
             )
-        _targets.learn_load(stats, answer, call.kind_name)
+        self._targets.learn_state(member, stats, answer, call.kind_name)
         code = answer.header(serving.CODE_HEADER)
         if code:
             answer.read()
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -27,6 +27,7 @@
 from chiveroad.traffic import _exchange
 from chiveroad.traffic import _objective
 from chiveroad.traffic import _pool
+from chiveroad.traffic import _rate_limit
 from chiveroad import wire
 
 PROBE_PATH: typing.Final = "/guard/v1/probe"
@@ -76,8 +77,7 @@
         )
         self._limit = _call.Limit()
         self._sampler = logs.Sampler()
-        self._leaving_id = ""
-        self.stated_rate_per_s: float | None = wire.UNLIMITED
+        self._incarnation: tuple[int, str] = (0, "")
         self.draining = False
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
         """Called when the first request begins to wait for a slot."""
@@ -94,7 +94,7 @@
             if request.begun:
                 raise
             retry_ms = str(refusal.retry_after_ms)
-            extra += [self.load(), (_call.RETRY_AFTER_MS, retry_ms)]
+            extra += [*self._state(), (_call.RETRY_AFTER_MS, retry_ms)]
             request.refuse(refusal, extra)
 
     def serve(
@@ -169,6 +169,18 @@
         slots = admission.limits.slots
         return (_call.LOAD, f"{admission.load} {slots} {service_ms}")
 
+    def _state(self, kind_name: str = "") -> list[serving.Header]:
+        """Return the headers that report the state of the target."""
+        headers = [self.load(kind_name)]
+        if self.rate_limit_per_s != wire.UNLIMITED:
+            headers.append((_call.RATE_LIMIT, f"{self.rate_limit_per_s:.3f}"))
+        return headers
+
+    @property
+    def rate_limit_per_s(self) -> float:
+        """Return the target's rate limit, ``wire.UNLIMITED`` without one."""
+        return self._admission.rate_limit.per_s
+
     @property
     def running(self) -> int:
         """Return how many requests the target is running."""
@@ -224,6 +236,10 @@
             objective_s=_objective_s(request),
             inner=bool(request.header(_call.INNER)),
             limit=self._limit,
+            rate_limit_per_s=wire.parse_rate_limit(
+                request.header(_call.RATE_LIMIT)
+            )
+            or wire.UNLIMITED,
         )
 
     def _limits(self) -> _admission.Limits:
@@ -250,6 +266,9 @@
         )
         with self._lock:
             self._admission.limits = self._limits()
+            rate_limit = self._rate_limit()
+            if call.rate_limit_per_s != wire.UNLIMITED:
+                rate_limit.adopt(call.rate_limit_per_s, now_s)
             self._admission.offer(ticket, now_s)
             first = len(self._admission.waiting) == 1
         if not ticket.decided.is_set():
@@ -266,7 +285,10 @@
                 ticket.refusal.retry_after_ms,
                 extra=self._log_fields(call),
             )
-            raise errors.Overloaded(reason, ticket.refusal.retry_after_ms)
+            error: type[errors.Refusal] = errors.Overloaded
+            if ticket.refusal.rate_limited:
+                error = errors.RateLimited
+            raise error(reason, ticket.refusal.retry_after_ms)
         if self._sampler.allow():
             _log.info(
                 "Request {} was admitted.",
@@ -306,7 +328,8 @@
     ) -> _exchange.Answer:
         self._recorder.count("chiveroad.guard.requests", "run")
         started_s = time.monotonic()
-        target_id = self._target.status.target_id
+        status = self._target.status
+        target_id = status.target_id
         try:
             answer = _exchange.send_request(
                 self._pool,
@@ -322,27 +345,57 @@
                 call, time.monotonic() - started_s, TIMEOUT_FACTOR
             )
             raise
-        self._log_statements(answer.terms, target_id)
+        self._learn(answer.terms, status, started_s)
         self._check_answer(answer, target_id)
         if answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
             # The duration of a failure says nothing about that of a success.
             self._record_duration(call, time.monotonic() - started_s)
         return answer
 
-    def _log_statements(
-        self, terms: wire.AnswerTerms, target_id: str
+    def _learn(
+        self,
+        terms: wire.AnswerTerms,
+        status: presence.TargetStatus,
+        sent_s: float,
     ) -> None:
-        """Log what the target states about itself, when that changes."""
-        if terms.rate_limit_per_s not in (None, self.stated_rate_per_s):
+        """Learn what the target states about itself.
+
+        :param status: the target that the request was sent to.
+        """
+        if terms.misdirected or not terms.genuine:
+            return
+        with self._lock:
+            rate_limit = self._rate_limit()
+            if status.incarnation != self._incarnation:
+                return
+            before_per_s = rate_limit.per_s
+            # A refusal may come from a part of the target that states none.
+            if terms.ran or terms.rate_limit_per_s != wire.UNLIMITED:
+                rate_limit.learn(
+                    terms.rate_limit_per_s, sent_s, time.monotonic()
+                )
+        if terms.rate_limit_per_s is None and self._sampler.allow():
+            _log.warning(
+                "Target {} states a rate limit that is no decimal number, so "
+                "the limit of {} requests a second stays.",
+                status.target_id,
+                before_per_s,
+            )
+        if rate_limit.per_s != before_per_s:
             _log.info(
-                "Target {} states a limit of {} requests a second.",
-                target_id,
-                terms.rate_limit_per_s,
+                "Target {} takes {} requests a second, as its answers state.",
+                status.target_id,
+                rate_limit.per_s,
             )
-            self.stated_rate_per_s = terms.rate_limit_per_s
-        if terms.leaving and target_id != self._leaving_id:
-            _log.info("Target {} states that it leaves.", target_id)
-            self._leaving_id = target_id
+
+    def _rate_limit(self) -> _rate_limit.RateLimit:
+        """Return the rate limit of the target's current incarnation."""
+        status = self._target.status
+        known = status.phase is not presence.Phase.UNKNOWN
+        if known and status.incarnation != self._incarnation:
+            self._incarnation = status.incarnation
+            self._admission.rate_limit = _rate_limit.RateLimit()
+        return self._admission.rate_limit
 
     def _check_answer(self, answer: _exchange.Answer, target_id: str) -> None:
         terms = answer.terms
@@ -380,7 +433,7 @@
         extra: collections.abc.Sequence[serving.Header],
         kind_name: str,
     ) -> None:
-        headers = [*extra, self.load(kind_name)] if extra else []
+        headers = [*extra, *self._state(kind_name)] if extra else []
         _exchange.forward_answer(answer, request, headers)
 
     def _run_once(
--- a/src/chiveroad/traffic/_objective.py
+++ b/src/chiveroad/traffic/_objective.py
@@ -53,7 +53,7 @@
     ) -> str:
         """Return why a ticket that can't run at once is refused, or ''."""
         ahead = 0
-        if state.running >= state.limits.slots:
+        if not state.has_room(now_s):
             ahead = state.ahead(ticket, now_s)
         wait_ms = state.wait_ms(ahead)
         need_ms = wait_ms + state.service_ms(ticket.kind)
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -14,6 +14,7 @@
 import time
 import typing
 
+from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import logs
@@ -26,12 +27,12 @@
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _pool
 from chiveroad.traffic import _reachability
+from chiveroad import wire
 
 NO_TARGET_RETRY_MS: typing.Final = 1_000
 BLOCK_LIMIT_MS: typing.Final = 1_000
 OVERLOAD_BLOCK_MS: typing.Final = 50
 SIZE_SMOOTHING: typing.Final = 0.1
-
 _CALLER_FAULTS: typing.Final = (
     errors.CallerDisconnected,
     errors.CallerDisconnectedEarly,
@@ -64,6 +65,9 @@
         """The statistics last looked up for each instance, valid only for the
         same member record (compared by identity)."""
 
+        self._rate_limits: dict[str, float] = {}
+        """The limits of targets, which outlast restarts of their daemons."""
+
         self._pools: dict[str, _pool.Pool] = {}
         self._reachabilities: dict[str, _reachability.Reachability] = {}
         self._missing: dict[str, _reachability.Reachability] = {}
@@ -105,8 +109,32 @@
                 f"no upstream of {service!r} can be asked",
                 NO_TARGET_RETRY_MS,
             )
+        if chosen.blocked:
+            self._check_rate_limits(service, untried)
         return chosen, member
 
+    def _check_rate_limits(
+        self, service: str, candidates: list[_balancer.Candidate]
+    ) -> None:
+        """Refuse a request that every candidate's guard would refuse.
+
+        :raises errors.NoTarget: when all rate limits are used up.
+        """
+        now_s = time.monotonic()
+        wait_s = clock.NEVER_S
+        for candidate in candidates:
+            member = self._view.get(candidate.instance)
+            if member is None:
+                return
+            until_s = self.stats(member).rate_limited_until_s
+            if until_s <= now_s:
+                return
+            wait_s = min(wait_s, until_s - now_s)
+        raise errors.NoTarget(
+            f"the rate limit of each upstream of {service!r} is used up",
+            max(1, int(1000 * wait_s)),
+        )
+
     def reachability(self, address: str) -> _reachability.Reachability:
         """Return the state of the network path to a daemon's guard."""
         found = self._reachabilities.get(address)
@@ -337,6 +365,9 @@
             service = self._applied.config.services.get(member.service)
             slots = service.slots if service is not None else 0
             stats.slots = slots or member.slots or stats.slots
+            stats.rate_limit_per_s = self._rate_limits.get(
+                _target_key(member), wire.UNLIMITED
+            )
             self._stats[key] = stats
         self._stats_cache[member.instance] = (member, stats)
         return stats
@@ -347,6 +378,29 @@
         """Yield the statistics of each target of a service."""
         return map(self.stats, self._view.of_service(service))
 
+    def learn_state(
+        self,
+        member: membership.Member,
+        stats: _balancer.TargetStats,
+        answer: _exchange.Answer,
+        kind: str,
+    ) -> None:
+        """Record the state of a target that its guard's answer reports."""
+        load = answer.header(_call.LOAD)
+        if not load:
+            # The guard had no free worker, so its server refused the request.
+            return
+        _learn_from_header(stats, load, kind)
+        stats.rate_limit_per_s = (
+            wire.parse_rate_limit(answer.header(_call.RATE_LIMIT))
+            or wire.UNLIMITED
+        )
+        key = _target_key(member)
+        if stats.rate_limit_per_s != wire.UNLIMITED:
+            self._rate_limits[key] = stats.rate_limit_per_s
+        else:
+            self._rate_limits.pop(key, None)
+
     def profile(self, call: _call.Call) -> _balancer.RequestProfile:
         """Return the properties of a request that the balancer weighs."""
         return _balancer.RequestProfile(
@@ -396,10 +450,16 @@
         current = {_stats_key(member) for member in members}
         for key in set(self._stats) - current:
             self._stats.pop(key, None)
+        self._forget_targets({_target_key(member) for member in members})
         instances = {member.instance for member in members}
         for instance in set(self._stats_cache) - instances:
             self._stats_cache.pop(instance, None)
 
+    def _forget_targets(self, current: collections.abc.Set[str]) -> None:
+        """Drop what targets stated that are no longer members."""
+        for key in set(self._rate_limits) - current:
+            self._rate_limits.pop(key, None)
+
     def _by_distance(self, service: str) -> _MembersByDistance:
         members = self._view.of_service(service)
         cached = self._distance_cache.get(service)
@@ -419,13 +479,6 @@
         return _balancer.Distance.REMOTE
 
 
-def learn_load(
-    stats: _balancer.TargetStats, answer: _exchange.Answer, kind: str
-) -> None:
-    """Record the load and speed that a guard's answer reports."""
-    _learn_from_header(stats, answer.header(_call.LOAD), kind)
-
-
 def learn_local_load(
     stats: _balancer.TargetStats, load: serving.Header, kind: str
 ) -> None:
@@ -461,11 +514,17 @@
         # Each finished request frees capacity, and other requests may be
         # admitted in the meantime.
         limit_ms = min(limit_ms, OVERLOAD_BLOCK_MS)
+    if isinstance(refusal, errors.RateLimited):
+        stats.rate_limited_until_s = now_s + limit_ms / 1000
     stats.record_block(now_s, limit_ms / 1000)
 
 
 def _stats_key(member: membership.Member) -> str:
+    return f"{_target_key(member)}#{member.incarnation}"
+
+
+def _target_key(member: membership.Member) -> str:
+    """Return a key for the incarnation of a member's target."""
     return (
-        f"{member.instance}@{member.incarnation}"
-        f"/{member.target_id}@{member.target_started_at_ms}"
+        f"{member.instance}/{member.target_id}@{member.target_started_at_ms}"
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -167,6 +167,30 @@
     assert (terms.ran, terms.genuine) == (ran, genuine)
 
 
+@pytest.mark.parametrize(
+    ("text", "per_s"),
+    [
+        ("", wire.UNLIMITED),
+        ("47.2", 47.2),
+        ("3", 3.0),
+        ("0", 0.0),
+        ("-1", None),
+        ("1e9", None),
+        ("nan", None),
+        ("9" * 400, None),
+        ("47,2", None),
+    ],
+)
+def test_rate_limit_of_an_answer_is_decoded(
+    text: str, per_s: float | None
+) -> None:
+    headers = {"Server-Limit": text, "Server-Leaving": "1"}
+    terms = platform.Protocol().read_answer(
+        200, lambda name, default: headers.get(name, default)
+    )
+    assert (terms.rate_limit_per_s, terms.leaving) == (per_s, True)
+
+
 def test_configuration_is_translated() -> None:
     split = {
         **ROUTE,
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -17,8 +17,10 @@
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _claims
 from chiveroad.traffic import _entry
+from chiveroad.traffic import _rate_limit
 from chiveroad.traffic import _retry
 from chiveroad.traffic import _retry_budget
+from chiveroad import wire
 from tests import fakes
 
 DOMAIN: typing.Final = _balancer.Distance.DOMAIN
@@ -454,3 +456,102 @@
 def claim_fields(claim: _claims.Claim) -> dict[str, object]:
     """Return the fields of a claim."""
     return {name: getattr(claim, name) for name in claim.__struct_fields__}
+
+
+def _sent_per_second(limit: _rate_limit.RateLimit, seconds: int) -> list[int]:
+    """Return how many requests a limit allows in each second."""
+    counts = []
+    for second in range(seconds):
+        sent = 0
+        for step in range(1_000):
+            while limit.allows(10.0 + second + step / 1_000):
+                limit.take()
+                sent += 1
+        counts.append(sent)
+    return counts
+
+
+@pytest.mark.parametrize("per_s", [47.2, 11.2, 0.7, 300.0])
+def test_rate_limit_allows_its_rate_and_no_burst_at_its_start(
+    per_s: float,
+) -> None:
+    limit = _rate_limit.RateLimit()
+    limit.learn(per_s, 9.0, 10.0)
+    assert not limit.allows(10.0)
+    counts = _sent_per_second(limit, 8)
+    assert sum(counts) == pytest.approx(8 * per_s, abs=1.5)
+    assert max(counts) <= per_s * (1 + _rate_limit.BURST_S) + 1
+
+
+# Guards against a target that states a limit of zero and is never asked again.
+def test_target_that_takes_no_requests_is_asked_now_and_then() -> None:
+    limit = _rate_limit.RateLimit()
+    limit.learn(0.0, 9.0, 10.0)
+    assert 3 <= sum(_sent_per_second(limit, 8)) <= 4
+    limit.learn(wire.UNLIMITED, 17.0, 18.0)
+    assert not limit.active
+
+
+@pytest.mark.parametrize(
+    ("stated_per_s", "sent_s", "active"),
+    [
+        (wire.UNLIMITED, 10.5, False),
+        (wire.UNLIMITED, 9.5, True),  # sent before the limit was stated
+        (None, 10.5, True),  # a statement that can't be read
+        (8.0, 9.5, True),
+    ],
+)
+def test_only_a_later_answer_without_a_limit_lifts_it(
+    stated_per_s: float | None, sent_s: float, active: bool
+) -> None:
+    limit = _rate_limit.RateLimit()
+    limit.learn(5.0, 9.0, 10.0)
+    limit.learn(stated_per_s, sent_s, 11.0)
+    assert limit.active is active
+
+
+def test_limit_that_an_entry_knows_applies_until_the_target_answers() -> None:
+    limit = _rate_limit.RateLimit()
+    limit.adopt(5.0, 10.0)
+    assert limit.per_s == 5.0
+    limit.learn(wire.UNLIMITED, 10.5, 11.0)
+    limit.adopt(5.0, 12.0)
+    assert not limit.active
+
+
+def test_request_beyond_the_rate_limit_waits_or_is_refused() -> None:
+    admission = _admission.Admission(
+        _admission.Limits(slots=4, queue_length=1), _admission.WeightFirst()
+    )
+    admission.rate_limit.learn(4.0, 9.0, 10.0)
+    tickets = [
+        make_ticket(deadline_s=10.3 + left_s, arrived_s=10.3)
+        for left_s in (9.0, 9.0, 0.4)
+    ]
+    for ticket in tickets:
+        admission.offer(ticket, 10.3)
+    assert [outcome(ticket) for ticket in tickets] == [
+        "admitted",
+        "waits",
+        "can't be finished in time",
+    ]
+    refusal = tickets[2].refusal
+    assert refusal is not None and refusal.rate_limited
+    assert refusal.retry_after_ms == 500
+    admission.advance(10.4)
+    assert outcome(tickets[1]) == "waits"
+    admission.advance(10.6)
+    assert outcome(tickets[1]) == "admitted"
+
+
+def test_target_at_its_rate_limit_is_expected_to_answer_late() -> None:
+    stats = _balancer.TargetStats(since_s=-100.0, slots=18)
+    stats.record_load(0, 18, 0.0, "k", 160.0)
+    unlimited_ms = stats.completion_ms("k", 4)
+    stats.rate_limit_per_s = 11.2
+    assert stats.completion_ms("k", 0) < unlimited_ms
+    # 1.8 requests run at once at this rate, so 3.2 of 5 wait.
+    waiting_ms = 1_000 * (5 - 11.2 * 0.16) / 11.2
+    assert stats.completion_ms("k", 4) == pytest.approx(
+        unlimited_ms + waiting_ms
+    )
