Send nothing to a target that has stated in an answer that it leaves

A target's leave was taken in from its heartbeats alone; what an answer states had no path to what decides.

Change: the guard marks its target as draining, by the incarnation that was asked, has that recorded, and reports it with each answer. Entries leave out the incarnation that a guard has reported, also when the daemon beside it is restarted and knows nothing. A target without heartbeats is announced as draining, and as ready once its address has refused a connection and accepts one again; entries hold its leave for 10 s at most, as its incarnations can't be told apart.

Why it works: an incarnation that leaves never takes work again, whichever message says so first, and both who sends and who guards know it.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -39,6 +39,7 @@
 
 PROBE_INTERVAL_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.3
+LEAVE_CHECK_INTERVAL_S: typing.Final = 1.0
 PEER_PROBE_INTERVAL_S: typing.Final = 0.1
 PEER_IDLE_WAIT_S: typing.Final = 1.0
 """How late the probing thread may notice a stop if no request waits."""
@@ -122,6 +123,8 @@
         )
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
+        self._target_leaves = threading.Event()
+        self._guard.on_leave = self._record_leave
         self._peers_left = threading.Event()
         self._servers = self._make_servers()
         self._status_servers = self._make_status_servers()
@@ -211,7 +214,7 @@
                 push_options.push_address, push_options.push_interval_ms
             )
         for task in (
-            self._probe_target,
+            self._watch_target,
             self._collect_claims,
             self._probe_peers,
         ):
@@ -221,6 +224,7 @@
         _log.info("Daemon {} started.", self._options.instance)
         self._run_ticks()
         self._stop.set()
+        self._target_leaves.set()
         self._drain()
 
     def _accepts_requests(self) -> bool:
@@ -266,24 +270,59 @@
             limits.max_head_bytes, limits.head_timeout_ms / 1000
         )
 
-    def _probe_target(self) -> None:
-        """Announce a target without heartbeats once it accepts connections."""
+    def _watch_target(self) -> None:
+        """Announce the states of a target that sends no heartbeats.
+
+        The target is ready once it accepts connections, and its next
+        incarnation once connections have been refused after a leave.
+        """
         if self._options.target.heartbeats:
             return
-        self._target.restore(
-            presence.TargetStatus(
-                service=self._options.service, phase=presence.Phase.READY
-            )
+        service = self._options.service
+        ready = presence.TargetStatus(
+            service=service, phase=presence.Phase.READY
         )
+        while self._wait_for_target(accepting=True):
+            self._target_leaves.clear()
+            self._target.replace(ready)
+            self._control_plane.announce(membership.State.READY)
+            _log.info(
+                "Target {} accepts connections and is ready.",
+                self._options.target.address,
+            )
+            self._wait_for_leave()
+            if self._stop.is_set():
+                return
+            self._control_plane.announce(membership.State.DRAINING)
+            if not self._wait_for_target(accepting=False):
+                return
+
+    def _wait_for_target(self, accepting: bool) -> bool:
+        """Wait until the target accepts connections, or no longer does.
+
+        :returns: False at a stop.
+        """
+        address = self._options.target.address
         while not self._stop.is_set():
-            address = self._options.target.address
-            if connection.accepts_connections(address, PROBE_TIMEOUT_S):
-                self._control_plane.announce(membership.State.READY)
-                _log.info(
-                    "Target {} accepts connections and is ready.", address
-                )
+            accepts = connection.accepts_connections(address, PROBE_TIMEOUT_S)
+            if accepts is accepting:
+                return True
+            self._stop.wait(PROBE_INTERVAL_S)
+        return False
+
+    def _wait_for_leave(self) -> None:
+        """Wait until the target leaves or the daemon stops.
+
+        The record of an earlier incarnation of the daemon may say so, too.
+        """
+        while not self._target_leaves.wait(LEAVE_CHECK_INTERVAL_S):
+            if self._target.status.phase is not presence.Phase.READY:
                 return
-            time.sleep(PROBE_INTERVAL_S)
+
+    def _record_leave(self) -> None:
+        """Let other daemons know that the target states that it leaves."""
+        self._control_plane.record(0.0)
+        self._target_leaves.set()
 
     def _probe_peers(self) -> None:
         """Probe unresponsive daemons while requests wait."""
--- a/src/chiveroad/presence/_local.py
+++ b/src/chiveroad/presence/_local.py
@@ -108,6 +108,32 @@
         unknown = status.phase is _state.Phase.UNKNOWN
         return LeaveSource.UNKNOWN if unknown else LeaveSource.OTHER
 
+    def mark_leaving(self, incarnation: tuple[int, str]) -> bool:
+        """Apply an answer in which the target states that it leaves.
+
+        :param incarnation: the incarnation that the answer came from.
+        :returns: whether this wasn't known yet.
+        """
+        with self._lock:
+            status = self._status
+            ready = status.phase is _state.Phase.READY
+            if not ready or status.incarnation != incarnation:
+                return False
+            self._status = _state.mark_leaving(
+                status, _state.Phase.DRAINING, self._clock.steady_s()
+            )
+        _log.info(
+            "Target {} of service {} states in an answer that it leaves.",
+            status.target_id or self._address,
+            status.service,
+        )
+        return True
+
+    def replace(self, status: _state.TargetStatus) -> None:
+        """Set the status of a target that sends no heartbeats."""
+        with self._lock:
+            self._status = status
+
     def restore(self, recorded: _state.TargetStatus) -> None:
         """Merge the status recorded by an earlier incarnation of this daemon.
 
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -38,6 +38,9 @@
 """The target's rate limit, from the guard with each answer; from the entry,
 which may know it while a guard that was restarted doesn't."""
 
+LEAVING: typing.Final = "Chiveroad-Leaving"
+"""The incarnation of the guard's target, once that target leaves."""
+
 RETRY_AFTER_MS: typing.Final = "Chiveroad-Retry-After-Ms"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
 
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -82,6 +82,9 @@
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
         """Called when the first request begins to wait for a slot."""
 
+        self.on_leave: collections.abc.Callable[[], None] = lambda: None
+        """Called when an answer of the target states that it leaves."""
+
     def handle(self, request: serving.Request) -> None:
         """Serve a request that another daemon's entry sent."""
         if request.path == PROBE_PATH:
@@ -174,6 +177,10 @@
         headers = [self.load(kind_name)]
         if self.rate_limit_per_s != wire.UNLIMITED:
             headers.append((_call.RATE_LIMIT, f"{self.rate_limit_per_s:.3f}"))
+        status = self._target.status
+        if status.phase in (presence.Phase.DRAINING, presence.Phase.GONE):
+            incarnation = f"{status.target_id}@{status.started_at_ms}"
+            headers.append((_call.LEAVING, incarnation))
         return headers
 
     @property
@@ -364,6 +371,8 @@
         """
         if terms.misdirected or not terms.genuine:
             return
+        if terms.leaving and self._target.mark_leaving(status.incarnation):
+            self.on_leave()
         with self._lock:
             rate_limit = self._rate_limit()
             if status.incarnation != self._incarnation:
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -33,6 +33,13 @@
 BLOCK_LIMIT_MS: typing.Final = 1_000
 OVERLOAD_BLOCK_MS: typing.Final = 50
 SIZE_SMOOTHING: typing.Final = 0.1
+LEAVE_HOLD_S: typing.Final = 10.0
+"""How long a target without heartbeats counts as leaving after its guard last
+reported it: its next incarnation can't be told from the present one."""
+
+_UNNAMED_INCARNATION: typing.Final = "/@0"
+"""The end of ``_target_key`` for a target that sends no heartbeats."""
+
 _CALLER_FAULTS: typing.Final = (
     errors.CallerDisconnected,
     errors.CallerDisconnectedEarly,
@@ -68,6 +75,10 @@
         self._rate_limits: dict[str, float] = {}
         """The limits of targets, which outlast restarts of their daemons."""
 
+        self._leaving: dict[str, float] = {}
+        """When guards last reported that their targets leave, in monotonic
+        seconds; like limits, this outlasts restarts of daemons."""
+
         self._pools: dict[str, _pool.Pool] = {}
         self._reachabilities: dict[str, _reachability.Reachability] = {}
         self._missing: dict[str, _reachability.Reachability] = {}
@@ -95,7 +106,8 @@
 
         :raises errors.NoTarget: when no untried target is reachable.
         """
-        by_distance = self._reachable(self._by_distance(service), tried)
+        staying = self._staying(self._by_distance(service))
+        by_distance = self._reachable(staying, tried)
         candidates = self._candidates(by_distance, profile)
         untried = [
             candidate
@@ -291,6 +303,22 @@
             else reachability.state
         )
 
+    def _staying(self, by_distance: _MembersByDistance) -> _MembersByDistance:
+        """Return the members whose targets don't leave.
+
+        The view may not have the leave, or a restarted daemon not know it.
+        """
+        if not self._leaving:
+            return by_distance
+        return {
+            distance: [
+                member
+                for member in members
+                if _target_key(member) not in self._leaving
+            ]
+            for distance, members in by_distance.items()
+        }
+
     def _reachable(
         self,
         by_distance: _MembersByDistance,
@@ -395,6 +423,9 @@
             wire.parse_rate_limit(answer.header(_call.RATE_LIMIT))
             or wire.UNLIMITED
         )
+        leaving = answer.header(_call.LEAVING)
+        if leaving:
+            self._leaving[f"{member.instance}/{leaving}"] = time.monotonic()
         key = _target_key(member)
         if stats.rate_limit_per_s != wire.UNLIMITED:
             self._rate_limits[key] = stats.rate_limit_per_s
@@ -459,6 +490,11 @@
         """Drop what targets stated that are no longer members."""
         for key in set(self._rate_limits) - current:
             self._rate_limits.pop(key, None)
+        before_s = time.monotonic() - LEAVE_HOLD_S
+        for key, reported_s in list(self._leaving.items()):
+            unnamed = key.endswith(_UNNAMED_INCARNATION)
+            if key not in current or (unnamed and reported_s < before_s):
+                self._leaving.pop(key, None)
 
     def _by_distance(self, service: str) -> _MembersByDistance:
         members = self._view.of_service(service)
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -108,3 +108,19 @@
     assert share_served(running_mesh, results) >= MIN_SHARE_SERVED
     used = sum(bool(a.rate_limit) for a in arrivals)
     assert used >= MIN_SHARE_USED * float(LIMIT) * LOAD_S
+
+
+# Guards against sending requests to a target that has stated that it leaves.
+@pytest.mark.parametrize("event", [nothing, restart_daemon])
+def test_no_request_reaches_a_target_that_has_stated_that_it_leaves(
+    running_mesh: mesh.Mesh, event: Event
+) -> None:
+    mode = target.Mode(leaving=True)
+    results = run_load(running_mesh, mode, event, 1.0, 5.0)
+    sent_s = {
+        result.id: result.ended_s - result.took_ms / 1000 for result in results
+    }
+    arrivals = running_mesh.arrivals(STATED)
+    assert any(arrival.leaving for arrival in arrivals)
+    assert statements.after_leaving(arrivals, sent_s) == []
+    assert share_served(running_mesh, results) >= MIN_SHARE_SERVED
