--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -556,7 +556,7 @@
         typing.cast(_claims.Claims, None),
         metrics.Recorder(),
         wire.Native(),
-        typing.cast(presence.LocalTarget, None),
+        presence.LocalTarget("127.0.0.1:4"),
     )
 
 
