Take no refusal without an id for the answer on a reused connection

What callers saw: at other operators, a faulty upstream wrote an earlier refusal once more on a kept connection, and requests that ran were answered 'not run' (REFUSED) or ran at a second upstream (TWICE). It happens here too.

Cause: any failure without a request id was accepted as the request's own, as one may be sent before the peer has read the id. With an earlier id it was skipped already.

Change: once a connection has carried a request, such an answer of a peer that states ids is skipped, like a success without an id. The platform's targets state ids by protocol, others once they have done so. On a new connection it still counts: nothing earlier can be repeated there. Daemons are trusted: one without a free worker refuses a request whose id it hasn't read.

The same id twice on one connection can't happen: an entry never picks a target twice for one request, and each attempt of a caller has its own id.

--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -68,6 +68,7 @@
     """The names and formats of the platform."""
 
     fractional_retry_after = True
+    echoes_ids = True
 
     def __init__(self) -> None:
         self._reader = _configuration.Reader()
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -302,7 +302,7 @@
         )
         echoed = answer.terms.request_id
         self._pool.echoes_ids = self._pool.echoes_ids or echoed == call.id
-        if echoed == call.id or _may_omit_id(answer, self._pool):
+        if echoed == call.id or self._may_omit_id(answer):
             self._incoming = answer
             return
         self._mismatched += 1
@@ -311,6 +311,21 @@
             raise errors.AnswerMismatched(f"the answer is to {echoed}")
         response.skip(MAX_READ_BYTES)
 
+    def _may_omit_id(self, answer: Answer) -> bool:
+        """Tell whether an answer without a request id is accepted.
+
+        A refusal may be sent before the peer has read the request's id.  On
+        a reused connection it may be a repeated one of an earlier request.
+        """
+        if answer.terms.request_id:
+            return False
+        if not self._pool.echoes_ids:
+            return True
+        if http.HTTPStatus.OK <= answer.status < _FIRST_REDIRECT:
+            return False
+        repeated = self.connection.reused or self._mismatched > 0
+        return self._pool.is_daemon or not repeated
+
     def send(self, headers: collections.abc.Iterable[serving.Header]) -> None:
         """Send the request."""
         try:
@@ -375,16 +390,6 @@
         call.pending.remove(exchange)
 
 
-def _may_omit_id(answer: Answer, pool: _pool.Pool) -> bool:
-    """Tell whether an answer without a request id is accepted.
-
-    A refusal may be sent before the peer has read the request's id.
-    """
-    succeeded = http.HTTPStatus.OK <= answer.status < _FIRST_REDIRECT
-    has_id = bool(answer.terms.request_id)
-    return not has_id and not (succeeded and pool.echoes_ids)
-
-
 def forward_answer(
     answer: Answer,
     request: serving.Request,
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -66,7 +66,9 @@
         self._claims = claims
         self._protocol = protocol
         self._target = target
-        self._pool = _pool.Pool(options.target.address)
+        self._pool = _pool.Pool(
+            options.target.address, echoes_ids=protocol.echoes_ids
+        )
         self._lock = threading.Lock()
         policies: dict[str, _admission.Policy] = {
             "weight": _admission.WeightFirst(),
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -180,6 +180,11 @@
             return False
         return self.has_data() or not serving.is_disconnected(self.sock)
 
+    @property
+    def reused(self) -> bool:
+        """Tell whether the connection has carried an earlier request."""
+        return self.idle_since_s > 0.0
+
     def readable(self) -> bool:
         """Tell whether a part of an answer has arrived."""
         return not self.no_pending_data()
@@ -203,6 +208,9 @@
     :param address: ``HOST:PORT``.
     :param connect_timeout_s: how long opening a connection may take.
     :param uplink: the uplink shared by large bodies to other instances.
+    :param echoes_ids: whether the protocol has the peer state ids.
+    :param is_daemon: whether the peer is another daemon.  One that has no
+        free worker refuses a request without having read its id.
     """
 
     def __init__(
@@ -210,13 +218,16 @@
         address: str,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         uplink: serving.Uplink | None = None,
+        echoes_ids: bool = False,
+        is_daemon: bool = False,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
         self._connect_timeout_s = connect_timeout_s
         self._uplink = uplink
-        self.echoes_ids = False
+        self.echoes_ids = echoes_ids
+        self.is_daemon = is_daemon
         self.trusted = True
         self.last_body_s = 0.0
         self._limit = IdleLimit()
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -462,7 +462,10 @@
         pool = self._pools.get(address)
         if pool is None:
             new_pool = _pool.Pool(
-                address, _pool.PEER_CONNECT_TIMEOUT_S, self._uplink
+                address,
+                _pool.PEER_CONNECT_TIMEOUT_S,
+                self._uplink,
+                is_daemon=True,
             )
             pool = self._pools.setdefault(address, new_pool)
         return pool
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -136,6 +136,9 @@
     fractional_retry_after: bool = False
     """Whether callers accept a ``Retry-After`` with fractions of a second."""
 
+    echoes_ids: bool = False
+    """Whether each answer of a target states the id of its request."""
+
     @abc.abstractmethod
     def read_request(self, request: serving.Request) -> RequestTerms:
         """Read the properties that a caller states about its request."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -280,6 +280,47 @@
     assert bodies == [b"new", b"new"]
 
 
+# Guards against taking the repeated refusal of an earlier request for the
+# answer to a request that is running.
+@pytest.mark.parametrize("status", [400, 421, 429, 500, 503])
+@pytest.mark.parametrize("echoed_before", [False, True])
+def test_refusal_without_id_on_a_reused_connection_is_skipped(
+    status: int, echoed_before: bool
+) -> None:
+    refusal = (
+        f"HTTP/1.1 {status} X\r\nX-Not-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+    first = WHOLE if echoed_before else refusal
+
+    def serve(sock: socket.socket) -> None:
+        sock.recv(65_536)
+        sock.sendall(first)
+        sock.recv(65_536)
+        sock.sendall(refusal)
+        sock.sendall(WHOLE)
+
+    with target(serve) as address:
+        pool = _pool.Pool(address, echoes_ids=True)
+        ask(address, call(), pool)
+        assert ask(address, call(), pool)[0] == b"new"
+
+
+def test_daemon_without_a_free_worker_refuses_on_a_reused_connection() -> None:
+    refusal = (
+        b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+    def serve(sock: socket.socket) -> None:
+        answering(WHOLE)(sock)
+        answering(refusal)(sock)
+
+    with target(serve) as address:
+        pool = _pool.Pool(address, is_daemon=True)
+        ask(address, call(), pool)
+        assert ask(address, call(), pool)[0] == b""
+
+
 def test_duplicate_answers_without_id_prevent_reuse() -> None:
     """The peer's answers state no id and each is sent twice.
 
