Ignore what other writers leave that can't be used

Cause: input was checked for its types alone. RecursionError isn't one of msgspec's errors, and one nested value failed the decoding of a whole page or of all events; integers of 400 digits were taken in and failed where they are encoded for other daemons; a port of 99999 or a word failed in the thread that connects; a record under one name could speak for another instance; an id of a heartbeat with a line break would have been sent in a header.

Change: decoding.decode tells nesting as the error that it is, and lists of several writers are read with such values left out. Records of members are checked where they are read from the store and where they are merged: numbers, names, addresses, and that a record speaks for the object's own name. Heartbeats have bounds.

--- a/src/chiveroad/config/_delta.py
+++ b/src/chiveroad/config/_delta.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from chiveroad import decoding
 from chiveroad import errors
 
 MAX_SNAPSHOT_BYTES: typing.Final = 64 * 1024 * 1024
@@ -90,7 +91,7 @@
         another digest than the one expected.
     """
     try:
-        items = _items_decoder.decode(_decompress(packed))
+        items = decoding.decode(_items_decoder, _decompress(packed))
     except (zlib.error, msgspec.DecodeError) as exc:
         raise errors.DigestMismatch(f"unreadable snapshot: {exc}") from exc
     if digest(items) != expected_digest:
@@ -109,7 +110,7 @@
     :raises errors.DigestMismatch: when the delta can't be decoded.
     """
     try:
-        return _delta_decoder.decode(_decompress(packed))
+        return decoding.decode(_delta_decoder, _decompress(packed))
     except (zlib.error, msgspec.DecodeError) as exc:
         raise errors.DigestMismatch(f"unreadable delta: {exc}") from exc
 
--- a/src/chiveroad/connection.py
+++ b/src/chiveroad/connection.py
@@ -5,8 +5,10 @@
 import collections.abc
 import errno
 import os
+import re
 import select
 import socket
+import typing
 
 AcceptsConnections = collections.abc.Callable[[str, float], bool]
 """Returns whether an address accepts a connection within some seconds."""
@@ -14,6 +16,26 @@
 SocketOption = tuple[int, int, int | bytes]
 
 
+_LABEL: typing.Final = r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+_ADDRESS: typing.Final = re.compile(
+    rf"(?P<host>{_LABEL}(\.{_LABEL})*):(?P<port>[0-9]{{1,5}})"
+)
+_MAX_HOST_LENGTH: typing.Final = 253
+_MAX_PORT: typing.Final = 65_535
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is ``HOST:PORT``, as it can be connected to.
+
+    >>> is_address("10.0.0.9:8080"), is_address("10.0.0.9:99999")
+    (True, False)
+    """
+    found = _ADDRESS.fullmatch(text)
+    if found is None or len(found["host"]) > _MAX_HOST_LENGTH:
+        return False
+    return 0 < int(found["port"]) <= _MAX_PORT
+
+
 def open_socket(
     host: str,
     port: int,
--- a/src/chiveroad/control/_bootstrap.py
+++ b/src/chiveroad/control/_bootstrap.py
@@ -18,6 +18,7 @@
 from chiveroad.control import _node
 from chiveroad.control import _peer
 from chiveroad.control import _source
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -119,7 +120,7 @@
         )
         answer = self._post(member, _source.HELLO_PATH, hello)
         try:
-            peer_version = _decoder.decode(answer).version
+            peer_version = decoding.decode(_decoder, answer).version
         except msgspec.DecodeError as exc:
             raise errors.BadMessage(f"{member.instance}: {exc}") from exc
         if peer_version >= current.number:
--- a/src/chiveroad/control/_merger.py
+++ b/src/chiveroad/control/_merger.py
@@ -19,6 +19,7 @@
 from chiveroad.control import _accept
 from chiveroad.control import _lease
 from chiveroad.control import _threads
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
@@ -56,6 +57,9 @@
     text: str
 
 
+_file_decoder = msgspec.json.Decoder(FolderFile)
+
+
 def source_of(stored: store.StoredObject) -> config.Source:
     """Return a stored file as an input of the merge.
 
@@ -63,7 +67,7 @@
     that it gets a verdict like any other file and blocks no merge.
     """
     try:
-        text = msgspec.json.decode(stored.spec, type=FolderFile).text
+        text = decoding.decode(_file_decoder, stored.spec).text
     except msgspec.DecodeError as exc:
         text = f"not a file: {exc}"
     return config.Source(stored.name, stored.version, text)
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -15,6 +15,7 @@
 from chiveroad import membership
 
 MAX_BEHIND: typing.Final = 20
+MAX_LOGGED_NAME: typing.Final = 80
 
 _log = logs.Logger("membership")
 
@@ -80,7 +81,7 @@
 
         :returns: the members that changed the view.
         """
-        updated = self.view.merge(received)
+        updated = self.view.merge(self._usable(received))
         own = self._member
         for member in updated:
             if member.instance != own.instance:
@@ -91,6 +92,21 @@
                 self._refute(member)
         return updated
 
+    def _usable(
+        self, received: collections.abc.Iterable[membership.Member]
+    ) -> collections.abc.Iterator[membership.Member]:
+        """Yield the records without a defect."""
+        for member in received:
+            defect = member.defect()
+            if not defect:
+                yield member
+                continue
+            _log.warning(
+                "Record of member {!r} ignored: {}.",
+                member.instance[:MAX_LOGGED_NAME],
+                defect,
+            )
+
     def _log_change(self, member: membership.Member) -> None:
         """Log a member's state, at level info in the own failure domain only.
 
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -12,8 +12,10 @@
 from chiveroad.control import _backoff
 from chiveroad.control import _messages
 from chiveroad.control import _threads
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
+from chiveroad import membership
 from chiveroad import store
 
 RETRY_S: typing.Final = 0.1
@@ -219,9 +221,22 @@
     states of a member are ordered as their writes in the store.
     """
     try:
-        record = _decoder.decode(stored.spec)
+        record = decoding.decode(_decoder, stored.spec)
     except msgspec.DecodeError as exc:
         _log.warning("Record {} ignored, not readable: {}.", stored.name, exc)
         return None
+    defect = _defect(record, stored.name)
+    if defect:
+        _log.warning("Record {} ignored: {}.", stored.name, defect)
+        return None
     member = msgspec.structs.replace(record.member, sequence=stored.version)
     return msgspec.structs.replace(record, member=member)
+
+
+def _defect(record: _messages.MemberRecord, name: str) -> str:
+    """Return why a record can't be used, or an empty string."""
+    if record.member.instance != name:
+        return f"it names the instance {record.member.instance!r}"
+    if not 0 <= record.ended_by_ms <= membership.MAX_NUMBER:
+        return "ended_by_ms is out of range"
+    return record.member.defect()
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -17,6 +17,7 @@
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _source
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import membership
 from chiveroad import serving
@@ -244,6 +245,8 @@
         self, request: serving.Request, decoder: msgspec.json.Decoder[_T]
     ) -> _T:
         try:
-            return decoder.decode(request.read_body(MAX_MESSAGE_BYTES))
+            return decoding.decode(
+                decoder, request.read_body(MAX_MESSAGE_BYTES)
+            )
         except msgspec.DecodeError as exc:
             raise errors.BadRequest(f"unreadable message: {exc}") from exc
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -14,6 +14,7 @@
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _peer
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
@@ -286,7 +287,7 @@
         timeout_s = hold_ms / 1000 + self._grace_s
         data = self._call(address, SYNC_PATH, body, timeout_s)
         try:
-            return _answer_decoder.decode(data)
+            return decoding.decode(_answer_decoder, data)
         except msgspec.DecodeError as exc:
             raise errors.BadMessage(f"{address}: {exc}") from exc
 
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -4,9 +4,27 @@
 
 import collections.abc
 import enum
+import re
+import typing
 
 import msgspec
 
+from chiveroad import connection
+
+MAX_NUMBER: typing.Final = 2**53
+"""The largest integer that every JSON decoder reads exactly."""
+
+_NUMBERS: typing.Final = (
+    "incarnation",
+    "sequence",
+    "target_started_at_ms",
+    "slots",
+    "store_distance_ms",
+    "capacity_percent",
+)
+_ADDRESSES: typing.Final = ("entry", "guard", "control")
+_NAME: typing.Final = re.compile(r"[^\x00-\x1f\x7f]{1,253}")
+
 
 class State(enum.Enum):
     """The states of a member.
@@ -52,6 +70,24 @@
     store_distance_ms: int = 0
     capacity_percent: int = 0
 
+    def defect(self) -> str:
+        """Return why a received record can't be used, or an empty string.
+
+        Another writer may have left it: a number that can't be encoded, or an
+        address that can't be connected to, would fail wherever it is used.
+        """
+        for name in _NUMBERS:
+            if not 0 <= getattr(self, name) <= MAX_NUMBER:
+                return f"{name} is out of range"
+        for name in _ADDRESSES:
+            if not connection.is_address(getattr(self, name)):
+                return f"{name} is no address"
+        if not all(
+            _NAME.fullmatch(name) for name in (self.instance, self.service)
+        ):
+            return "a name is empty, too long or has control characters"
+        return ""
+
     def order(self) -> tuple[int, int, bool]:
         """Return the sort key; the greater record of an instance wins."""
         dead = self.state is State.DEAD
--- a/src/chiveroad/platform/_configuration.py
+++ b/src/chiveroad/platform/_configuration.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chiveroad import config
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import wire
 
@@ -86,10 +87,10 @@
         :raises errors.BadMessage: when the configuration can't be decoded.
         """
         try:
-            configuration = _decoder.decode(spec)
+            configuration = decoding.decode(_decoder, spec)
             number = int(configuration.version.removeprefix("r"))
             routes = self._routes(configuration.routes)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except (msgspec.DecodeError, ValueError, OverflowError) as exc:
             raise errors.BadMessage(f"unreadable version: {exc}") from exc
         kinds: dict[str, dict[str, config.Kind]] = {}
         items: list[tuple[str, str]] = []
--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad.platform import _configuration
 from chiveroad import serving
@@ -28,6 +29,13 @@
 LEAVING: typing.Final = "Server-Leaving"
 
 MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
+MAX_COUNT: typing.Final = 2**53
+"""The largest integer that every JSON decoder reads exactly."""
+
+MAX_COLD_S: typing.Final = 24 * 3600.0
+
+_TARGET_ID: typing.Final = re.compile(r"[!-~]{1,200}")
+"""A target's id is sent in a header, so it can't hold line breaks."""
 
 _HEARTBEAT: typing.Final = "instances.heartbeat"
 _LEAVE: typing.Final = "instances.deregister"
@@ -39,17 +47,21 @@
 _JSON_CONTENT_TYPE: typing.Final = ("Content-Type", "application/json")
 
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Seconds = typing.Annotated[float, msgspec.Meta(ge=-MAX_COLD_S, le=MAX_COLD_S)]
+
+
 class _Info(msgspec.Struct):
     service: str
-    slots: int
+    slots: _Count
 
 
 class _Status(msgspec.Struct):
     """``seq`` counts the heartbeats of one incarnation."""
 
     state: typing.Literal["ready", "draining"]
-    seq: int
-    cold_remaining_s: float = 0.0
+    seq: _Count
+    cold_remaining_s: _Seconds = 0.0
 
 
 class _Heartbeat(msgspec.Struct):
@@ -58,7 +70,7 @@
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: _Count = 0
 
 
 _decoder = msgspec.json.Decoder(_Heartbeat)
@@ -128,13 +140,13 @@
         target_id = query.get("of", [""])[0]
         if request.method != "POST" or call not in (_HEARTBEAT, _LEAVE):
             raise errors.NoRoute("no such call")
-        if not target_id:
-            raise errors.BadRequest("a heartbeat without an id")
+        if not _TARGET_ID.fullmatch(target_id):
+            raise errors.BadRequest("a heartbeat without a valid id")
         body = request.read_body(MAX_HEARTBEAT_BYTES)
         if call == _LEAVE:
             return wire.Leave(target_id)
         try:
-            heartbeat = _decoder.decode(body)
+            heartbeat = decoding.decode(_decoder, body)
         except msgspec.DecodeError as exc:
             raise errors.BadRequest(f"unreadable heartbeat: {exc}") from exc
         return wire.Heartbeat(
@@ -145,7 +157,7 @@
             sequence=heartbeat.status.seq,
             started_at_ms=heartbeat.born,
             slots=heartbeat.info.slots,
-            cold_ms=int(heartbeat.status.cold_remaining_s * 1000),
+            cold_ms=max(0, int(heartbeat.status.cold_remaining_s * 1000)),
         )
 
     def heartbeat_answer(self) -> tuple[serving.Header, bytes]:
--- a/src/chiveroad/store/_outcome.py
+++ b/src/chiveroad/store/_outcome.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from chiveroad import decoding
 from chiveroad import errors
 
 _WRITES: typing.Final = frozenset({"POST", "PUT", "DELETE"})
@@ -48,6 +49,6 @@
     :raises errors.StoreUnavailable: when the body can't be decoded.
     """
     try:
-        return decoder.decode(body)
+        return decoding.decode_each(decoder, body)
     except msgspec.DecodeError as exc:
         raise errors.StoreUnavailable(f"unreadable answer: {exc}") from exc
--- a/src/chiveroad/traffic/_claims.py
+++ b/src/chiveroad/traffic/_claims.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import serving
@@ -164,7 +165,7 @@
         except errors.StoreError:
             self._enqueue(_Release(unsettled))
             raise
-        if _decoder.decode(stored.spec).attempt != own.attempt:
+        if decoding.decode(_decoder, stored.spec).attempt != own.attempt:
             raise errors.StoreConflict(name)
         return HeldClaim(name, stored.version, own)
 
@@ -178,7 +179,9 @@
             raise errors.KeyInProgress(message, RETRY_AFTER_MS) from exc
         except errors.StoreError as exc:
             raise _unavailable(exc) from exc
-        outcome = resolve_duplicate(_decoder.decode(stored.spec), own, now_ms)
+        outcome = resolve_duplicate(
+            decoding.decode(_decoder, stored.spec), own, now_ms
+        )
         if isinstance(outcome, errors.Refusal):
             raise outcome
         return outcome
@@ -254,7 +257,7 @@
 
     def apply(self, platform: store.Store) -> None:
         stored = platform.get(store.Kind.CLAIMS, self.held.name)
-        claim = _decoder.decode(stored.spec)
+        claim = decoding.decode(_decoder, stored.spec)
         if claim.attempt == self.held.claim.attempt:
             platform.delete(store.Kind.CLAIMS, stored.name, stored.version)
 
@@ -284,7 +287,7 @@
     deleted = 0
     for stored in platform.list(store.Kind.CLAIMS, prefix).objects:
         try:
-            if not is_expired(_decoder.decode(stored.spec), now_ms):
+            if not is_expired(decoding.decode(_decoder, stored.spec), now_ms):
                 continue
             platform.delete(store.Kind.CLAIMS, stored.name, stored.version)
         except (errors.StoreConflict, errors.StoreNotFound):
--- a/src/chiveroad/wire/_native.py
+++ b/src/chiveroad/wire/_native.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import serving
 from chiveroad.wire import _protocol
@@ -103,8 +104,8 @@
         if request.method != "POST" or request.path != HEARTBEAT_PATH:
             raise errors.NoRoute(f"no page {request.path}")
         try:
-            body = _heartbeat_decoder.decode(
-                request.read_body(MAX_HEARTBEAT_BYTES)
+            body = decoding.decode(
+                _heartbeat_decoder, request.read_body(MAX_HEARTBEAT_BYTES)
             )
         except msgspec.DecodeError as exc:
             raise errors.BadRequest(f"unreadable heartbeat: {exc}") from exc
@@ -128,7 +129,7 @@
     def read_version(self, spec: msgspec.Raw) -> _protocol.AcceptedVersion:
         """Read a configuration version that was accepted elsewhere."""
         try:
-            body = _version_decoder.decode(spec)
+            body = decoding.decode(_version_decoder, spec)
         except msgspec.DecodeError as exc:
             raise errors.BadMessage(f"unreadable version: {exc}") from exc
         return _protocol.AcceptedVersion(body.number, body.items)
--- /dev/null
+++ b/tests/test_odd_writers.py
@@ -0,0 +1,152 @@
+"""Entries and heartbeats of other writers name no target; the others hold."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+import msgspec
+import pytest
+
+from chiveroad.control import _messages
+from chiveroad.control import _record
+from chiveroad import decoding
+from chiveroad import errors
+from chiveroad import membership
+from chiveroad import platform as adapter
+from chiveroad import presence
+from chiveroad import store
+from standins import odd_writers
+from standins import platform_store
+from tests import fakes
+from tests import test_follower
+from tests import test_platform
+
+NAME: typing.Final = "odd-1"
+RECORD: typing.Final = msgspec.to_builtins(
+    _messages.MemberRecord(fakes.member(NAME), presence.Phase.READY),
+)
+ODD_RECORDS: typing.Final = dict(odd_writers.records(RECORD))
+
+
+def record_of(name: str) -> _messages.MemberRecord:
+    """Return a valid record of an instance."""
+    return _messages.MemberRecord(fakes.member(name), presence.Phase.READY)
+
+
+# Guards against one nested entry that makes a whole list unreadable.
+def test_nested_entry_leaves_the_other_entries_readable() -> None:
+    server = platform_store.serve("127.0.0.1", 0)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    client = adapter.ObjectStore(f"127.0.0.1:{server.server_address[1]}", 3.0)
+    for name in ("a", NAME, "z"):
+        spec: object = record_of(name)
+        if name == NAME:
+            spec = ODD_RECORDS["nested"]
+        server.api.store.put(store.Kind.MEMBERS, name, spec, store.ABSENT)
+    listed = client.list(store.Kind.MEMBERS).objects
+    watched = [
+        event.object
+        for event in client.watch(store.Kind.MEMBERS, 0, 0.1)
+        if event.object is not None
+    ]
+    server.shutdown()
+    server.server_close()
+    for objects in (listed, watched):
+        usable = [found.name for found in objects if _record.read(found)]
+        assert usable == ["a", "z"]
+
+
+# Guards against a record that fails wherever it is used, such as one whose
+# number can't be encoded or whose address can't be connected to.
+@pytest.mark.parametrize("label", ODD_RECORDS)
+def test_odd_record_names_no_member(label: str) -> None:
+    stored = store.StoredObject(NAME, 7, ODD_RECORDS[label])
+    assert _record.read(stored) is None
+
+
+def test_record_with_a_nested_further_field_is_ignored() -> None:
+    odd = odd_writers.with_nested_field(RECORD)
+    assert _record.read(store.StoredObject(NAME, 7, odd)) is None
+
+
+def test_record_under_another_name_names_no_member() -> None:
+    spec = msgspec.Raw(msgspec.json.encode(record_of("a")))
+    assert _record.read(store.StoredObject("a", 7, spec)) is not None
+    assert _record.read(store.StoredObject(NAME, 7, spec)) is None
+
+
+# Guards against daemons that stop following members at an odd entry.
+def test_daemons_follow_members_beside_odd_entries() -> None:
+    with test_follower.fleet("ab") as (shared, _, followers):
+        for number, odd in enumerate(ODD_RECORDS.values()):
+            shared.put(store.Kind.MEMBERS, f"odd-{number}", odd, store.ABSENT)
+        for follower in followers.values():
+            follower.start()
+        test_follower.wait_for(lambda: _ready_members(followers) == {"ab"})
+        # Odd entries that come by a watch.
+        for stored in shared.list(store.Kind.MEMBERS, "odd-").objects:
+            shared.put(
+                store.Kind.MEMBERS, stored.name, stored.spec, stored.version
+            )
+        shared.put(store.Kind.MEMBERS, "c", record_of("c"), store.ABSENT)
+        test_follower.accept(shared, 4)
+        test_follower.wait_for(lambda: _ready_members(followers) == {"abc"})
+        test_follower.wait_for(
+            lambda: all(
+                follower.node.applied.current.number == 4
+                for follower in followers.values()
+            )
+        )
+
+
+def _ready_members(
+    followers: dict[str, test_follower.FollowerDaemon],
+) -> set[str]:
+    """Return the names of all ready members, as each daemon sees them."""
+    return {
+        "".join(
+            member.instance
+            for member in follower.node.view.all()
+            if member.state is membership.State.READY
+        )
+        for follower in followers.values()
+    }
+
+
+@pytest.mark.parametrize(
+    ("table", "name", "value"),
+    [
+        ("", "further", odd_writers.DEEP),
+        ("", "born", odd_writers.HUGE),
+        ("info", "slots", b"-1"),
+        ("info", "slots", odd_writers.HUGE),
+        ("status", "seq", odd_writers.HUGE),
+        ("status", "cold_remaining_s", b"1e308"),
+        ("status", "cold_remaining_s", b"-1e300"),
+    ],
+)
+def test_odd_heartbeat_is_refused(table: str, name: str, value: bytes) -> None:
+    odd = odd_writers.changed(test_platform.HEARTBEAT, table, name, value)
+    with pytest.raises(errors.BadRequest):
+        test_platform.decode_heartbeat(test_platform.HEARTBEAT_URI, bytes(odd))
+
+
+@pytest.mark.parametrize("target_id", ["", "%0d%0aX-Deadline-Ms:%201", "a b"])
+def test_heartbeat_with_an_id_that_fits_no_header_is_refused(
+    target_id: str,
+) -> None:
+    uri = f"/rpc?call=instances.heartbeat&of={target_id}"
+    with pytest.raises(errors.BadRequest):
+        test_platform.decode_heartbeat(uri, test_platform.HEARTBEAT)
+
+
+def test_only_values_below_the_limit_of_nesting_are_dropped() -> None:
+    decoder = msgspec.json.Decoder(list[msgspec.Raw])
+    kept = b'{"a":"]}[{\\"","b":[[1],{}]}'
+    values = decoding.decode_each(
+        decoder, b"[" + kept + b"," + odd_writers.DEEP + b",2]"
+    )
+    assert bytes(values[0]) == kept
+    assert bytes(values[2]) == b"2"
+    assert len(bytes(values[1])) < 2 * decoding.MAX_DEPTH + 10
