--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -218,6 +218,35 @@
     assert caught.value.ran == "unknown"
 
 
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+BY_LENGTH = OWN + b"Content-Length: 11\r\n\r\nhello world"
+IN_CHUNKS = (
+    OWN + b"Transfer-Encoding: chunked\r\n\r\n"
+    b"05\r\nhello\r\n006;x=y\r\n world\r\n0\r\nTrailer: t\r\n\r\n"
+)
+
+
+# Guards against an answer that counts as whole although it was cut in a head,
+# a chunk size or a trailer.
+@pytest.mark.parametrize("whole", [BY_LENGTH, IN_CHUNKS])
+@pytest.mark.parametrize("interim", [b"", INTERIM])
+def test_answer_that_stops_at_any_byte_is_not_whole(
+    whole: bytes, interim: bytes
+) -> None:
+    sent = interim + whole
+    last_chunk = sent.find(b"0\r\nTrailer")
+    for size in range(len(sent) + 1):
+        with target(answering(sent[:size])) as address:
+            try:
+                body, _ = ask(address, call())
+            except errors.OutcomeUnknown:
+                assert size < len(sent)
+                continue
+        assert body == b"hello world", sent[:size]
+        # The body is whole once its last chunk has arrived.
+        assert size == len(sent) or 0 < last_chunk < size
+
+
 def test_connection_with_bytes_after_an_answer_is_closed() -> None:
     with target(answering(WHOLE + LATE)) as address:
         body, pool = ask(address, call())
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -18,6 +18,7 @@
 from standins import memory_store
 from standins import object_api
 from standins import platform_store
+from tests import test_exchange
 
 FILES = store.Kind.FILES
 
@@ -255,3 +256,22 @@
     with pytest.raises(errors.StoreUnavailable) as caught:
         client.put(FILES, "a.toml", 1, store.ABSENT)
     assert type(caught.value) is errors.StoreUnavailable
+
+
+# Guards against taking an answer that was cut in its head for an empty one.
+def test_answer_of_the_store_that_stops_at_any_byte_is_no_object() -> None:
+    body = b'{"metadata":{"name":"a","revision":3},"spec":{"text":"t"}}'
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (
+        len(body),
+        body,
+    )
+    for size in range(len(answer) + 1):
+        with test_exchange.target(
+            test_exchange.answering(answer[:size])
+        ) as address:
+            client = adapter.ObjectStore(address, 3.0)
+            if size < len(answer):
+                with pytest.raises(errors.StoreError):
+                    client.get(FILES, "a")
+                continue
+            assert client.get(FILES, "a").version == 3
