Soak: targets that state a limit or a leave, and an odd writer

The statements are drawn apart from the other faults, so that the plan of each seed stays; they are judged by what the target recorded (standins/statements.py). The history is forgotten while another writer leaves a nested entry among the domains' members. A relay that finds its domain's object unreadable writes it anew, and chiveroad status counts such objects as unreadable; both ended with an error before.

--- a/src/chiveroad/cli/_status.py
+++ b/src/chiveroad/cli/_status.py
@@ -8,11 +8,14 @@
 
 from chiveroad.cli import _output
 from chiveroad import control
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import store
 
 _T = typing.TypeVar("_T")
 
+_domain_decoder = msgspec.json.Decoder(control.DomainMembers)
+
 
 class MeshStatus(msgspec.Struct):
     """The status of the whole mesh, as read from the store."""
@@ -29,9 +32,12 @@
     accepted = control.read_current(platform).accepted
     members: dict[str, int] = {}
     for stored in platform.list(store.Kind.DOMAINS).objects:
-        domain_members = msgspec.json.decode(
-            stored.spec, type=control.DomainMembers
-        )
+        try:
+            domain_members = decoding.decode(_domain_decoder, stored.spec)
+        except msgspec.DecodeError:
+            # Another writer has left it; the daemons log why they ignore it.
+            members["unreadable"] = members.get("unreadable", 0) + 1
+            continue
         for member in domain_members.members:
             state = member.state.value
             members[state] = members.get(state, 0) + 1
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -11,6 +11,7 @@
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _threads
+from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -22,6 +23,7 @@
 RETRY_S: typing.Final = 0.5
 
 _log = logs.Logger("membership")
+_domain_decoder = msgspec.json.Decoder(_messages.DomainMembers)
 
 
 class Publisher:
@@ -85,7 +87,15 @@
             stored = self._store.get(store.Kind.DOMAINS, domain)
         except errors.StoreNotFound:
             return store.ABSENT
-        known = msgspec.json.decode(stored.spec, type=_messages.DomainMembers)
+        try:
+            known = decoding.decode(_domain_decoder, stored.spec)
+        except msgspec.DecodeError as exc:
+            _log.warning(
+                "Members of domain {} are replaced, not readable: {}.",
+                domain,
+                exc,
+            )
+            return stored.version
         self._node.merge(known.members)
         return stored.version
 
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -23,6 +23,7 @@
 from chiveroad import errors
 from chiveroad import store
 from standins import memory_store
+from standins import odd_writers
 
 PREFIX: typing.Final = "/apis/chiveroad/v1/"
 
@@ -107,6 +108,13 @@
             self.api.faults = msgspec.json.decode(body, type=Faults)
         elif self.path == "/compact":
             self.api.store.compact()
+        elif self.path == "/odd-entry":
+            store.overwrite(
+                self.api.store,
+                store.Kind.DOMAINS,
+                "odd",
+                msgspec.Raw(odd_writers.DEEP),
+            )
         self._answer(http.HTTPStatus.OK, {})
 
     def _handle(
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -26,6 +26,7 @@
 from standins import judge
 from standins import mesh
 from standins import monitor
+from standins import statements
 from standins import target
 
 DEPLOYMENT: typing.Final = mesh.Deployment(
@@ -125,6 +126,48 @@
 )
 
 
+STATEMENT_KINDS: typing.Final = {"states-limit": 8.0, "states-leave": 3.0}
+"""What a target states in its answers, and for how long, in seconds: a limit
+binds only some seconds after its first statement."""
+
+STATED_LIMIT: typing.Final = "6.5"
+
+
+def draw_statements(
+    seed: int,
+    names: collections.abc.Sequence[str],
+    faults: collections.abc.Sequence[PlannedFault],
+) -> list[PlannedFault]:
+    """Return what targets state during a run, and when.
+
+    A target states something only while it has no other fault.  These draws
+    are separate, so that the faults of a seed stay the same.
+    """
+    rng = random.Random(f"statements {seed}")
+    planned: list[PlannedFault] = []
+    for kind, duration_s in STATEMENT_KINDS.items():
+        for name in rng.sample(list(names), len(names)):
+            start_s = rng.uniform(0.0, FAULT_PHASE_S - 3.0)
+            drawn = PlannedFault(start_s, kind, name, duration_s)
+            if not any(
+                _overlap(drawn, other) for other in (*faults, *planned)
+            ):
+                planned.append(drawn)
+                break
+    return planned
+
+
+def _overlap(first: PlannedFault, second: PlannedFault) -> bool:
+    """Tell whether faults affect the same target at the same time."""
+    if first.affected != second.affected or second.kind in DAEMON_KINDS:
+        return False
+    # A restarted process needs 1 s until its next fault.
+    return (
+        first.start_s < second.start_s + second.duration_s + 1.0
+        and second.start_s < first.start_s + first.duration_s + 1.0
+    )
+
+
 def draw_faults(
     seed: int, names: collections.abc.Sequence[str]
 ) -> list[PlannedFault]:
@@ -175,6 +218,9 @@
         self._starting: dict[str, concurrent.futures.Future[None]] = {}
         self._starters = concurrent.futures.ThreadPoolExecutor()
         self.kill_times_s: dict[str, list[float]] = {}
+        self.arrivals: dict[PlannedFault, list[target.Arrival]] = {}
+        """The arrivals at a target until it no longer states something."""
+
         self.hung_daemons: list[str] = []
 
     def inject_all(self) -> None:
@@ -221,6 +267,9 @@
             running_mesh.set_mode(
                 name, _target_mode(kind.removeprefix("answers-"))
             )
+        elif kind in STATEMENT_KINDS:
+            running_mesh.wait_for_target(name)
+            running_mesh.set_mode(name, _stating_mode(kind))
         elif kind.startswith("link-"):
             self._impair_link(name, kind.removeprefix("link-"))
         else:
@@ -241,6 +290,13 @@
             running_mesh.start_target(name)
         elif kind == "upstream-freeze":
             running_mesh.resume(f"upstream {name}")
+        elif kind in STATEMENT_KINDS:
+            self.arrivals[fault] = running_mesh.arrivals(name)
+            if kind == "states-leave":
+                running_mesh.kill(f"upstream {name}")
+                running_mesh.start_target(name)
+            else:
+                running_mesh.set_mode(name, target.Mode())
         elif kind.startswith("answers-"):
             running_mesh.set_mode(name, target.Mode())
         elif kind.startswith("link-"):
@@ -270,6 +326,8 @@
         elif kind == "store-loses-answers":
             running_mesh.faults(lose_answers=10)
         elif kind == "store-forgets":
+            # Another writer leaves an entry while the history is dropped.
+            running_mesh.write_odd_entry()
             running_mesh.compact_history()
         else:
             for link in running_mesh.store_links.values():
@@ -295,6 +353,12 @@
             self._mesh.start_daemon(name)
 
 
+def _stating_mode(kind: str) -> target.Mode:
+    if kind == "states-leave":
+        return target.Mode(leaving=True)
+    return target.Mode(rate_limit=STATED_LIMIT)
+
+
 def _target_mode(fault: str) -> target.Mode:
     if fault == "slow":
         return target.Mode(service_ms=700.0)
@@ -338,7 +402,9 @@
         running_mesh.push_example()
         running_mesh.wait_in_force(1)
         running_mesh.wait_serving()
-        faults = draw_faults(seed, list(running_mesh.instances))
+        names = list(running_mesh.instances)
+        faults = draw_faults(seed, names)
+        faults += draw_statements(seed, names, faults)
         findings = _run_with_load(running_mesh, faults)
         if findings:
             folder = FINDINGS / str(seed)
@@ -421,6 +487,10 @@
         f"  {verdict.total} requests, {verdict.served} served, "
         f"{verdict.refused} refused, {len(verdict.lost)} without an answer"
     )
+    sent_s = {
+        result.id: result.ended_s - result.took_ms / 1000
+        for _, result in results
+    }
     findings_by_label = {
         "ran twice": verdict.doubled,
         "said not to have run, and had": verdict.untrue,
@@ -439,6 +509,16 @@
             if len(digests) > 1
         ],
         "didn't end after SIGTERM": injector.hung_daemons,
+        "got more than its stated limit": [
+            f"{fault.affected}: {finding}"
+            for fault, arrivals in injector.arrivals.items()
+            for finding in statements.over_limit(arrivals)[:1]
+        ],
+        "got requests after its stated leave": [
+            f"{fault.affected}: {finding}"
+            for fault, arrivals in injector.arrivals.items()
+            for finding in statements.after_leaving(arrivals, sent_s)
+        ],
     }
     return [
         f"{label}: {finding}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,24 @@
     assert drawn_kinds == all_kinds
 
 
+def test_target_that_states_something_has_no_other_fault() -> None:
+    drawn = 0
+    for seed in range(200):
+        faults = soak.draw_faults(seed, INSTANCES)
+        statements = soak.draw_statements(seed, INSTANCES, faults)
+        drawn += len(statements)
+        for stated in statements:
+            for other in [*faults, *statements]:
+                if other is stated or _is_daemon_fault(other):
+                    continue
+                apart = (
+                    other.start_s > stated.start_s + stated.duration_s
+                    or other.start_s + other.duration_s < stated.start_s
+                )
+                assert apart or other.affected != stated.affected
+    assert drawn > 200
+
+
 def _is_daemon_fault(fault: soak.PlannedFault) -> bool:
     return fault.kind in soak.DAEMON_KINDS
 
