Keep a target's limit while the guard beside it doesn't know it

What callers would see: after a restart of the daemon beside a target, more requests than the limit that the target states.

Cause: an entry dropped the limit at any answer of the guard without one; the first of a daemon that has just started is a refusal (E4018), before its target has answered.

Change: a refusal without a limit changes nothing at the entry.

Evidence: the test failed before (unlimited where 8.5 is known). Two more tests guard what entries do with leaves, and that a request is refused without the hop when the limits of all targets are used up.

--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -245,10 +245,7 @@
             objective_s=_objective_s(request),
             inner=bool(request.header(_call.INNER)),
             limit=self._limit,
-            rate_limit_per_s=wire.parse_rate_limit(
-                request.header(_call.RATE_LIMIT)
-            )
-            or wire.UNLIMITED,
+            rate_limit_per_s=_known_rate_limit(request),
         )
 
     def _limits(self) -> _admission.Limits:
@@ -531,3 +528,9 @@
     if not text.removeprefix("-").isdigit():
         return clock.NEVER_S
     return request.received_s + int(text) / 1000
+
+
+def _known_rate_limit(request: serving.Request) -> float:
+    """Return the target's rate limit as far as the entry knows it."""
+    limit_per_s = wire.parse_rate_limit(request.header(_call.RATE_LIMIT))
+    return wire.UNLIMITED if limit_per_s is None else limit_per_s
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -419,17 +419,16 @@
             # The guard had no free worker, so its server refused the request.
             return
         _learn_from_header(stats, load, kind)
-        stats.rate_limit_per_s = (
-            wire.parse_rate_limit(answer.header(_call.RATE_LIMIT))
-            or wire.UNLIMITED
-        )
         leaving = answer.header(_call.LEAVING)
         if leaving:
             self._leaving[f"{member.instance}/{leaving}"] = time.monotonic()
         key = _target_key(member)
-        if stats.rate_limit_per_s != wire.UNLIMITED:
-            self._rate_limits[key] = stats.rate_limit_per_s
-        else:
+        limit_per_s = wire.parse_rate_limit(answer.header(_call.RATE_LIMIT))
+        if limit_per_s is not None and limit_per_s != wire.UNLIMITED:
+            self._rate_limits[key] = stats.rate_limit_per_s = limit_per_s
+        elif not answer.header(serving.CODE_HEADER):
+            # A guard that refuses may not have heard from its target yet.
+            stats.rate_limit_per_s = wire.UNLIMITED
             self._rate_limits.pop(key, None)
 
     def profile(self, call: _call.Call) -> _balancer.RequestProfile:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 import collections.abc
+import threading
 import time
 import typing
 
 import pytest
 
+from chiveroad import config
+from chiveroad import control
+from chiveroad import errors
+from chiveroad import membership
+from chiveroad.traffic import _balancer
+from chiveroad.traffic import _call
+from chiveroad.traffic import _exchange
+from chiveroad.traffic import _targets
+from chiveroad import wire
 from standins import caller
 from standins import mesh
 from standins import statements
 from standins import target
+from tests import fakes
 
 DEPLOYMENT: typing.Final = mesh.Deployment(
     "woodland-circle",
@@ -124,3 +135,96 @@
     assert any(arrival.leaving for arrival in arrivals)
     assert statements.after_leaving(arrivals, sent_s) == []
     assert share_served(running_mesh, results) >= MIN_SHARE_SERVED
+
+
+class _GuardAnswer:
+    """The headers of a guard's answer."""
+
+    def __init__(self, **headers: str) -> None:
+        self._headers = headers
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return a header, named without its prefix."""
+        short = name.removeprefix(_call.PREFIX).lower().replace("-", "_")
+        return self._headers.get(short, default)
+
+
+class _EntryView:
+    """An entry's view of the targets ``a`` and ``b`` of one service."""
+
+    def __init__(self) -> None:
+        changed = threading.Condition()
+        applied = control.Applied(changed, confirmed_only=False)
+        service = config.Service("glade", "t", 0, 10, 10, ("*",), {})
+        items = dict([config.service_item(service)])
+        applied.offer(1, config.digest(items), items)
+        self.view = membership.View(changed)
+        self.targets = _targets.Targets(fakes.options("e"), applied, self.view)
+        for name in "ab":
+            self.merge(fakes.member(name))
+
+    def merge(self, member: membership.Member) -> None:
+        """Merge the record of a member."""
+        self.view.merge([member])
+
+    def learn(self, name: str, **headers: str) -> None:
+        """Learn from an answer of a guard."""
+        member = self.view.get(name)
+        assert member is not None
+        answer = typing.cast(_exchange.Answer, _GuardAnswer(**headers))
+        stats = self.targets.stats(member)
+        self.targets.learn_state(member, stats, answer, "k")
+
+    def limit_of(self, name: str) -> float:
+        """Return the rate limit of a target, as the entry knows it."""
+        member = self.view.get(name)
+        assert member is not None
+        return self.targets.stats(member).rate_limit_per_s
+
+    def picks(self) -> set[str]:
+        """Return the names of the targets that are picked."""
+        profile = _balancer.RequestProfile()
+        return {
+            self.targets.pick("glade", profile, ())[0].instance
+            for _ in range(50)
+        }
+
+
+# Guards against losing a target's limit at a restart of the daemon beside it.
+def test_entry_keeps_a_limit_while_the_guard_does_not_know_it() -> None:
+    entry = _EntryView()
+    entry.learn("a", load="0 8 5", rate_limit="8.500")
+    entry.merge(fakes.member("a", incarnation=2))
+    assert entry.limit_of("a") == 8.5
+    entry.learn("a", load="0 8 5", code="4018")
+    assert entry.limit_of("a") == 8.5
+    entry.learn("a", load="0 8 5")
+    assert entry.limit_of("a") == wire.UNLIMITED
+    assert entry.limit_of("b") == wire.UNLIMITED
+
+
+# Guards against picking a target that leaves, as its restarted daemon
+# doesn't know.
+def test_entry_leaves_out_the_incarnation_of_a_target_that_leaves() -> None:
+    entry = _EntryView()
+    assert entry.picks() == {"a", "b"}
+    entry.learn("a", load="0 8 5", leaving="@0")
+    entry.merge(fakes.member("a", incarnation=2))
+    entry.targets.tick()
+    assert entry.picks() == {"b"}
+    entry.learn("b", load="0 8 5", leaving="@0")
+    with pytest.raises(errors.NoTarget):
+        entry.picks()
+
+
+def test_request_is_refused_at_once_when_all_rate_limits_are_used_up() -> None:
+    entry = _EntryView()
+    refusal = errors.RateLimited("used up", 400)
+    for name in "ab":
+        assert name in entry.picks()
+        member = entry.view.get(name)
+        assert member is not None
+        _targets.learn_refusal(entry.targets.stats(member), refusal)
+    with pytest.raises(errors.NoTarget) as caught:
+        entry.picks()
+    assert 300 < caught.value.retry_after_ms <= 400
