--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -124,6 +124,10 @@
         (b"GET http://x/ HTTP/1.1", 400),
         (b"GET / HTTP/2.0", 505),
         (b"nonsense", 400),
+        # A method that is no token was served, and would be forwarded.
+        (b"\0GET / HTTP/1.1", 400),
+        (b"G\x7fT / HTTP/1.1", 400),
+        (b"G@T / HTTP/1.1", 400),
     ],
 )
 def test_malformed_request_line_is_refused_with_a_code(
