Learn nothing from an answer without the id of its request

What callers would see: more requests than a target's limit allows, after a failure of a faulty target without an id.

Cause: a failure without an id is accepted on a new connection, as a refusal may be sent before the id is read; without a limit in its head it lifted the limit, though it may be anybody's.

Change: what a target states counts only with the id of the request, where the target states ids at all.

Evidence: the test failed before (the limit was lifted).

--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -351,7 +351,7 @@
                 call, time.monotonic() - started_s, TIMEOUT_FACTOR
             )
             raise
-        self._learn(answer.terms, status, started_s)
+        self._learn(call.id, answer.terms, status, started_s)
         self._check_answer(answer, target_id)
         if answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
             # The duration of a failure says nothing about that of a success.
@@ -360,6 +360,7 @@
 
     def _learn(
         self,
+        request_id: str,
         terms: wire.AnswerTerms,
         status: presence.TargetStatus,
         sent_s: float,
@@ -370,6 +371,8 @@
         """
         if terms.misdirected or not terms.genuine:
             return
+        if self._pool.echoes_ids and terms.request_id != request_id:
+            return
         if terms.leaving and self._target.mark_leaving(status.incarnation):
             self.on_leave()
         with self._lock:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -13,9 +13,14 @@
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import membership
+from chiveroad import metrics
+from chiveroad import platform
+from chiveroad import presence
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _call
+from chiveroad.traffic import _claims
 from chiveroad.traffic import _exchange
+from chiveroad.traffic import _guard
 from chiveroad.traffic import _targets
 from chiveroad import wire
 from standins import caller
@@ -23,6 +28,7 @@
 from standins import statements
 from standins import target
 from tests import fakes
+from tests import test_presence
 
 DEPLOYMENT: typing.Final = mesh.Deployment(
     "woodland-circle",
@@ -228,3 +234,33 @@
     with pytest.raises(errors.NoTarget) as caught:
         entry.picks()
     assert 300 < caught.value.retry_after_ms <= 400
+
+
+# Guards against an answer that may be anybody's and lifts a target's limit.
+def test_answer_without_the_id_of_its_request_states_nothing() -> None:
+    local = presence.LocalTarget("127.0.0.1:4")
+    ready = presence.TargetStatus("i-7", "glade", presence.Phase.READY)
+    local.replace(ready)
+    guard = _guard.Guard(
+        fakes.options(),
+        control.Applied(threading.Condition(), confirmed_only=False),
+        typing.cast(_claims.Claims, None),
+        metrics.Recorder(),
+        platform.Protocol(),
+        local,
+    )
+
+    def learn(request_id: str, per_s: float, leaving: bool = False) -> None:
+        terms = wire.AnswerTerms(
+            request_id, rate_limit_per_s=per_s, leaving=leaving
+        )
+        guard._learn("q", terms, ready, time.monotonic())
+
+    learn("q", 8.5)
+    assert guard.rate_limit_per_s == 8.5
+    learn("", wire.UNLIMITED, leaving=True)
+    assert guard.rate_limit_per_s == 8.5
+    assert test_presence.phase_of(local) is presence.Phase.READY
+    learn("q", wire.UNLIMITED, leaving=True)
+    assert guard.rate_limit_per_s == wire.UNLIMITED
+    assert test_presence.phase_of(local) is presence.Phase.DRAINING
