Bound the heartbeats of the own protocol like the platform's

What callers would see: as with the platform's odd heartbeats, a daemon that can't record its target, as an integer of 400 digits can't be encoded, or a header of its own in each request, from an id with a line break.

Cause: the class of 'input is checked for its types alone', sought elsewhere.

Change: the bounds of numbers and ids stand once, in wire, and both protocols use them. An id that ends with a line break is refused in both.

--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -29,14 +29,6 @@
 LEAVING: typing.Final = "Server-Leaving"
 
 MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
-MAX_COUNT: typing.Final = 2**53
-"""The largest integer that every JSON decoder reads exactly."""
-
-MAX_COLD_S: typing.Final = 24 * 3600.0
-
-_TARGET_ID: typing.Final = re.compile(r"[!-~]{1,200}")
-"""A target's id is sent in a header, so it can't hold line breaks."""
-
 _HEARTBEAT: typing.Final = "instances.heartbeat"
 _LEAVE: typing.Final = "instances.deregister"
 _REPLACED: typing.Final = frozenset(
@@ -47,20 +39,21 @@
 _JSON_CONTENT_TYPE: typing.Final = ("Content-Type", "application/json")
 
 
-_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-_Seconds = typing.Annotated[float, msgspec.Meta(ge=-MAX_COLD_S, le=MAX_COLD_S)]
+_Seconds = typing.Annotated[
+    float, msgspec.Meta(ge=-wire.MAX_COLD_S, le=wire.MAX_COLD_S)
+]
 
 
 class _Info(msgspec.Struct):
     service: str
-    slots: _Count
+    slots: wire.Count
 
 
 class _Status(msgspec.Struct):
     """``seq`` counts the heartbeats of one incarnation."""
 
     state: typing.Literal["ready", "draining"]
-    seq: _Count
+    seq: wire.Count
     cold_remaining_s: _Seconds = 0.0
 
 
@@ -70,7 +63,7 @@
     address: str
     info: _Info
     status: _Status
-    born: _Count = 0
+    born: wire.Count = 0
 
 
 _decoder = msgspec.json.Decoder(_Heartbeat)
@@ -140,7 +133,7 @@
         target_id = query.get("of", [""])[0]
         if request.method != "POST" or call not in (_HEARTBEAT, _LEAVE):
             raise errors.NoRoute("no such call")
-        if not _TARGET_ID.fullmatch(target_id):
+        if not re.match(wire.TARGET_ID, target_id):
             raise errors.BadRequest("a heartbeat without a valid id")
         body = request.read_body(MAX_HEARTBEAT_BYTES)
         if call == _LEAVE:
--- a/src/chiveroad/wire/_native.py
+++ b/src/chiveroad/wire/_native.py
@@ -26,17 +26,23 @@
 _JSON_CONTENT_TYPE: typing.Final = ("Content-Type", "application/json")
 
 
+_TargetId = typing.Annotated[str, msgspec.Meta(pattern=_protocol.TARGET_ID)]
+_ColdMs = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=1_000 * _protocol.MAX_COLD_S)
+]
+
+
 class _HeartbeatBody(msgspec.Struct, frozen=True):
     """The body of a heartbeat; ``state`` may also be ``gone``."""
 
-    target: str = msgspec.field(name="upstream")
+    target: _TargetId = msgspec.field(name="upstream")
     service: str
     address: str
     state: typing.Literal["ready", "draining", "gone"]
-    sequence: int
-    started_at_ms: int
-    slots: int = 0
-    cold_ms: int = 0
+    sequence: _protocol.Count
+    started_at_ms: _protocol.Count
+    slots: _protocol.Count = 0
+    cold_ms: _ColdMs = 0
 
 
 class _VersionBody(msgspec.Struct, frozen=True):
--- a/tests/test_odd_writers.py
+++ b/tests/test_odd_writers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import threading
 import typing
 
@@ -15,7 +16,10 @@
 from chiveroad import membership
 from chiveroad import platform as adapter
 from chiveroad import presence
+from chiveroad import serving
 from chiveroad import store
+from chiveroad import wire
+from chiveroad.wire import _native
 from standins import odd_writers
 from standins import platform_store
 from tests import fakes
@@ -132,7 +136,9 @@
         test_platform.decode_heartbeat(test_platform.HEARTBEAT_URI, bytes(odd))
 
 
-@pytest.mark.parametrize("target_id", ["", "%0d%0aX-Deadline-Ms:%201", "a b"])
+@pytest.mark.parametrize(
+    "target_id", ["", "%0d%0aX-Deadline-Ms:%201", "a b", "a%0a"]
+)
 def test_heartbeat_with_an_id_that_fits_no_header_is_refused(
     target_id: str,
 ) -> None:
@@ -141,6 +147,49 @@
         test_platform.decode_heartbeat(uri, test_platform.HEARTBEAT)
 
 
+# Guards against the same in chiveroad's own protocol.
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("upstream", b'"u\\r\\nX: y"'),
+        ("upstream", b'"u\\n"'),
+        ("upstream", b'""'),
+        ("slots", odd_writers.HUGE),
+        ("sequence", odd_writers.HUGE),
+        ("started_at_ms", b"-1"),
+        ("cold_ms", odd_writers.HUGE),
+        ("further", odd_writers.DEEP),
+    ],
+)
+def test_odd_heartbeat_of_the_own_protocol_is_refused(
+    name: str, value: bytes
+) -> None:
+    valid = {
+        "upstream": "u-1",
+        "service": "glade",
+        "address": "10.0.0.9:80",
+        "state": "ready",
+        "sequence": 4,
+        "started_at_ms": 1_700_000_000_123,
+        "slots": 8,
+        "cold_ms": 100,
+    }
+    for body, usable in (
+        (msgspec.json.encode(valid), True),
+        (bytes(odd_writers.changed(valid, "", name, value)), False),
+    ):
+        request = test_platform.Request(_native.HEARTBEAT_PATH, body)
+        read = functools.partial(
+            wire.Native().read_heartbeat,
+            typing.cast(serving.Request, request),
+        )
+        if usable:
+            assert isinstance(read(), wire.Heartbeat)
+            continue
+        with pytest.raises(errors.BadRequest):
+            read()
+
+
 def test_only_values_below_the_limit_of_nesting_are_dropped() -> None:
     decoder = msgspec.json.Decoder(list[msgspec.Raw])
     kept = b'{"a":"]}[{\\"","b":[[1],{}]}'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -50,6 +50,7 @@
 
     def __init__(self, uri: str, body: bytes) -> None:
         self.uri = uri
+        self.path = uri.partition("?")[0]
         self._body = body
 
     def read_body(self, limit: int) -> bytes:
