--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -392,12 +392,16 @@
                 status.target_id,
                 before_per_s,
             )
-        if rate_limit.per_s != before_per_s:
-            _log.info(
-                "Target {} takes {} requests a second, as its answers state.",
-                status.target_id,
-                rate_limit.per_s,
-            )
+        if rate_limit.per_s == before_per_s:
+            return
+        if not rate_limit.active:
+            _log.info("Target {} states no limit any more.", status.target_id)
+            return
+        _log.info(
+            "Target {} takes {} requests a second, as its answers state.",
+            status.target_id,
+            rate_limit.per_s,
+        )
 
     def _rate_limit(self) -> _rate_limit.RateLimit:
         """Return the rate limit of the target's current incarnation."""
