--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -284,7 +284,7 @@
         )
         while self._wait_for_target(accepting=True):
             self._target_leaves.clear()
-            self._target.replace(ready)
+            self._target.set_status(ready)
             self._control_plane.announce(membership.State.READY)
             _log.info(
                 "Target {} accepts connections and is ready.",
--- a/src/chiveroad/presence/_local.py
+++ b/src/chiveroad/presence/_local.py
@@ -129,7 +129,7 @@
         )
         return True
 
-    def replace(self, status: _state.TargetStatus) -> None:
+    def set_status(self, status: _state.TargetStatus) -> None:
         """Set the status of a target that sends no heartbeats."""
         with self._lock:
             self._status = status
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -99,7 +99,7 @@
             if request.begun:
                 raise
             retry_ms = str(refusal.retry_after_ms)
-            extra += [*self._state(), (_call.RETRY_AFTER_MS, retry_ms)]
+            extra += [*self._state_headers(), (_call.RETRY_AFTER_MS, retry_ms)]
             request.refuse(refusal, extra)
 
     def serve(
@@ -174,7 +174,7 @@
         slots = admission.limits.slots
         return (_call.LOAD, f"{admission.load} {slots} {service_ms}")
 
-    def _state(self, kind_name: str = "") -> list[serving.Header]:
+    def _state_headers(self, kind_name: str = "") -> list[serving.Header]:
         """Return the headers that report the state of the target."""
         headers = [self.load(kind_name)]
         if self.rate_limit_per_s != wire.UNLIMITED:
@@ -272,7 +272,7 @@
         )
         with self._lock:
             self._admission.limits = self._limits()
-            rate_limit = self._rate_limit()
+            rate_limit = self._current_rate_limit()
             if call.rate_limit_per_s != wire.UNLIMITED:
                 rate_limit.adopt(call.rate_limit_per_s, now_s)
             self._admission.offer(ticket, now_s)
@@ -376,7 +376,7 @@
         if terms.leaving and self._target.mark_leaving(status.incarnation):
             self.on_leave()
         with self._lock:
-            rate_limit = self._rate_limit()
+            rate_limit = self._current_rate_limit()
             if status.incarnation != self._incarnation:
                 return
             before_per_s = rate_limit.per_s
@@ -403,7 +403,7 @@
             rate_limit.per_s,
         )
 
-    def _rate_limit(self) -> _rate_limit.RateLimit:
+    def _current_rate_limit(self) -> _rate_limit.RateLimit:
         """Return the rate limit of the target's current incarnation."""
         status = self._target.status
         known = status.phase is not presence.Phase.UNKNOWN
@@ -448,7 +448,7 @@
         extra: collections.abc.Sequence[serving.Header],
         kind_name: str,
     ) -> None:
-        headers = [*extra, *self._state(kind_name)] if extra else []
+        headers = [*extra, *self._state_headers(kind_name)] if extra else []
         _exchange.forward_answer(answer, request, headers)
 
     def _run_once(
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -106,8 +106,8 @@
 
         :raises errors.NoTarget: when no untried target is reachable.
         """
-        staying = self._staying(self._by_distance(service))
-        by_distance = self._reachable(staying, tried)
+        remaining = self._without_leaving(self._by_distance(service))
+        by_distance = self._reachable(remaining, tried)
         candidates = self._candidates(by_distance, profile)
         untried = [
             candidate
@@ -303,7 +303,9 @@
             else reachability.state
         )
 
-    def _staying(self, by_distance: _MembersByDistance) -> _MembersByDistance:
+    def _without_leaving(
+        self, by_distance: _MembersByDistance
+    ) -> _MembersByDistance:
         """Return the members whose targets don't leave.
 
         The view may not have the leave, or a restarted daemon not know it.
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -240,7 +240,7 @@
 def test_answer_without_the_id_of_its_request_states_nothing() -> None:
     local = presence.LocalTarget("127.0.0.1:4")
     ready = presence.TargetStatus("i-7", "glade", presence.Phase.READY)
-    local.replace(ready)
+    local.set_status(ready)
     guard = _guard.Guard(
         fakes.options(),
         control.Applied(threading.Condition(), confirmed_only=False),
