Test a limit that changes, and a daemon that stands still beside its target

A limit that falls from 100 to 8 a second lets no more than the new one pass, with what the new burst holds.

--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -74,6 +74,13 @@
     running_mesh.start_daemon(STATED)
 
 
+def freeze_daemon(running_mesh: mesh.Mesh) -> None:
+    """Pause the daemon beside the target, and let it go on."""
+    running_mesh.freeze(STATED)
+    time.sleep(2.0)
+    running_mesh.resume(STATED)
+
+
 def nothing(running_mesh: mesh.Mesh) -> None:
     """Change nothing."""
 
@@ -114,7 +121,7 @@
 
 
 # Guards against sending a target more requests than the limit that it states.
-@pytest.mark.parametrize("event", [nothing, restart_daemon])
+@pytest.mark.parametrize("event", [nothing, restart_daemon, freeze_daemon])
 def test_target_gets_no_more_than_its_stated_rate_limit(
     running_mesh: mesh.Mesh, event: Event
 ) -> None:
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -483,6 +483,20 @@
     assert max(counts) <= per_s * (1 + _rate_limit.BURST_S) + 1
 
 
+@pytest.mark.parametrize(("before", "after"), [(100.0, 8.0), (8.0, 100.0)])
+def test_changed_rate_limit_applies_from_its_statement(
+    before: float, after: float
+) -> None:
+    limit = _rate_limit.RateLimit()
+    limit.learn(before, 7.0, 8.0)
+    limit.allows(9.9)
+    limit.learn(after, 9.0, 10.0)
+    counts = _sent_per_second(limit, 4)
+    # What was saved up at the lower rate doesn't exceed the new burst.
+    saved = min(before, after) * _rate_limit.BURST_S
+    assert sum(counts) == pytest.approx(4 * after + saved, abs=1.5)
+
+
 # Guards against a target that states a limit of zero and is never asked again.
 def test_target_that_takes_no_requests_is_asked_now_and_then() -> None:
     limit = _rate_limit.RateLimit()
