Keep one copy of the token, the bound of integers and the reading of domains

No behaviour changes but the wording of one log line: a relay that replaces an unreadable object logs that its members are ignored.

--- a/src/chiveroad/control/_feed.py
+++ b/src/chiveroad/control/_feed.py
@@ -8,14 +8,11 @@
 import time
 import typing
 
-import msgspec
-
 from chiveroad.control import _accept
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _source
 from chiveroad.control import _threads
-from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import store
@@ -25,7 +22,6 @@
 IDLE_S: typing.Final = 0.1
 
 _log = logs.Logger("feed")
-_domain_decoder = msgspec.json.Decoder(_messages.DomainMembers)
 
 
 class Feed:
@@ -98,13 +94,4 @@
                     return
 
     def _merge_domain(self, stored: store.StoredObject) -> None:
-        try:
-            domain = decoding.decode(_domain_decoder, stored.spec)
-        except msgspec.DecodeError as exc:
-            _log.warning(
-                "Members of domain {} ignored, not readable: {}.",
-                stored.name,
-                exc,
-            )
-            return
-        self._node.merge(domain.members)
+        self._node.merge(_messages.read_domain_members(stored))
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -4,8 +4,13 @@
 
 import msgspec
 
+from chiveroad import decoding
+from chiveroad import logs
 from chiveroad import membership
 from chiveroad import presence
+from chiveroad import store
+
+_log = logs.Logger("control")
 
 
 class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -138,3 +143,21 @@
     """The value of a failure domain's membership object."""
 
     members: list[membership.Member]
+
+
+_domain_decoder = msgspec.json.Decoder(DomainMembers)
+
+
+def read_domain_members(
+    stored: store.StoredObject,
+) -> list[membership.Member]:
+    """Return the members in a stored object, none where it can't be read."""
+    try:
+        return decoding.decode(_domain_decoder, stored.spec).members
+    except msgspec.DecodeError as exc:
+        _log.warning(
+            "Members of domain {} ignored, not readable: {}.",
+            stored.name,
+            exc,
+        )
+        return []
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -5,13 +5,10 @@
 import time
 import typing
 
-import msgspec
-
 from chiveroad.control import _lease
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _threads
-from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -23,7 +20,6 @@
 RETRY_S: typing.Final = 0.5
 
 _log = logs.Logger("membership")
-_domain_decoder = msgspec.json.Decoder(_messages.DomainMembers)
 
 
 class Publisher:
@@ -87,16 +83,7 @@
             stored = self._store.get(store.Kind.DOMAINS, domain)
         except errors.StoreNotFound:
             return store.ABSENT
-        try:
-            known = decoding.decode(_domain_decoder, stored.spec)
-        except msgspec.DecodeError as exc:
-            _log.warning(
-                "Members of domain {} are replaced, not readable: {}.",
-                domain,
-                exc,
-            )
-            return stored.version
-        self._node.merge(known.members)
+        self._node.merge(_messages.read_domain_members(stored))
         return stored.version
 
     def _publish_status(self) -> None:
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -15,7 +15,6 @@
 from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
-from chiveroad import membership
 from chiveroad import store
 
 RETRY_S: typing.Final = 0.1
@@ -237,6 +236,6 @@
     """Return why a record can't be used, or an empty string."""
     if record.member.instance != name:
         return f"it names the instance {record.member.instance!r}"
-    if not 0 <= record.ended_by_ms <= membership.MAX_NUMBER:
+    if not 0 <= record.ended_by_ms <= decoding.MAX_INTEGER:
         return "ended_by_ms is out of range"
     return record.member.defect()
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -40,6 +40,8 @@
 PROBE_INTERVAL_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.3
 LEAVE_CHECK_INTERVAL_S: typing.Final = 1.0
+"""How late a leave is noticed that an earlier daemon has recorded."""
+
 PEER_PROBE_INTERVAL_S: typing.Final = 0.1
 PEER_IDLE_WAIT_S: typing.Final = 1.0
 """How late the probing thread may notice a stop if no request waits."""
--- a/src/chiveroad/decoding.py
+++ b/src/chiveroad/decoding.py
@@ -16,6 +16,9 @@
 """Far above the nesting of all messages, and far below the limit of Python's
 stack."""
 
+MAX_INTEGER: typing.Final = 2**53
+"""The largest integer that every JSON decoder reads exactly."""
+
 _TOKEN: typing.Final = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 _T = typing.TypeVar("_T")
 
--- a/src/chiveroad/membership/__init__.py
+++ b/src/chiveroad/membership/__init__.py
@@ -5,7 +5,6 @@
 from chiveroad.membership._liveness import Detection
 from chiveroad.membership._liveness import FORGET_AFTER_S
 from chiveroad.membership._member import declared_dead
-from chiveroad.membership._member import MAX_NUMBER
 from chiveroad.membership._member import Member
 from chiveroad.membership._member import newer
 from chiveroad.membership._member import State
@@ -17,7 +16,6 @@
 from chiveroad.membership._view import View
 
 __all__ = [
-    "MAX_NUMBER",
     "Changes",
     "DEAD_AFTER_S",
     "Detection",
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -10,9 +10,7 @@
 import msgspec
 
 from chiveroad import connection
-
-MAX_NUMBER: typing.Final = 2**53
-"""The largest integer that every JSON decoder reads exactly."""
+from chiveroad import decoding
 
 _NUMBERS: typing.Final = (
     "incarnation",
@@ -77,7 +75,7 @@
         address that can't be connected to, would fail wherever it is used.
         """
         for name in _NUMBERS:
-            if not 0 <= getattr(self, name) <= MAX_NUMBER:
+            if not 0 <= getattr(self, name) <= decoding.MAX_INTEGER:
                 return f"{name} is out of range"
         for name in _ADDRESSES:
             if not connection.is_address(getattr(self, name)):
--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -29,6 +29,7 @@
 LEAVING: typing.Final = "Server-Leaving"
 
 MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
+
 _HEARTBEAT: typing.Final = "instances.heartbeat"
 _LEAVE: typing.Final = "instances.deregister"
 _REPLACED: typing.Final = frozenset(
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -28,7 +28,6 @@
 
 _TOKEN: typing.Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CONTROL_CHARACTER: typing.Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_METHOD: typing.Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CONTENT_LENGTH: typing.Final = re.compile(rb"[0-9]{1,18}")
 _SINGLE_VALUE_HEADERS: typing.Final = frozenset(
     {
@@ -132,7 +131,7 @@
         """Read the head, and reject ambiguous framing."""
         if not self._read_head():
             return False
-        if not _METHOD.fullmatch(self.method):
+        if not _TOKEN.fullmatch(self.method):
             return self._refuse("malformed method")
         length = self.inheaders.get(b"Content-Length")
         encoding = self.inheaders.get(b"Transfer-Encoding")
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -16,19 +16,17 @@
 import msgspec
 
 from chiveroad import config
+from chiveroad import decoding
 from chiveroad import serving
 
 UNLIMITED: typing.Final = float("inf")
 """The rate limit of a target that states none."""
 
-MAX_COUNT: typing.Final = 2**53
-"""The largest integer that every JSON decoder reads exactly."""
-
 MAX_COLD_S: typing.Final = 24 * 3_600
 TARGET_ID: typing.Final = r"^[!-~]{1,200}\Z"
 """A target's id is sent in a header, so it can't hold line breaks."""
 
-Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
 """A number that other daemons are sent, and have to decode."""
 
 _DECIMAL: typing.Final = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?", re.ASCII)
