Test a limit that comes back, and calls of targets under a limit

A limit stated again after it was lifted starts with an empty bucket; calls of targets take tokens and go first.

--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+import threading
 import typing
 
 import hypothesis
@@ -17,6 +18,7 @@
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _claims
 from chiveroad.traffic import _entry
+from chiveroad.traffic import _objective
 from chiveroad.traffic import _rate_limit
 from chiveroad.traffic import _retry
 from chiveroad.traffic import _retry_budget
@@ -497,6 +499,40 @@
     assert sum(counts) == pytest.approx(4 * after + saved, abs=1.5)
 
 
+def test_rate_limit_that_comes_back_starts_without_saved_requests() -> None:
+    limit = _rate_limit.RateLimit()
+    limit.learn(8.0, 7.0, 8.0)
+    limit.learn(wire.UNLIMITED, 8.5, 9.0)
+    for _ in range(50):
+        assert limit.allows(9.5)
+        limit.take()
+    limit.learn(8.0, 9.5, 10.0)
+    assert not limit.allows(10.0)
+    assert sum(_sent_per_second(limit, 4)) == pytest.approx(32, abs=1.5)
+
+
+def test_calls_of_targets_count_toward_the_rate_limit() -> None:
+    admission = _admission.Admission(
+        _admission.Limits(slots=8, queue_length=8), _objective.ObjectiveFirst()
+    )
+    admission.rate_limit.learn(4.0, 9.0, 10.0)
+    tickets = [
+        dataclasses.replace(
+            make_ticket(arrived_s=11.0),
+            inner=inner,
+            objective_s=12.0,
+            decided=threading.Event(),
+        )
+        for inner in (True, False, True)
+    ]
+    for ticket in tickets:
+        admission.offer(ticket, 11.0)
+    assert [ticket.admitted for ticket in tickets] == [True, False, False]
+    # A call comes before a caller's request, though that came first.
+    admission.advance(11.3)
+    assert [ticket.admitted for ticket in tickets] == [True, False, True]
+
+
 # Guards against a target that states a limit of zero and is never asked again.
 def test_target_that_takes_no_requests_is_asked_now_and_then() -> None:
     limit = _rate_limit.RateLimit()
