--- a/standins/odd_writers.py
+++ b/standins/malformed.py
@@ -1,4 +1,4 @@
-"""What another writer may leave among the records of members.
+"""Malformed records, as another writer may leave them among the members.
 
 Each value is JSON, or close to it, that the platform's store takes.
 """
@@ -33,7 +33,7 @@
 def records(
     record: dict[str, typing.Any],
 ) -> collections.abc.Iterator[tuple[str, msgspec.Raw]]:
-    """Yield odd variants of a member's record, each with its description.
+    """Yield malformed variants of a record, each with its description.
 
     :param record: a valid record, as it is encoded.
     """
@@ -68,9 +68,9 @@
 
     :param table: the table that holds the field, empty for the message.
     """
-    odd = dict(message)
+    result = dict(message)
     if table:
-        odd[table] = {**message[table], name: msgspec.Raw(value)}
+        result[table] = {**message[table], name: msgspec.Raw(value)}
     else:
-        odd[name] = msgspec.Raw(value)
-    return msgspec.Raw(msgspec.json.encode(odd))
+        result[name] = msgspec.Raw(value)
+    return msgspec.Raw(msgspec.json.encode(result))
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -521,9 +521,9 @@
         """Drop the history of the store, so that watches expire."""
         self._post(f"http://{self.store_address}/compact", {})
 
-    def write_odd_entry(self) -> None:
+    def write_malformed_entry(self) -> None:
         """Have another writer leave an entry among those of the members."""
-        self._post(f"http://{self.store_address}/odd-entry", {})
+        self._post(f"http://{self.store_address}/malformed-entry", {})
 
     def _post(self, url: str, value: object) -> None:
         self._http.request(
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -22,8 +22,8 @@
 
 from chiveroad import errors
 from chiveroad import store
+from standins import malformed
 from standins import memory_store
-from standins import odd_writers
 
 PREFIX: typing.Final = "/apis/chiveroad/v1/"
 
@@ -108,12 +108,12 @@
             self.api.faults = msgspec.json.decode(body, type=Faults)
         elif self.path == "/compact":
             self.api.store.compact()
-        elif self.path == "/odd-entry":
+        elif self.path == "/malformed-entry":
             store.overwrite(
                 self.api.store,
                 store.Kind.DOMAINS,
-                "odd",
-                msgspec.Raw(odd_writers.DEEP),
+                "malformed",
+                msgspec.Raw(malformed.DEEP),
             )
         self._answer(http.HTTPStatus.OK, {})
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -327,7 +327,7 @@
             running_mesh.faults(lose_answers=10)
         elif kind == "store-forgets":
             # Another writer leaves an entry while the history is dropped.
-            running_mesh.write_odd_entry()
+            running_mesh.write_malformed_entry()
             running_mesh.compact_history()
         else:
             for link in running_mesh.store_links.values():
--- a/tests/test_odd_writers.py
+++ b/tests/test_malformed.py
@@ -20,17 +20,17 @@
 from chiveroad import store
 from chiveroad import wire
 from chiveroad.wire import _native
-from standins import odd_writers
+from standins import malformed
 from standins import platform_store
 from tests import fakes
 from tests import test_follower
 from tests import test_platform
 
-NAME: typing.Final = "odd-1"
+NAME: typing.Final = "other-1"
 RECORD: typing.Final = msgspec.to_builtins(
     _messages.MemberRecord(fakes.member(NAME), presence.Phase.READY),
 )
-ODD_RECORDS: typing.Final = dict(odd_writers.records(RECORD))
+MALFORMED_RECORDS: typing.Final = dict(malformed.records(RECORD))
 
 
 def record_of(name: str) -> _messages.MemberRecord:
@@ -46,7 +46,7 @@
     for name in ("a", NAME, "z"):
         spec: object = record_of(name)
         if name == NAME:
-            spec = ODD_RECORDS["nested"]
+            spec = MALFORMED_RECORDS["nested"]
         server.api.store.put(store.Kind.MEMBERS, name, spec, store.ABSENT)
     listed = client.list(store.Kind.MEMBERS).objects
     watched = [
@@ -63,15 +63,15 @@
 
 # Guards against a record that fails wherever it is used, such as one whose
 # number can't be encoded or whose address can't be connected to.
-@pytest.mark.parametrize("label", ODD_RECORDS)
-def test_odd_record_names_no_member(label: str) -> None:
-    stored = store.StoredObject(NAME, 7, ODD_RECORDS[label])
+@pytest.mark.parametrize("label", MALFORMED_RECORDS)
+def test_malformed_record_names_no_member(label: str) -> None:
+    stored = store.StoredObject(NAME, 7, MALFORMED_RECORDS[label])
     assert _record.read(stored) is None
 
 
 def test_record_with_a_nested_further_field_is_ignored() -> None:
-    odd = odd_writers.with_nested_field(RECORD)
-    assert _record.read(store.StoredObject(NAME, 7, odd)) is None
+    changed = malformed.with_nested_field(RECORD)
+    assert _record.read(store.StoredObject(NAME, 7, changed)) is None
 
 
 def test_record_under_another_name_names_no_member() -> None:
@@ -80,16 +80,18 @@
     assert _record.read(store.StoredObject(NAME, 7, spec)) is None
 
 
-# Guards against daemons that stop following members at an odd entry.
-def test_daemons_follow_members_beside_odd_entries() -> None:
+# Guards against daemons that stop following members at a malformed entry.
+def test_daemons_follow_members_beside_malformed_entries() -> None:
     with test_follower.fleet("ab") as (shared, _, followers):
-        for number, odd in enumerate(ODD_RECORDS.values()):
-            shared.put(store.Kind.MEMBERS, f"odd-{number}", odd, store.ABSENT)
+        for number, changed in enumerate(MALFORMED_RECORDS.values()):
+            shared.put(
+                store.Kind.MEMBERS, f"other-{number}", changed, store.ABSENT
+            )
         for follower in followers.values():
             follower.start()
         test_follower.wait_for(lambda: _ready_members(followers) == {"ab"})
-        # Odd entries that come by a watch.
-        for stored in shared.list(store.Kind.MEMBERS, "odd-").objects:
+        # Malformed entries that come by a watch.
+        for stored in shared.list(store.Kind.MEMBERS, "other-").objects:
             shared.put(
                 store.Kind.MEMBERS, stored.name, stored.spec, stored.version
             )
@@ -121,19 +123,23 @@
 @pytest.mark.parametrize(
     ("table", "name", "value"),
     [
-        ("", "further", odd_writers.DEEP),
-        ("", "born", odd_writers.HUGE),
+        ("", "further", malformed.DEEP),
+        ("", "born", malformed.HUGE),
         ("info", "slots", b"-1"),
-        ("info", "slots", odd_writers.HUGE),
-        ("status", "seq", odd_writers.HUGE),
+        ("info", "slots", malformed.HUGE),
+        ("status", "seq", malformed.HUGE),
         ("status", "cold_remaining_s", b"1e308"),
         ("status", "cold_remaining_s", b"-1e300"),
     ],
 )
-def test_odd_heartbeat_is_refused(table: str, name: str, value: bytes) -> None:
-    odd = odd_writers.changed(test_platform.HEARTBEAT, table, name, value)
+def test_malformed_heartbeat_is_refused(
+    table: str, name: str, value: bytes
+) -> None:
+    changed = malformed.changed(test_platform.HEARTBEAT, table, name, value)
     with pytest.raises(errors.BadRequest):
-        test_platform.decode_heartbeat(test_platform.HEARTBEAT_URI, bytes(odd))
+        test_platform.decode_heartbeat(
+            test_platform.HEARTBEAT_URI, bytes(changed)
+        )
 
 
 @pytest.mark.parametrize(
@@ -154,14 +160,14 @@
         ("upstream", b'"u\\r\\nX: y"'),
         ("upstream", b'"u\\n"'),
         ("upstream", b'""'),
-        ("slots", odd_writers.HUGE),
-        ("sequence", odd_writers.HUGE),
+        ("slots", malformed.HUGE),
+        ("sequence", malformed.HUGE),
         ("started_at_ms", b"-1"),
-        ("cold_ms", odd_writers.HUGE),
-        ("further", odd_writers.DEEP),
+        ("cold_ms", malformed.HUGE),
+        ("further", malformed.DEEP),
     ],
 )
-def test_odd_heartbeat_of_the_own_protocol_is_refused(
+def test_malformed_heartbeat_of_the_own_protocol_is_refused(
     name: str, value: bytes
 ) -> None:
     valid = {
@@ -176,7 +182,7 @@
     }
     for body, usable in (
         (msgspec.json.encode(valid), True),
-        (bytes(odd_writers.changed(valid, "", name, value)), False),
+        (bytes(malformed.changed(valid, "", name, value)), False),
     ):
         request = test_platform.Request(_native.HEARTBEAT_PATH, body)
         read = functools.partial(
@@ -194,7 +200,7 @@
     decoder = msgspec.json.Decoder(list[msgspec.Raw])
     kept = b'{"a":"]}[{\\"","b":[[1],{}]}'
     values = decoding.decode_each(
-        decoder, b"[" + kept + b"," + odd_writers.DEEP + b",2]"
+        decoder, b"[" + kept + b"," + malformed.DEEP + b",2]"
     )
     assert bytes(values[0]) == kept
     assert bytes(values[2]) == b"2"
