--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -3,11 +3,24 @@
 import http.client
 import http.server
 import json
+import random
 import select
 import threading
 import time
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+NOT_PASSED_ON = {
+    "connection",
+    "content-length",
+    "content-type",
+    "date",
+    "keep-alive",
+    "server",
+    "transfer-encoding",
+    "x-request-id",
+    "x-server-stamp",
+}
+"""Headers that concern one connection or one body, and the marks of answers."""
 
 
 class Upstream:
@@ -28,6 +41,8 @@
         self.state = "ready"
         self.seq = 0
         self.acknowledged_s = None
+        self.call = None
+        self.shed_share = 0.0
         self.runs = []
         self.running = True
         self.beats = True
@@ -158,6 +173,10 @@
         if expected and expected != upstream.id:
             self._answer(421, b"", {"X-Instance-Id": upstream.id})
             return
+        if random.random() < upstream.shed_share:
+            upstream.record(f"upstream {upstream.id} sheds {request}")
+            self._answer(503, b"", {"X-Not-Executed": "1"})
+            return
         run = {
             "id": request,
             "at_s": time.monotonic(),
@@ -183,10 +202,21 @@
             )
             self.close_connection = True
             return
-        run["ended"] = "answered"
-        self._answer(200, f"{upstream.service} {request}".encode(), {
-            "X-Server-Stamp": STAMP,
-        })
+        headers = {"X-Server-Stamp": STAMP}
+        status = 200
+        if upstream.call is not None:
+            failed = upstream.call(self.path)
+            if failed is not None:
+                # The program's HTTP library gives names in lower case, and
+                # it passes on what it was told about the failure.
+                status = 500
+                headers.update(
+                    (name, value)
+                    for name, value in failed.headers.items()
+                    if name not in NOT_PASSED_ON
+                )
+        run["ended"] = f"answered {status}"
+        self._answer(status, f"{upstream.service} {request}".encode(), headers)
 
     do_GET = do_POST = do_PUT = do_DELETE = _handle
 
