--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,11 +16,13 @@
 AWAY_S = 0.7
 
 
-def routes(moved_to):
+def routes(moved_to, timeout_s=1.5):
     """Return the routes; one of them leads to the given service."""
     return [
         deployment.route("r-fixed", HOST, "/lepu270/", SERVICES[0]),
-        deployment.route("r-moved", HOST, "/xapu221/", moved_to),
+        deployment.route(
+            "r-moved", HOST, "/xapu221/", moved_to, timeout_s=timeout_s
+        ),
     ]
 
 
@@ -40,11 +42,13 @@
         deployed.add_upstream(machine, lambda path: 0.02)
         for machine in deployed.machines
     ]
-    deployed.wait_serving([
-        lambda m=machine, p=path: bool(served_by(m, p))
-        for machine in deployed.machines
-        for path in ("/lepu270/2f", "/xapu221/2f")
-    ])
+    deployed.wait_serving(
+        [
+            lambda m=machine, p=path: bool(served_by(m, p))
+            for machine in deployed.machines
+            for path in ("/lepu270/2f", "/xapu221/2f")
+        ]
+    )
     time.sleep(4)
     store = deployed.store
 
@@ -55,9 +59,7 @@
     upstreams[2].state = "draining"
     if not upstreams[2].beat():
         raise deployment.NotRun("the leave isn't acknowledged")
-    deployed.push(11, routes(SERVICES[0])[:1] + [
-        deployment.route("r-moved", HOST, "/xapu221/", SERVICES[0], timeout_s=1.4)
-    ], SERVICES)
+    deployed.push(11, routes(SERVICES[0], 1.4), SERVICES)
     time.sleep(COPY_AGE_S - 0.6)
 
     if deployment.TROUBLE:
@@ -74,16 +76,16 @@
                 f"the store is back at revision {store.revision}, era "
                 f"{store.era}; {lost} revisions are lost"
             )
-            deployed.push(11, routes(SERVICES[0])[:1] + [
-                deployment.route(
-                    "r-moved", HOST, "/xapu221/", SERVICES[0], timeout_s=1.4
+            deployed.push(11, routes(SERVICES[0], 1.4), SERVICES)
+            # Its changes that were due meanwhile, one for each lost write of
+            # the system; the last of them moves the route.
+            for number in range(12, 10 + lost):
+                deployed.push(
+                    number, routes(SERVICES[0], 1 + number / 100), SERVICES
                 )
-            ], SERVICES)
-            # Its changes that were due meanwhile: one for each other
-            # revision that was lost, the last of which moves the route.
-            for number in range(lost - 2):
-                deployed.push(12 + number, routes(SERVICES[0]), SERVICES)
-            accepted_s = deployed.push(11 + lost - 1, routes(SERVICES[1]), SERVICES)
+            accepted_s = deployed.push(
+                10 + lost, routes(SERVICES[1]), SERVICES
+            )
     else:
         time.sleep(AWAY_S)
         accepted_s = deployed.push(12, routes(SERVICES[1]), SERVICES)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,10 @@
 """A drill of the store undoes a leave that a daemon has acknowledged.
 
 An upstream deregisters, then goes on serving for some seconds.  The store
-comes back from a copy that is older than the leave, and the daemons are
-started again: they send the upstream new requests.
+comes back from a copy that is older than the leave.  Then the daemon beside
+the upstream is stopped and started again, as planned, and sends it requests.
 """
 
-import os
 import pathlib
 import signal
 import threading
@@ -16,28 +15,35 @@
 HOST = "jepu9.example"
 SERVICE = "huvo11a"
 AWAY_S = 0.7
-RESTART_S = 0.3
-SERVES_ON_S = 13.0
+SERVES_ON_S = 16.0
 """How long the leaving upstream goes on serving after the acknowledgement."""
 
-KILLED = os.environ.get("KILLED", "all")
+
+def routes(timeout_s):
+    """Return the routes of a version."""
+    return [
+        deployment.route(
+            "r-one", HOST, "/lepu270/", SERVICE, timeout_s=timeout_s
+        )
+    ]
 
 
 def case(deployed):
     """Play the case, and return the breaches."""
-    routes = [deployment.route("r-one", HOST, "/lepu270/", SERVICE)]
-    deployed.push(10, routes, [SERVICE])
-    first = deployed.add(SERVICE, "sherwood")
-    deployed.add(SERVICE, "charnwood")
+    deployed.push(10, routes(1.5), [SERVICE])
+    first = deployed.add(SERVICE, "cannock")
+    deployed.add(SERVICE, "sherwood")
     deployed.add(SERVICE, "wyre", "west")
     leaving, *_ = [
         deployed.add_upstream(machine, lambda path: 0.05)
         for machine in deployed.machines
     ]
-    deployed.wait_serving([
-        lambda m=machine: m.call("GET", HOST, "/lepu270/2f", 1500).stamped
-        for machine in deployed.machines
-    ])
+    deployed.wait_serving(
+        [
+            lambda m=machine: m.call("GET", HOST, "/lepu270/2f", 1500).stamped
+            for machine in deployed.machines
+        ]
+    )
     time.sleep(4)
 
     store = deployed.store
@@ -48,7 +54,9 @@
     if not leaving.deregister():
         raise deployment.NotRun("the leave isn't acknowledged")
     acknowledged_s = leaving.acknowledged_s
-    time.sleep(1.5)
+    time.sleep(0.5)
+    deployed.push(11, routes(1.4), [SERVICE])
+    time.sleep(0.5)
     if deployment.TROUBLE:
         store.away = True
         with store.changed:
@@ -61,16 +69,17 @@
         deployed.record(
             f"the store is back, era {store.era}; {lost} revisions are lost"
         )
-        time.sleep(1)
-    killed = deployed.machines if KILLED == "all" else [first]
-    if deployment.TROUBLE or KILLED:
-        for machine in killed:
-            machine.signal(signal.SIGKILL)
-            machine.process.wait()
-            deployed.record(f"the daemon of {machine.name} is killed")
-        time.sleep(RESTART_S)
-        for machine in killed:
-            machine.start()
+        time.sleep(0.2)
+        deployed.push(11, routes(1.4), [SERVICE])
+    else:
+        time.sleep(AWAY_S + 0.2)
+    for number in (12, 13):
+        time.sleep(0.3)
+        deployed.push(number, routes(1 + number / 100), [SERVICE])
+    first.signal(signal.SIGTERM)
+    deployed.record(f"SIGTERM to the daemon of {first.name}")
+    first.process.wait(deployed.bounds["grace_period_s"])
+    first.start()
     restarted_s = time.monotonic()
 
     stop = threading.Event()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,25 +18,33 @@
 """How long the leaving upstream goes on serving after the acknowledgement."""
 
 
+def work_s(path):
+    """Return how long an upstream takes for a request."""
+    return 0.05
+
+
 def case(deployed):
     """Play the case, and return the breaches."""
     routes = [deployment.route("r-one", HOST, "/lepu270/", SERVICE)]
     deployed.push(10, routes, [SERVICE])
     first = deployed.add(SERVICE, "sherwood")
     second = deployed.add(SERVICE, "charnwood")
-    work = lambda path: 0.05
-    deployed.add_upstream(second, work)
-    deployed.wait_serving([
-        lambda m=machine: m.call("GET", HOST, "/lepu270/2f", 1500).stamped
-        for machine in deployed.machines
-    ])
+    deployed.add_upstream(second, work_s)
+    deployed.wait_serving(
+        [
+            lambda m=machine: m.call("GET", HOST, "/lepu270/2f", 1500).stamped
+            for machine in deployed.machines
+        ]
+    )
 
     # The machine's time of day is ahead when the upstream starts.
     ahead_ms = JUMP_MS if deployment.TROUBLE else 0
     if ahead_ms:
-        deployed.record(f"{first.name}: the time of day jumps {JUMP_MS} ms ahead")
+        deployed.record(
+            f"{first.name}: the time of day jumps {JUMP_MS} ms ahead"
+        )
     before = deployed.add_upstream(
-        first, work, "i-7f3a91c2", int(time.time() * 1000) + ahead_ms
+        first, work_s, "i-7f3a91c2", int(time.time() * 1000) + ahead_ms
     )
     time.sleep(0.7)
     before.crash()
@@ -44,7 +52,7 @@
         deployed.record(f"{first.name}: the time of day jumps back")
     time.sleep(0.5)
     leaving = deployed.add_upstream(
-        first, work, "i-7f3a91c2", int(time.time() * 1000)
+        first, work_s, "i-7f3a91c2", int(time.time() * 1000)
     )
 
     stop = threading.Event()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,7 +19,6 @@
 PAUSE_S = 0.1
 
 
-
 def calling(machine):
     """Return the call that an upstream on a machine makes in each run.
 
@@ -54,11 +53,13 @@
     for machine in others[1:]:
         upstream = deployed.add_upstream(machine, lambda path: 0.05)
         upstream.call = calling(machine)
-    deployed.wait_serving([
-        lambda: first.call("GET", HOST, "/lepu270/2f", 1500).stamped,
-        lambda: first.call("POST", HOST, "/xapu221/2f", 3000, b"x").status
-        == 200,
-    ])
+    deployed.wait_serving(
+        [
+            lambda: first.call("GET", HOST, "/lepu270/2f", 1500).stamped,
+            lambda: first.call("POST", HOST, "/xapu221/2f", 3000, b"x").status
+            == 200,
+        ]
+    )
     time.sleep(4)
     if deployment.TROUBLE:
         deployed.record(f"the upstreams of {CALLED} begin to shed")
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,10 @@
 # Checks that the stand-ins of the scripts compile; nothing else is to build.
 set -eu
 cd "$(dirname "$0")"
-for file in standins/*.py [1-5]/*.py; do
+for file in standins/*.py [1-5]/case.py; do
     [ -e "$file" ] || continue
-    python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
+    python3 -c '
+import sys
+compile(open(sys.argv[1]).read(), sys.argv[1], "exec")
+' "$file"
 done
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -6,7 +6,6 @@
 """
 
 import http.client
-import json
 import os
 import pathlib
 import random
@@ -277,9 +276,7 @@
 
     def add(self, service, zone, region="east", start=True):
         """Add a machine."""
-        machine = Machine(
-            self, len(self.machines) + 1, service, zone, region
-        )
+        machine = Machine(self, len(self.machines) + 1, service, zone, region)
         self.machines.append(machine)
         if start:
             machine.start()
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -42,7 +42,10 @@
                 raise Conflict(found)
             if not create and found is None:
                 raise KeyError(name)
-            if revision is not None and found["metadata"]["revision"] != revision:
+            if (
+                revision is not None
+                and found["metadata"]["revision"] != revision
+            ):
                 raise Conflict(found)
             if found is not None and found["spec"] == spec:
                 return found
@@ -52,7 +55,9 @@
                     "name": name,
                     "revision": self.revision,
                     "create_rev": (
-                        found["metadata"]["create_rev"] if found else self.revision
+                        found["metadata"]["create_rev"]
+                        if found
+                        else self.revision
                     ),
                     "finalizers": [],
                     "deleting": False,
@@ -70,7 +75,10 @@
             found = self.objects.get((kind, name))
             if found is None:
                 raise KeyError(name)
-            if revision is not None and found["metadata"]["revision"] != revision:
+            if (
+                revision is not None
+                and found["metadata"]["revision"] != revision
+            ):
                 raise Conflict(found)
             del self.objects[kind, name]
             self.revision += 1
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -20,7 +20,7 @@
     "x-request-id",
     "x-server-stamp",
 }
-"""Headers that concern one connection or one body, and the marks of answers."""
+"""Headers of one connection or one body, and the marks of an answer."""
 
 
 class Upstream:
@@ -56,8 +56,12 @@
         self._server = _Server(
             (self.machine.ip, self.machine.ports["app"]), handler
         )
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
-        self.record(f"upstream {self.id} of {self.service} starts, born {self.born}")
+        threading.Thread(
+            target=self._server.serve_forever, daemon=True
+        ).start()
+        self.record(
+            f"upstream {self.id} of {self.service} starts, born {self.born}"
+        )
         if heartbeats:
             threading.Thread(target=self._beat, daemon=True).start()
 
@@ -117,7 +121,10 @@
     def _call(self, call, body):
         host = self.machine.ip
         connection = http.client.HTTPConnection(
-            host, self.machine.ports["control"], timeout=1, source_address=(host, 0)
+            host,
+            self.machine.ports["control"],
+            timeout=1,
+            source_address=(host, 0),
         )
         try:
             connection.request(
