--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,95 +1,93 @@
-"""A request that may not be repeated runs twice after a call of it fails.
+"""The time of day jumps back, and an upstream starts again under its id.
 
-A reservation calls another service, whose upstreams shed a part of their
-requests.  The daemon refuses some of these calls; the reservation's upstream
-then answers 500 and passes on the headers of the refusal, with names in lower
-case.
+Its start then has an earlier Unix millisecond than the one before.  When it
+leaves, its daemon acknowledges `draining` and goes on sending it requests.
 """
 
 import pathlib
+import threading
 import time
 
 import deployment
 
-HOST = "hulo84.example"
-RESERVING = "wuno96b"
-CALLED = "huvo11a"
-SHED_SHARE = 0.55
-SHED_S = 8.5
-PAUSE_S = 0.1
+HOST = "jepu9.example"
+SERVICE = "huvo11a"
+JUMP_MS = 2000
+RUN_S = 6.0
+SERVES_ON_S = 8.0
+"""How long the leaving upstream goes on serving after the acknowledgement."""
 
 
-def calling(machine):
-    """Return the call that an upstream on a machine makes in each run.
-
-    It returns the answer if the call has failed.
-    """
-
-    def call(path):
-        answer = machine.call("GET", HOST, "/lepu270/2f", 600, name="call")
-        return None if answer.status == 200 else answer
-
-    return call
+def work_s(path):
+    """Return how long an upstream takes for a request."""
+    return 0.05
 
 
 def case(deployed):
     """Play the case, and return the breaches."""
-    routes = [
-        deployment.route(
-            "r-one", HOST, "/xapu221/", RESERVING, "non_idempotent"
-        ),
-        deployment.route("r-two", HOST, "/lepu270/", CALLED, timeout_s=0.6),
-    ]
-    deployed.push(10, routes, [RESERVING, CALLED])
-    first, *others = [
-        deployed.add(service, zone)
-        for service in (CALLED, RESERVING)
-        for zone in ("sherwood", "charnwood")
-    ]
-    called = [
-        deployed.add_upstream(machine, lambda path: 0.02)
-        for machine in (first, others[0])
-    ]
-    for machine in others[1:]:
-        upstream = deployed.add_upstream(machine, lambda path: 0.05)
-        upstream.call = calling(machine)
+    routes = [deployment.route("r-one", HOST, "/lepu270/", SERVICE)]
+    deployed.push(10, routes, [SERVICE])
+    first = deployed.add(SERVICE, "sherwood")
+    second = deployed.add(SERVICE, "charnwood")
+    deployed.add_upstream(second, work_s)
     deployed.wait_serving(
         [
-            lambda: first.call("GET", HOST, "/lepu270/2f", 1500).stamped,
-            lambda: first.call("POST", HOST, "/xapu221/2f", 3000, b"x").status
-            == 200,
+            lambda m=machine: m.call("GET", HOST, "/lepu270/2f", 1500).stamped
+            for machine in deployed.machines
         ]
     )
-    time.sleep(4)
-    if deployment.TROUBLE:
-        deployed.record(f"the upstreams of {CALLED} begin to shed")
-        for upstream in called:
-            upstream.shed_share = SHED_SHARE
-    answers = []
-    end_s = time.monotonic() + SHED_S
-    while time.monotonic() < end_s:
-        answers.append(
-            first.call("POST", HOST, "/xapu221/2f", 3000, b"x" * 4000, "place")
+
+    # The machine's time of day is ahead when the upstream starts.
+    ahead_ms = JUMP_MS if deployment.TROUBLE else 0
+    if ahead_ms:
+        deployed.record(
+            f"{first.name}: the time of day jumps {JUMP_MS} ms ahead"
         )
-        time.sleep(PAUSE_S)
-    runs = {}
-    for upstream in deployed.upstreams:
-        for run in upstream.runs:
-            runs.setdefault(run["id"], []).append(upstream.id)
-    breaches = []
-    for answer in answers:
-        ran = runs.get(answer.id, [])
-        if len(ran) > 1:
-            breaches.append(
-                f"TWICE: {answer.id}, which may not be repeated, runs at "
-                f"{' and '.join(ran)}"
-            )
-        if ran and answer.status in (408, 421, 429, 503):
-            breaches.append(
-                f"REFUSED: {answer.id} is answered {answer.status} and has "
-                f"run at {' and '.join(ran)}"
-            )
-    return breaches
+    before = deployed.add_upstream(
+        first, work_s, "i-7f3a91c2", int(time.time() * 1000) + ahead_ms
+    )
+    time.sleep(0.7)
+    before.crash()
+    if ahead_ms:
+        deployed.record(f"{first.name}: the time of day jumps back")
+    time.sleep(0.5)
+    leaving = deployed.add_upstream(
+        first, work_s, "i-7f3a91c2", int(time.time() * 1000)
+    )
+
+    stop = threading.Event()
+
+    def send():
+        while not stop.wait(0.1):
+            first.call("GET", HOST, "/lepu270/2f", 1500)
+
+    senders = [threading.Thread(target=send) for _ in range(3)]
+    for sender in senders:
+        sender.start()
+    time.sleep(RUN_S)
+    if not leaving.runs:
+        raise deployment.NotRun("the upstream got no requests")
+    leaving.state = "draining"
+    for _ in range(4):
+        if leaving.acknowledged_s or leaving.beat():
+            break
+    acknowledged_s = leaving.acknowledged_s
+    if not acknowledged_s:
+        stop.set()
+        raise deployment.NotRun("the leave isn't acknowledged")
+    time.sleep(SERVES_ON_S)
+    stop.set()
+    for sender in senders:
+        sender.join()
+    leaving.deregister()
+    late_s = acknowledged_s + deployed.bounds["drain_timeout_s"]
+    return [
+        f"DRAIN: {run['id']} reaches {leaving.id} "
+        f"{run['at_s'] - acknowledged_s:.2f} s after {first.name} "
+        "acknowledged that it drains"
+        for run in leaving.runs
+        if run["at_s"] > late_s
+    ]
 
 
 if __name__ == "__main__":
