--- a/review/5/case.py
+++ b/review/5/case.py
@@ -27,9 +27,12 @@
     """Play the case, and return the breaches."""
     routes = [deployment.route("r-one", HOST, "/lepu270/", SERVICE)]
     deployed.push(10, routes, [SERVICE])
-    first = deployed.add(SERVICE, "sherwood")
-    second = deployed.add(SERVICE, "charnwood")
-    deployed.add_upstream(second, work_s)
+    first, *others = [
+        deployed.add(SERVICE, zone)
+        for zone in ("sherwood", "charnwood", "wyre", "cannock")
+    ]
+    for machine in others:
+        deployed.add_upstream(machine, work_s)
     deployed.wait_serving(
         [
             lambda m=machine: m.call("GET", HOST, "/lepu270/2f", 1500).stamped
