--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,7 @@
 # Checks that the stand-ins of the scripts compile; nothing else is to build.
 set -eu
 cd "$(dirname "$0")"
-for file in standins/*.py [1-5]/case.py; do
+for file in standins/*.py [1-5]/case.py trials/*.py; do
     [ -e "$file" ] || continue
     python3 -c '
 import sys
