--- a/review/3/case.py
+++ b/review/3/case.py
@@ -35,9 +35,9 @@
 def case(deployed):
     """Play the case, and return the breaches."""
     deployed.push(10, routes(SERVICES[0]), SERVICES)
-    first = deployed.add(SERVICES[0], "sherwood")
-    second = deployed.add(SERVICES[1], "charnwood")
-    third = deployed.add(SERVICES[1], "wyre", "west")
+    deployed.add(SERVICES[0], "sherwood")
+    for zone in ("charnwood", "wyre", "cannock", "sherwood"):
+        deployed.add(SERVICES[1], zone)
     upstreams = [
         deployed.add_upstream(machine, lambda path: 0.02)
         for machine in deployed.machines
@@ -99,8 +99,8 @@
     time.sleep(calm_s)
     store.on_call = lambda text: None
     breaches = []
-    for _ in range(10):
-        for machine in (first, second, third):
+    for _ in range(6):
+        for machine in deployed.machines:
             late_s = time.monotonic() - accepted_s
             service = served_by(machine, "/xapu221/2f")
             if service == SERVICES[0]:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -33,7 +33,8 @@
     deployed.push(10, routes(1.5), [SERVICE])
     first = deployed.add(SERVICE, "cannock")
     deployed.add(SERVICE, "sherwood")
-    deployed.add(SERVICE, "wyre", "west")
+    deployed.add(SERVICE, "wyre")
+    deployed.add(SERVICE, "charnwood")
     leaving, *_ = [
         deployed.add_upstream(machine, lambda path: 0.05)
         for machine in deployed.machines
