Let a planned stop use the time until the platform kills

Callers of a daemon that was asked to stop got a 504 of its own 5.1 s after SIGTERM, with a grace period of 10 s, while their targets were at work.

Cause: the template of the settings fixed the limit of a stop at 5,250 ms, which fits a grace period of 6 s.

Change: [traffic] kill_after_s, which the template fills in from grace_period_s; the limit is that time less the exit's own 0.75 s, or less an eighth of a shorter time. With 6 s it stays at 5.25 s.

The new test fails before (the setting doesn't exist, and 5.1 s is less than five sixths of 10 s), and passes for grace periods of 4 to 120 s.

Why it works: answers are due 0.15 s before the limit, which is in the last sixth of the grace period for each grace period of 4 s or more.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -367,9 +367,10 @@
         callers have closed their connections.
         """
         traffic_options = self._options.traffic
-        deadline_s = time.monotonic() + traffic_options.drain_limit_ms / 1000
+        limit_s = traffic_options.stop_limit_s
+        deadline_s = time.monotonic() + limit_s
         leave_after_s = traffic_options.leave_after_ms / 1000
-        _log.info("Draining.")
+        _log.info("Draining, for {:.2f} s at most.", limit_s)
         for component in (self._entry, self._guard):
             component.set_deadline(deadline_s - FINAL_ANSWERS_S)
         threading.Thread(
@@ -391,9 +392,9 @@
         )
         if aborted:
             _log.error(
-                "Drain limit of {} ms reached; {} running requests are "
+                "Drain limit of {:.2f} s reached; {} running requests are "
                 "aborted.",
-                traffic_options.drain_limit_ms,
+                limit_s,
                 aborted,
             )
         self._claims.flush(CLAIM_FLUSH_TIMEOUT_S)
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -29,6 +29,14 @@
 a second with 10 KB each."""
 
 
+EXIT_RESERVE_S: typing.Final = 0.75
+"""Time from the limit of a planned stop until the process has ended: the
+removal of its record and the stop of its servers."""
+
+EXIT_RESERVE_SHARE: typing.Final = 1 / 8
+"""Upper bound of the reserve, as a share of the time until the kill."""
+
+
 class _Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A table that rejects unknown keys."""
 
@@ -135,8 +143,10 @@
     slots and queue, for a baseline only.  ``threads`` is how many requests
     the entry and the guard may each process concurrently.
     ``idle_timeout_ms`` is how long a caller's connection may be idle.
-    ``drain_limit_ms`` bounds a planned stop.  New connections are accepted
-    for ``leave_after_ms`` from the start of the stop, and for
+    ``kill_after_s`` is when the platform kills a process that was asked to
+    stop; the limit of a planned stop follows from it.  Where it isn't set,
+    ``drain_limit_ms`` is the limit.  New connections are accepted for
+    ``leave_after_ms`` from the start of the stop, and for
     ``leave_while_busy_ms`` more while a request is running.
     """
 
@@ -148,11 +158,26 @@
     threads: typing.Annotated[int, msgspec.Meta(ge=4, le=512)] = 48
     idle_timeout_ms: Milliseconds = 10_000
     drain_limit_ms: Milliseconds = 30_000
+    kill_after_s: (
+        typing.Annotated[float, msgspec.Meta(gt=0, le=600)] | None
+    ) = None
     leave_after_ms: Milliseconds = 500
     leave_while_busy_ms: typing.Annotated[
         int, msgspec.Meta(ge=0, le=600_000)
     ] = 0
 
+    @property
+    def stop_limit_s(self) -> float:
+        """Return how long a planned stop may take, less the exit itself.
+
+        >>> Traffic(kill_after_s=10).stop_limit_s
+        9.25
+        """
+        if self.kill_after_s is None:
+            return self.drain_limit_ms / 1000
+        reserve_s = min(EXIT_RESERVE_S, EXIT_RESERVE_SHARE * self.kill_after_s)
+        return self.kill_after_s - reserve_s
+
 
 class Retries(_Table, frozen=True):
     """The retry budget that all daemons share.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -257,12 +257,8 @@
     return re.sub(r"{{([a-z0-9_.]+)}}", lambda m: values[m[1]], text)
 
 
-def test_settings_template_gives_valid_settings() -> None:
-    """Each placeholder is at a place where its value is valid.
-
-    The optional placeholders may be left empty.
-    """
-    text = (ROOT / "deploy" / "settings.toml").read_text()
+def _template_values() -> dict[str, str]:
+    """Return a value for each placeholder of the template."""
     values = {
         "node_name": "sidecar-z-1",
         "service": "s1",
@@ -276,26 +272,53 @@
         "bounds.retry_window_s": "10",
         "bounds.budget_slack": "60",
         "bounds.config_apply_s": "3",
+        "bounds.grace_period_s": "6",
         "limits.cpu_share": "0.43",
         "limits.cores": "1",
         "limits.link_mbps": "7.0",
     }
     for port, name in enumerate(("inbound", "outbound", "ready", "control")):
         values[f"listen_addresses.{name}"] = f"10.0.0.1:{port + 1}"
+    return values
+
+
+def test_settings_template_gives_valid_settings() -> None:
+    """Each placeholder is at a place where its value is valid.
+
+    The optional placeholders may be left empty.
+    """
+    text = (ROOT / "deploy" / "settings.toml").read_text()
+    values = _template_values()
     found = settings.parse(_fill_template(text, values))
     assert found.control.source == "accepted"
     assert found.control.apply_within_s == 3.0
     assert found.capacity.percent == 35
     optional = re.findall(r"{{#([a-z0-9_.]+)}}", text)
-    assert len(optional) == 4
+    assert len(optional) == 5
     for name in optional:
         del values[name]
     without_optional = settings.parse(_fill_template(text, values))
     assert without_optional.control == settings.Control(source="accepted")
     assert without_optional.capacity == settings.Capacity()
+    assert without_optional.traffic.kill_after_s is None
     assert found.retries.ratio == 0.2
 
 
+# Guards against requests that a planned stop breaks off while the platform
+# leaves the process more time.  Answers that come before the last sixth of
+# that time must be passed on.
+@pytest.mark.parametrize("grace_s", [4, 6, 10, 30, 120])
+def test_planned_stop_uses_the_time_until_the_platform_kills(
+    grace_s: int,
+) -> None:
+    text = (ROOT / "deploy" / "settings.toml").read_text()
+    values = {**_template_values(), "bounds.grace_period_s": f"{grace_s}"}
+    found = settings.parse(_fill_template(text, values)).traffic
+    last_answer_s = found.stop_limit_s - daemon.FINAL_ANSWERS_S
+    assert 5 / 6 * grace_s <= last_answer_s
+    assert found.stop_limit_s < grace_s
+
+
 def test_retry_time_for_an_unrecorded_leave_keeps_fractions() -> None:
     """The refusal of an unrecorded leave states a retry time below 1 s.
 
