Keep idle connections as long as the configuration lets callers reuse them

Change: limits of an accepted configuration carry the time, and the entry keeps idle connections for the longer of the two.

Test: idle connections under a clock of the test's own, stated 0, 5 and 60 s; it can't run before, as the method is new.

--- a/src/chiveroad/config/_model.py
+++ b/src/chiveroad/config/_model.py
@@ -90,11 +90,14 @@
     """Limits on the size of a request, and on the time to send its head.
 
     ``max_body_bytes`` is 0 where bodies aren't limited.
+    ``idle_timeout_ms`` is for how long callers may rely on an idle
+    connection, 0 where that isn't stated.
     """
 
     max_head_bytes: int = 32 * 1024
     max_body_bytes: int = 0
     head_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 0
 
 
 LIMITS_KEY: typing.Final = "limits/callers"
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -271,6 +271,7 @@
         entry_server.limit_heads(
             limits.max_head_bytes, limits.head_timeout_ms / 1000
         )
+        entry_server.keep_idle(limits.idle_timeout_ms / 1000)
 
     def _watch_target(self) -> None:
         """Announce the states of a target that sends no heartbeats.
--- a/src/chiveroad/platform/_configuration.py
+++ b/src/chiveroad/platform/_configuration.py
@@ -49,13 +49,14 @@
 class _Limits(msgspec.Struct):
     """Limits for requests of callers.
 
-    The platform's ``idle_timeout_s`` isn't read: idle connections are closed
-    later than it requires, never sooner.
+    Callers reuse connections that have been idle for most of
+    ``idle_timeout_s``.
     """
 
     max_header_bytes: int
     max_body_bytes: int
     header_timeout_s: float
+    idle_timeout_s: float = 0.0
 
 
 class _Configuration(msgspec.Struct):
@@ -134,6 +135,7 @@
         max_head_bytes=limits.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
         head_timeout_ms=int(limits.header_timeout_s * 1000),
+        idle_timeout_ms=int(limits.idle_timeout_s * 1000),
     )
 
 
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import errno
+import math
 import queue
 import threading
 import time
@@ -118,6 +119,7 @@
         self.closer = _closer.Closer()
         self.uplink = uplink
         self.handler = handler
+        self._idle_timeout_s = idle_timeout_s
         self.timeout = idle_timeout_s
         self.expiration_interval = expire_s
         self.fractional_retry = fractional_retry
@@ -167,6 +169,10 @@
         self.max_request_header_size = max_bytes
         self.head_timeout_s = timeout_s
 
+    def keep_idle(self, at_least_s: float) -> None:
+        """Keep idle connections open for at least some seconds."""
+        self.timeout = max(self._idle_timeout_s, math.ceil(at_least_s))
+
     def may_linger(self) -> bool:
         """Return whether a worker may wait for a connection's next request."""
         occupied_workers = self._running + self._lingering
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -242,7 +242,9 @@
         msgspec.Raw(msgspec.json.encode(spec))
     )
     translated_config = config.Config(found.items)
-    assert translated_config.limits == config.Limits(16_384, 67_108_864, 3_000)
+    assert translated_config.limits == config.Limits(
+        16_384, 67_108_864, 3_000, 15_000
+    )
     assert config.Config({}).limits == config.Limits()
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -488,6 +488,42 @@
     server.stop()
 
 
+# Guards against idle connections that are closed sooner than the accepted
+# configuration lets callers reuse them.
+@pytest.mark.parametrize(
+    ("stated_s", "idle_s", "expected_open"),
+    [
+        (0.0, 9.0, True),
+        (0.0, 11.0, False),
+        (60.0, 48.0, True),
+        (60.0, 61.0, False),
+        (5.0, 9.0, True),
+    ],
+)
+def test_idle_connection_is_kept_as_long_as_the_configuration_states(
+    monkeypatch: pytest.MonkeyPatch,
+    stated_s: float,
+    idle_s: float,
+    expected_open: bool,
+) -> None:
+    address = _PORTS.take()
+    server = serving.Server(address, Echo(), threads=1)
+    server.prepare()
+    server.keep_idle(stated_s)
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), 5):
+        idle = server._connections._from_server_socket(server.socket)
+        server._connections.put(idle)
+        with monkeypatch.context() as clocks:
+            real_monotonic = time.monotonic
+            clocks.setattr(
+                time, "monotonic", lambda: real_monotonic() + idle_s
+            )
+            server._connections._expire(time.time() - server.timeout)
+        assert server._connections._num_connections == int(expected_open)
+    server.stop()
+
+
 class _LatePoll:
     """A poll that times out, but bytes arrive before the thread runs again."""
 
