Refuse requests that come late in a planned stop and may outlast it

Cause: the limit of a stop shortened the deadlines of requests, but a new request's own deadline was never compared with it.

Change: once the entry has stopped listening, a request whose deadline is after the limit is refused at once (E4033, not run). Server.drain is split into stop_accepting and wait_closed, so that the daemon can act in between.

Why it works: what is taken after that moment is due before the limit, and its deadline ends it sooner than the stop does.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -382,11 +382,13 @@
         threading.Timer(GUARD_GRACE_S, self._drain_guard).start()
         self._control_plane.release_leases()
         _, guard_server, entry_server = self._servers
-        aborted = entry_server.drain(
+        entry_server.stop_accepting(
             max(0.0, deadline_s - time.monotonic()),
             leave_after_s,
             traffic_options.leave_while_busy_ms / 1000,
         )
+        self._entry.refuse_outlasting()
+        aborted = entry_server.wait_closed(deadline_s - time.monotonic())
         self._drain_guard()
         aborted += guard_server.wait_idle(
             max(0.0, deadline_s - time.monotonic())
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -298,6 +298,13 @@
     hint = "give the request a longer deadline"
 
 
+class Stopping(Refusal):
+    """The daemon is stopping, and may end before the request does."""
+
+    code = 4033
+    hint = "wait as long as Retry-After says"
+
+
 class TargetRefused(Refusal):
     """No connection to the target could be opened, so nothing was sent."""
 
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -218,18 +218,31 @@
         grace_s: float = LISTEN_GRACE_S,
         busy_grace_s: float = 0.0,
     ) -> int:
-        """Drain the server: wait until all connections are closed.
+        """Drain the server: stop accepting, and wait until it is closed.
 
-        Every further answer has ``Connection: close``, and after a grace
-        period the server stops listening.  An unused persistent connection is
-        closed at its idle timeout, as stated to its caller, or at the end of
-        the grace period if the limit is shorter than the idle timeout.
+        The parameters are those of ``stop_accepting``.
 
+        :returns: how many requests are still running at the limit.
+        """
+        deadline_s = time.monotonic() + limit_s
+        self.stop_accepting(limit_s, grace_s, busy_grace_s)
+        return self.wait_closed(deadline_s - time.monotonic())
+
+    def stop_accepting(
+        self, limit_s: float, grace_s: float, busy_grace_s: float = 0.0
+    ) -> None:
+        """Stop listening after a grace period.
+
+        Every further answer has ``Connection: close``.  An unused persistent
+        connection is closed at its idle timeout, as stated to its caller, or
+        at the end of the grace period if the limit is shorter than the idle
+        timeout.
+
+        :param limit_s: the time until the server is to be closed.
         :param grace_s: for how long new connections are still accepted.
         :param busy_grace_s: for how much longer they are accepted while a
             request is running.  Callers that keep connecting find no listener
             from then until a new process has started.
-        :returns: how many requests are still running at the limit.
         """
         self.keeps_connections = False
         deadline_s = time.monotonic() + limit_s
@@ -239,6 +252,13 @@
         if self.timeout > limit_s:
             # The library's thread then expires all idle connections.
             self.timeout = 0
+
+    def wait_closed(self, limit_s: float) -> int:
+        """Wait until all connections are closed.
+
+        :returns: how many requests are still running at the limit.
+        """
+        deadline_s = time.monotonic() + limit_s
         while time.monotonic() < deadline_s and self._connected:
             time.sleep(0.02)
         return self._running
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -40,6 +40,9 @@
 from chiveroad import wire
 
 NOT_READY_RETRY_MS: typing.Final = 300
+STOPPING_RETRY_MS: typing.Final = 500
+"""The next process listens only once this one has ended and it has started."""
+
 BUFFERED_ANSWER_BYTES: typing.Final = 1024 * 1024
 """An answer up to this size is forwarded only once it is complete, so that
 the request can be retried at another target if the answer is truncated."""
@@ -84,6 +87,7 @@
         self._own_host = options.target.address.rpartition(":")[0]
         self._sampler = logs.Sampler()
         self._limit = _call.Limit()
+        self._refuses_outlasting = False
         self._ids = itertools.count(1)
         self._id_prefix = f"{options.instance}-{uuid.uuid4().hex[:8]}"
 
@@ -122,6 +126,14 @@
         """
         self._limit.at_s = end_s
 
+    def refuse_outlasting(self) -> None:
+        """Refuse further requests that may run until after the deadline.
+
+        A request that arrives late in a planned stop could otherwise be
+        broken off while its target runs it.
+        """
+        self._refuses_outlasting = True
+
     def candidates(self, service: str) -> list[_balancer.Candidate]:
         """Return the targets of a service as this entry sees them."""
         return self._targets.candidates(service)
@@ -236,7 +248,12 @@
             raise errors.RequestTooLarge(f"the body is over {limit} bytes")
         terms = self._protocol.read_request(request)
         timeout_ms = min(terms.timeout_ms or kind.timeout_ms, kind.timeout_ms)
-        request.set_body_deadline(request.received_s + timeout_ms / 1000)
+        deadline_s = request.received_s + timeout_ms / 1000
+        if self._refuses_outlasting and deadline_s > self._limit.at_s:
+            raise errors.Stopping(
+                "the daemon stops before the deadline", STOPPING_RETRY_MS
+            )
+        request.set_body_deadline(deadline_s)
         if terms.depth > _call.MAX_DEPTH:
             raise errors.BadRequest(f"over {_call.MAX_DEPTH} calls deep")
         inner = terms.depth > 0 or self._is_inner(request)
@@ -255,7 +272,7 @@
             kind_name=route.kind,
             kind=kind,
             team=route.team,
-            deadline_s=request.received_s + timeout_ms / 1000,
+            deadline_s=deadline_s,
             depth=terms.depth,
             key=request.header(_call.IDEMPOTENCY_KEY),
             method=request.method,
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -5,6 +5,8 @@
 import collections.abc
 import concurrent.futures
 import contextlib
+import socket
+import threading
 import time
 import typing
 
@@ -22,6 +24,8 @@
 drain_limit_ms = 2000
 leave_after_ms = 800
 """
+LEAVE_AFTER_S: typing.Final = 0.8
+LATE_ID: typing.Final = "late"
 SERVICE_FILE: typing.Final = """
 team = "schools"
 [service.glade]
@@ -90,3 +94,54 @@
     assert [r.error for r in results] == [""] * len(results)
     assert {r.status for r in results} <= {503, 504}
     assert all(r.whole for r in results)
+
+
+def _send_in_two_parts(
+    running_mesh: mesh.Mesh,
+    timeout_ms: int,
+    pause: collections.abc.Callable[[], object],
+) -> bytes:
+    """Send a POST with a pause within its head, and return the answer."""
+    host, _, port = running_mesh.instances["glade-1"].entry.rpartition(":")
+    with socket.create_connection((host, int(port)), 10) as sock:
+        sock.sendall(b"POST /write HTTP/1.1\r\nHost: h\r\n")
+        pause()
+        sock.sendall(
+            b"X-Request-Id: %b\r\nChiveroad-Timeout-Ms: %d\r\n"
+            b"Content-Length: 0\r\n\r\n" % (LATE_ID.encode(), timeout_ms)
+        )
+        return sock.recv(65_536)
+
+
+# Guards against requests that arrive late in a planned stop, are passed on,
+# and are broken off when it ends, though they may not be repeated.
+@pytest.mark.parametrize(
+    ("service_ms", "timeout_ms", "status", "runs"),
+    [(1_500.0, 3_000, 503, 0), (100.0, 600, 200, 1)],
+)
+def test_request_that_may_outlast_the_stop_is_refused_before_it_runs(
+    service_ms: float, timeout_ms: int, status: int, runs: int
+) -> None:
+    with (
+        _running() as running_mesh,
+        concurrent.futures.ThreadPoolExecutor(1) as pool,
+    ):
+        stopped_listening = threading.Event()
+        for name in running_mesh.instances:
+            running_mesh.set_mode(name, target.Mode(service_ms=service_ms))
+        sending = pool.submit(
+            _send_in_two_parts,
+            running_mesh,
+            timeout_ms,
+            lambda: stopped_listening.wait(10),
+        )
+        time.sleep(0.3)
+        stopping = running_mesh.ask_to_stop("glade-1")
+        time.sleep(LEAVE_AFTER_S + 0.2)
+        stopped_listening.set()
+        answer = sending.result()
+        stopping.wait(10)
+        counts = running_mesh.run_counts()
+    assert answer.startswith(b"HTTP/1.1 %d" % status)
+    assert (b"Chiveroad-Ran: no" in answer) is (not runs)
+    assert counts.get(LATE_ID, 0) == runs
