--- a/src/chiveroad/cli/_push.py
+++ b/src/chiveroad/cli/_push.py
@@ -40,42 +40,35 @@
     action: Action
     file: str
     text: str
-    version: int
+    version: store.Revision
 
 
 def plan(
     local: collections.abc.Sequence[config.Source],
-    stored: collections.abc.Mapping[str, config.Source],
+    stored: collections.abc.Mapping[str, store.StoredObject],
 ) -> list[Change]:
     """Return the writes that make the stored folder equal to the local one."""
     changes = []
     for source in local:
-        stored_source = stored.get(source.name)
-        if stored_source is None:
+        found = stored.get(source.name)
+        if found is None:
             changes.append(
                 Change(Action.CREATE, source.name, source.text, store.ABSENT)
             )
-        elif stored_source.text != source.text:
+        elif control.source_of(found).text != source.text:
             changes.append(
-                Change(
-                    Action.UPDATE,
-                    source.name,
-                    source.text,
-                    stored_source.revision,
-                )
+                Change(Action.UPDATE, source.name, source.text, found.version)
             )
     names = {source.name for source in local}
     for name in sorted(set(stored) - names):
-        changes.append(Change(Action.REMOVE, name, "", stored[name].revision))
+        changes.append(Change(Action.REMOVE, name, "", stored[name].version))
     return changes
 
 
-def read_stored(platform: store.Store) -> dict[str, config.Source]:
+def read_stored(platform: store.Store) -> dict[str, store.StoredObject]:
     """Return the files of the stored folder, by name."""
     listing = platform.list(store.Kind.FILES)
-    return {
-        stored.name: control.source_of(stored) for stored in listing.objects
-    }
+    return {stored.name: stored for stored in listing.objects}
 
 
 def apply(
@@ -121,7 +114,7 @@
     value = control.FolderFile(change.text)
     return platform.put(
         store.Kind.FILES, change.file, value, change.version
-    ).version
+    ).version.number
 
 
 def _resolve_outcome(platform: store.Store, change: Change) -> int:
@@ -142,7 +135,7 @@
     is_same_text = control.source_of(stored).text == change.text
     if change.action is Action.REMOVE or not is_same_text:
         raise errors.StoreConflict(change.file)
-    return stored.version
+    return stored.version.number
 
 
 def wait_for_verdict(
--- a/src/chiveroad/control/_accept.py
+++ b/src/chiveroad/control/_accept.py
@@ -56,7 +56,7 @@
     """The accepted version as read, with the store's version of the object."""
 
     accepted: Accepted
-    store_version: int
+    store_version: store.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,13 +68,13 @@
     sources: tuple[config.Source, ...]
 
 
-def may_merge(base: Accepted, folder_version: int) -> bool:
+def may_merge(base: Accepted, folder_version: store.Revision) -> bool:
     """Return whether a folder is new enough to be merged on top of a version.
 
     A folder older than the one that the accepted version was merged from
     would undo a change.
     """
-    return folder_version >= base.folder_version
+    return folder_version.number >= base.folder_version
 
 
 def decode(stored: store.StoredObject) -> Accepted:
@@ -128,7 +128,7 @@
     platform: store.Store,
     base: Base,
     merged: config.Merged,
-    folder_version: int,
+    folder_version: store.Revision,
 ) -> Current:
     """Accept a merged configuration as the next version.
 
@@ -145,7 +145,7 @@
     accepted = Accepted(
         base.current.accepted.version + 1,
         digest,
-        folder_version,
+        folder_version.number,
         sources,
         chunks,
         delta if len(delta) <= DELTA_LIMIT_BYTES else b"",
--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -151,6 +151,9 @@
         """Return True: members are sent to parents instead of recorded."""
         return True
 
+    def learn_era(self, era: int) -> None:
+        """Do nothing: leaders learn of an era from the store."""
+
     def release_leases(self) -> None:
         """Release all leases, the one with the widest scope first."""
         self._merger.stopped = True
--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -24,6 +24,7 @@
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import logs
+from chiveroad import store
 
 RETAINED_VERSIONS: typing.Final = 8
 
@@ -64,14 +65,15 @@
     """One version of the configuration in this process.
 
     ``applied_at_ms`` is Unix time, and ``revision`` is the store's revision of
-    the object that the version came from, or 0 where it isn't known.
+    the object that the version came from, or ``store.ABSENT`` where it isn't
+    known.
     """
 
     number: int
     digest: str
     config: config.Config
     applied_at_ms: float
-    revision: int = 0
+    revision: store.Revision = store.ABSENT
 
 
 def _empty_version() -> Version:
@@ -127,7 +129,7 @@
         number: int,
         digest: str,
         items: _Items,
-        revision: int = 0,
+        revision: store.Revision = store.ABSENT,
         checked: bool = False,
     ) -> VersionOrder:
         """Put a version in force if it is newer.
--- a/src/chiveroad/control/_control_plane.py
+++ b/src/chiveroad/control/_control_plane.py
@@ -56,6 +56,10 @@
         :returns: whether it is recorded.
         """
 
+    @abc.abstractmethod
+    def learn_era(self, era: int) -> None:
+        """Learn of an era of the store from another daemon."""
+
     @abc.abstractmethod
     def release_leases(self) -> None:
         """Release the leases, so that other daemons can take over at once."""
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 import typing
@@ -15,6 +16,7 @@
 from chiveroad import clock
 from chiveroad import config
 from chiveroad import connection
+from chiveroad.control import _applied
 from chiveroad.control import _backoff
 from chiveroad.control import _bootstrap
 from chiveroad.control import _control_plane
@@ -77,6 +79,13 @@
 """
 
 MAX_RETRY_MEMBERS_S: typing.Final = 1.0
+RESTORE_SPREAD_S: typing.Final = 0.6
+"""Time over which daemons spread the writes of their records when the store
+has come back from an older copy."""
+
+RESTORE_TIMEOUT_S: typing.Final = 2.0
+"""How long after that the record of a living daemon may be missing."""
+
 BOOTSTRAP_INTERVAL_S: typing.Final = 0.3
 TICK_S: typing.Final = 0.1
 MEMBER_LIST_WAIT_S: typing.Final = 0.2
@@ -147,6 +156,11 @@
         self._recorder = _record.Recorder(
             platform, options.instance, self._compose, self._restore
         )
+        self._missing_until_s: dict[str, float] = {}
+        """Until when the members that the store has lost may be restored, by
+        their names."""
+
+        platform.eras.subscribe(self._begin_era)
 
     @property
     def parent(self) -> str:
@@ -204,9 +218,39 @@
         """Have the state of the local target recorded."""
         return self._recorder.record(wait_s)
 
+    def learn_era(self, era: int) -> None:
+        """Learn of an era of the store from another daemon."""
+        self._store.eras.learn(era)
+
     def release_leases(self) -> None:
         """Do nothing: parents are computed, no lease is involved."""
 
+    def _begin_era(self, former: int, era: int) -> None:
+        """Have this daemon's record written again in a new era of the store.
+
+        A leave is written at once, as it has been acknowledged.
+        """
+        if not former:
+            return
+        status = self._target.status
+        delay_s = 0.0 if status.leaves else random.uniform(0, RESTORE_SPREAD_S)
+        _log.warning(
+            "The store went back to an older copy, era {} follows {}; members "
+            "were known up to revision {}, version {} up to revision {}.  "
+            "The record, with target {} {}, is written again in {:.2f} s.",
+            era,
+            former,
+            self._node.as_of,
+            self._node.applied.current.number,
+            self._node.applied.current.revision,
+            status.target_id,
+            status.phase.value,
+            delay_s,
+        )
+        timer = threading.Timer(delay_s, self._recorder.record, (0.0,))
+        timer.daemon = True
+        timer.start()
+
     def _compose(self) -> _messages.MemberRecord | None:
         """Return the record to write, or None while no target is known."""
         status = self._target.status
@@ -226,6 +270,7 @@
             target_started_at_ms=status.started_at_ms,
             slots=status.slots,
             store_distance_ms=self._distance_ms,
+            era=self._store.eras.current,
         )
         return _messages.MemberRecord(member, status.phase, status.ended_by_ms)
 
@@ -291,6 +336,7 @@
         except errors.ChiveroadError as exc:
             self._parent_selector.back_off(chosen, f"request failed: {exc}")
             return
+        self.learn_era(answer.as_of_era)
         with self._freshness_lock:
             self._last_answer_s = clock.now_s()
             self._evaluate_answer(chosen, answer)
@@ -318,7 +364,7 @@
         """Rewrite this daemon's record after another daemon removed it."""
         own = self._node.member
         if own.state is membership.State.GONE:
-            self._recorder.rewrite_deleted(own.sequence)
+            self._recorder.rewrite_deleted(own.recorded_at)
 
     def _sweep(self) -> None:
         while not self.stopped:
@@ -396,26 +442,30 @@
     # The accepted version.
 
     def _follow_versions(self) -> None:
-        revision = 0
-        history_expired = False
+        revision = store.ABSENT
+        expiries = 0
+        must_read = False
         backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_VERSIONS_S)
         self._wait_for_parent()
         while not self.stopped:
             self._wait_until_watching()
             revision = max(revision, self._node.applied.current.revision)
+            must_read |= revision == store.ABSENT or self._likely_superseded()
             try:
-                if (
-                    revision
-                    and not history_expired
-                    and not self._likely_superseded()
-                ):
-                    revision = self._watch_versions(revision)
-                else:
+                if must_read:
                     revision = self._read_version()
-                history_expired = False
+                    must_read = False
+                    continue
+                revision = self._watch_versions(revision)
+                expiries = 0
                 backoff.reset()
-            except errors.StoreExpired:
-                history_expired = True
+            except errors.StoreExpired as exc:
+                _log.info("Reading the version instead of watching: {}.", exc)
+                must_read = True
+                expiries += 1
+                if expiries > 1:
+                    # The store doesn't know what it has just answered.
+                    backoff.wait()
             except errors.ChiveroadError as exc:
                 self._log_failure(exc)
                 backoff.wait()
@@ -454,14 +504,14 @@
             ):
                 node.changed.wait(min(left_s, TICK_S))
 
-    def _read_version(self) -> int:
+    def _read_version(self) -> store.Revision:
         sent_s = clock.now_s()
         stored = self._store.get(store.Kind.ACCEPTED, ACCEPTED)
         self._apply(stored)
         self._node.applied.confirm(sent_s)
         return stored.version
 
-    def _watch_versions(self, revision: int) -> int:
+    def _watch_versions(self, revision: store.Revision) -> store.Revision:
         sent_s = clock.now_s()
         wait_s = self._watch_s()
         newest: store.StoredObject | None = None
@@ -492,23 +542,30 @@
     def _apply(self, stored: store.StoredObject) -> None:
         version = self._protocol.read_version(stored.spec)
         digest = config.digest(version.items)
-        self._node.applied.offer(
+        applied = self._node.applied
+        order = applied.offer(
             version.number,
             digest,
             version.items,
             stored.version,
             checked=True,
         )
+        if order is _applied.VersionOrder.OLDER:
+            _log.info(
+                "The store holds version {}; version {} stays in force.",
+                version.number,
+                applied.current.number,
+            )
 
     # The members.
 
     def _follow_members(self) -> None:
-        revision = 0
+        revision = store.ABSENT
         backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_MEMBERS_S)
         while not self.stopped:
             self._wait_until_watching()
             try:
-                if revision:
+                if revision != store.ABSENT:
                     revision = self._watch_members(revision)
                 else:
                     revision = self._list_members()
@@ -517,14 +574,14 @@
                     self._wait_until_following()
                 backoff.reset()
             except errors.StoreExpired:
-                revision = 0
+                revision = store.ABSENT
             except errors.ChiveroadError as exc:
                 _log.debug(
                     "Reading members from the store failed, retrying: {}.", exc
                 )
                 backoff.wait()
 
-    def _list_members(self) -> int:
+    def _list_members(self) -> store.Revision:
         listing = self._store.list(store.Kind.MEMBERS)
         names = set()
         own: store.StoredObject | None = None
@@ -535,16 +592,56 @@
             self._merge_record(stored)
         self._restore(own)
         for member in self._node.view.all():
-            known = member.sequence and member.sequence <= listing.version
+            known = member.sequence and member.recorded_at <= listing.version
             if known and member.instance not in names:
-                self._mark_gone(member.instance, listing.version)
+                self._process_missing(member, listing.version)
         self._node.advance_as_of(listing.version)
         return listing.version
 
-    def _watch_members(self, revision: int) -> int:
+    def _process_missing(
+        self, member: membership.Member, listed_at: store.Revision
+    ) -> None:
+        """Process that the store has no record of a known member.
+
+        The record was deleted, or the store went back to a copy from before
+        it was written; then its daemon writes it again.
+        """
+        if member.era == listed_at.era:
+            self._mark_gone(member.instance, listed_at)
+        elif member.alive and member.instance != self._node.member.instance:
+            self._missing_until_s.setdefault(
+                member.instance, clock.now_s() + RESTORE_TIMEOUT_S
+            )
+
+    def _expire_missing(self, revision: store.Revision) -> None:
+        """Mark the members gone whose records weren't restored in time."""
+        now_s = clock.now_s()
+        for name, until_s in list(self._missing_until_s.items()):
+            member = self._node.view.get(name)
+            restored = member is None or member.era == revision.era
+            if not restored and now_s < until_s:
+                continue
+            del self._missing_until_s[name]
+            if not restored:
+                _log.warning(
+                    "Member {} has no record in era {} after {} s and counts "
+                    "as gone.",
+                    name,
+                    revision.era,
+                    RESTORE_TIMEOUT_S,
+                )
+                self._mark_gone(name, revision)
+
+    def _watch_members_s(self) -> float:
+        """Return the wait of the next watch for a change of members."""
+        ends_s = self._missing_until_s.values()
+        left_s = min(ends_s, default=clock.NEVER_S) - clock.now_s()
+        return min(WATCH_MEMBERS_S, max(MEMBER_BATCH_DELAY_S, left_s))
+
+    def _watch_members(self, revision: store.Revision) -> store.Revision:
         before = revision
         for event in self._store.watch(
-            store.Kind.MEMBERS, revision, WATCH_MEMBERS_S
+            store.Kind.MEMBERS, revision, self._watch_members_s()
         ):
             revision = max(revision, event.version)
             if event.object is None:
@@ -554,6 +651,7 @@
             else:
                 self._merge_record(event.object)
         self._node.advance_as_of(revision)
+        self._expire_missing(revision)
         if revision > before:
             time.sleep(MEMBER_BATCH_DELAY_S)
         return revision
@@ -563,22 +661,30 @@
         if record is not None:
             self._node.merge([record.member])
 
-    def _mark_gone(self, name: str, revision: int) -> None:
+    def _mark_gone(self, name: str, revision: store.Revision) -> None:
         member = self._node.view.get(name)
         if member is None:
             return
         gone = msgspec.structs.replace(
-            member, state=membership.State.GONE, sequence=revision
+            member,
+            state=membership.State.GONE,
+            era=revision.era,
+            sequence=revision.number,
         )
         self._node.merge([gone])
 
     def _restore(self, own: store.StoredObject | None) -> None:
-        """Restore the state that an earlier incarnation has recorded."""
+        """Restore the state that an earlier incarnation has recorded.
+
+        A record that the store may have brought back from an older copy is
+        taken for what it says of a leave only: a later leave may be lost.
+        The target's next heartbeat shows whether it still takes work.
+        """
         if own is None:
             self._recorder.set_stored(None, store.ABSENT)
             return
         record = _record.read(own)
-        if record is not None and record.member.target_id:
+        if record is not None and self._restores_target(record, own.version):
             member = record.member
             self._target.restore(
                 presence.TargetStatus(
@@ -595,6 +701,16 @@
         self._recorder.set_stored(record, own.version)
         self._recorder.record(0.0)
 
+    def _restores_target(
+        self, record: _messages.MemberRecord, read_at: store.Revision
+    ) -> bool:
+        """Return whether to restore the target's status from a record."""
+        member = record.member
+        if not member.target_id or self._recorder.knows(member.recorded_at):
+            return False
+        ready = record.phase is presence.Phase.READY
+        return not (ready and member.era < read_at.era)
+
 
 _STATE_BY_PHASE: typing.Final = {
     presence.Phase.UNKNOWN: membership.State.STARTING,
--- a/src/chiveroad/control/_lease.py
+++ b/src/chiveroad/control/_lease.py
@@ -56,7 +56,7 @@
     """
 
     record: Record
-    version: int
+    version: store.Revision
     since_s: float
 
 
@@ -244,7 +244,7 @@
             read = None
         self._observed = observe(self._observed, read, self._clock())
 
-    def _renew(self, record: Record, version: int) -> None:
+    def _renew(self, record: Record, version: store.Revision) -> None:
         # The validity counts from before the call, since the write may take
         # effect at any time during the call.
         sent_s = self._clock()
@@ -254,7 +254,7 @@
             self.acting = True
             _log.info("Lease {} taken, term {}.", self._name, record.term)
 
-    def _put(self, record: Record, version: int) -> None:
+    def _put(self, record: Record, version: store.Revision) -> None:
         written = self._store.put(
             store.Kind.LEASES, self._name, record, version
         )
--- a/src/chiveroad/control/_merger.py
+++ b/src/chiveroad/control/_merger.py
@@ -70,7 +70,7 @@
         text = decoding.decode(_file_decoder, stored.spec).text
     except msgspec.DecodeError as exc:
         text = f"not a file: {exc}"
-    return config.Source(stored.name, stored.version, text)
+    return config.Source(stored.name, stored.version.number, text)
 
 
 def status_of(
@@ -225,7 +225,7 @@
     def _publish_status(
         self, version: int, verdicts: collections.abc.Sequence[config.Verdict]
     ) -> None:
-        status = status_of(version, self._folder_version, verdicts)
+        status = status_of(version, self._folder_version.number, verdicts)
         if self._status is not None and self._status == status:
             return
         for file in status.files:
@@ -247,7 +247,7 @@
     def __init__(
         self,
         platform: store.Store,
-        version: int,
+        version: store.Revision,
         events: queue.Queue[store.Event | errors.StoreError],
     ) -> None:
         super().__init__(name="folder watch", daemon=True)
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -22,9 +22,9 @@
     the long poll while there are no updates.  ``unconfirmed`` asks for a
     confirmation.  ``behind`` names descendants that run an older version, as
     far as known.  With ``confirmations`` a newer confirmation alone ends the
-    long poll.  ``as_of`` is the store's revision up to which the child knows
-    all records of members; it is 0 in deployments that don't record members
-    in the store.
+    long poll.  ``as_of`` and ``as_of_era`` are the store's revision up to
+    which the child knows all records of members; both are 0 in deployments
+    that don't record members in the store.
     """
 
     member: membership.Member
@@ -38,6 +38,12 @@
     behind: list[str] = []
     confirmations: bool = False
     as_of: int = 0
+    as_of_era: int = 0
+
+    @property
+    def synced_to(self) -> store.Revision:
+        """Return the revision up to which the child knows all records."""
+        return store.Revision(self.as_of_era, self.as_of)
 
 
 class SyncAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -49,9 +55,10 @@
     confirmation.  ``ancestors`` are control addresses that the child may
     fail over to.  ``wants_snapshot`` asks the child for its newer version.
     ``held_ms`` is the time that the parent took to answer, which is the wait
-    of the long poll.  ``revision`` is the store's revision of the version.
-    ``leads`` says that the parent is its region's leader.  ``as_of`` is as in
-    ``SyncRequest``, for the parent.
+    of the long poll.  ``revision`` and ``revision_era`` are the store's
+    revision of the version.  ``leads`` says that the parent is its region's
+    leader.  ``as_of`` and ``as_of_era`` are as in ``SyncRequest``, for the
+    parent.
     """
 
     source: str
@@ -69,6 +76,18 @@
     revision: int = 0
     leads: bool = False
     as_of: int = 0
+    revision_era: int = 0
+    as_of_era: int = 0
+
+    @property
+    def version_revision(self) -> store.Revision:
+        """Return the store's revision of the version."""
+        return store.Revision(self.revision_era, self.revision)
+
+    @property
+    def synced_to(self) -> store.Revision:
+        """Return the revision up to which the parent knows all records."""
+        return store.Revision(self.as_of_era, self.as_of)
 
 
 class SnapshotOffer(msgspec.Struct, frozen=True):
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -13,6 +13,7 @@
 from chiveroad.control import _applied
 from chiveroad import logs
 from chiveroad import membership
+from chiveroad import store
 
 MAX_BEHIND: typing.Final = 20
 MAX_LOGGED_NAME: typing.Final = 80
@@ -54,7 +55,7 @@
         self.view = membership.View(self.changed)
         self.children: dict[str, Child] = {}
         self.control_bytes = 0
-        self.as_of = 0
+        self.as_of = store.ABSENT
         self._member = member
         self._pending_updates: dict[str, membership.Member] = {}
         self.view.merge([member])
@@ -141,21 +142,25 @@
                 if self._pending_updates.get(member.instance) == member:
                     del self._pending_updates[member.instance]
 
-    def advance_as_of(self, as_of: int) -> None:
+    def advance_as_of(self, as_of: store.Revision) -> None:
         """Record that the view holds all records up to a revision."""
         with self.changed:
             self.as_of = max(self.as_of, as_of)
 
-    def requeue_members(self, region: bool = False, after: int = -1) -> None:
+    def requeue_members(
+        self,
+        region: bool = False,
+        after: store.Revision | None = None,
+    ) -> None:
         """Queue all members of the own domain or region for a new parent.
 
         :param region: whether to queue the members of the whole region.
-        :param after: the sequence number up to which the parent has them.
+        :param after: the revision up to which the parent has them.
         """
         own = self._member
         with self.changed:
             for member in self.view.all():
-                if member.sequence <= after:
+                if after is not None and member.recorded_at <= after:
                     continue
                 same_domain = member.failure_domain == own.failure_domain
                 if same_domain or (region and member.region == own.region):
--- a/src/chiveroad/control/_publisher.py
+++ b/src/chiveroad/control/_publisher.py
@@ -37,6 +37,7 @@
         self._published: dict[str, membership.Member] = {}
         self._status: _messages.DomainStatus | None = None
         self._status_written_s = 0.0
+        self._era = platform.eras.current
         self.stopped = False
 
     def start(self) -> None:
@@ -51,6 +52,7 @@
                 continue
             time.sleep(BATCH_DELAY_S)
             try:
+                self._publish_again_in_new_era()
                 self._publish()
                 self._publish_status()
             except errors.StoreError as exc:
@@ -62,6 +64,15 @@
                 )
                 time.sleep(RETRY_S)
 
+    def _publish_again_in_new_era(self) -> None:
+        """Have both objects written again after the store went back."""
+        era = self._store.eras.current
+        if era == self._era:
+            return
+        self._era = era
+        self._published = {}
+        self._status = None
+
     def _publish(self) -> None:
         domain = self._node.member.failure_domain
         members = {
@@ -78,7 +89,7 @@
         self._store.put(store.Kind.DOMAINS, domain, value, version)
         self._published = {m.instance: m for m in value.members}
 
-    def _merge_stored(self, domain: str) -> int:
+    def _merge_stored(self, domain: str) -> store.Revision:
         try:
             stored = self._store.get(store.Kind.DOMAINS, domain)
         except errors.StoreNotFound:
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -52,6 +52,7 @@
         self._compose = compose
         self._restore = restore
         self._revision = store.ABSENT
+        self._known = store.ABSENT
         self._loaded = False
         self._stored_record: _messages.MemberRecord | None = None
         self._changed = threading.Condition()
@@ -64,7 +65,7 @@
         _threads.start("recording", self._run)
 
     def set_stored(
-        self, record: _messages.MemberRecord | None, revision: int
+        self, record: _messages.MemberRecord | None, revision: store.Revision
     ) -> None:
         """Set the record that the store holds, left by an earlier incarnation.
 
@@ -76,9 +77,18 @@
             self._loaded = True
             self._stored_record = _without_sequence(record) if record else None
             self._revision = revision
+            if record is not None:
+                self._known = max(self._known, record.member.recorded_at)
             self._changed.notify_all()
 
-    def rewrite_deleted(self, revision: int) -> None:
+    def knows(self, recorded_at: store.Revision) -> bool:
+        """Return whether a record isn't newer than what this process knows.
+
+        The store may have brought it back by going back to an older copy.
+        """
+        return recorded_at <= self._known
+
+    def rewrite_deleted(self, revision: store.Revision) -> None:
         """Have the object read and written again after it was deleted.
 
         :param revision: the store's revision at which it was deleted.
@@ -159,9 +169,10 @@
     def _write(self, wanted: _messages.MemberRecord | None) -> bool:
         """Read or write the stored record; False when the store failed."""
         try:
-            if not self._loaded:
+            if not self._loaded or self._is_from_earlier_era():
                 # The stored record may say that the target has left.  Then
                 # it takes precedence over the record to write.
+                self._loaded = False
                 self._read()
                 return True
             if wanted is None:
@@ -181,6 +192,10 @@
         with self._changed:
             self._revision = written.version
             self._stored_record = wanted
+            written_at = store.Revision(
+                wanted.member.era, written.version.number
+            )
+            self._known = max(self._known, written_at)
             self._changed.notify_all()
         _log.info(
             "Record {} written with state {}, revision {}.",
@@ -190,6 +205,10 @@
         )
         return True
 
+    def _is_from_earlier_era(self) -> bool:
+        known = self._revision != store.ABSENT
+        return known and self._revision.era < self._store.eras.current
+
     def _read(self) -> None:
         try:
             stored = self._store.get(store.Kind.MEMBERS, self._name)
@@ -217,7 +236,9 @@
     """Return the decoded record, or None where it can't be read.
 
     The member's sequence number is the revision of its record, so that the
-    states of a member are ordered as their writes in the store.
+    states of a member are ordered as their writes in the store.  Its era is
+    the one in which it was written, as the writer has stated it: the object
+    may come from a copy of an earlier era.
     """
     try:
         record = decoding.decode(_decoder, stored.spec)
@@ -228,7 +249,10 @@
     if defect:
         _log.warning("Record {} ignored: {}.", stored.name, defect)
         return None
-    member = msgspec.structs.replace(record.member, sequence=stored.version)
+    era = min(record.member.era or stored.version.era, stored.version.era)
+    member = msgspec.structs.replace(
+        record.member, sequence=stored.version.number, era=era
+    )
     return msgspec.structs.replace(record, member=member)
 
 
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -83,6 +83,7 @@
         child = node.record_contact(sync.member.instance)
         child.version = sync.version
         child.behind = sync.behind
+        self._plane.learn_era(sync.as_of_era)
         node.merge_from_below([sync.member, *sync.members])
         if sync.unconfirmed:
             self._plane.confirm(clock.now_s())
@@ -143,7 +144,7 @@
         if sync.source == self._source:
             changes = node.view.since(sync.epoch)
         else:
-            changes = node.view.since_revision(sync.as_of)
+            changes = node.view.since_revision(sync.synced_to)
         delta = snapshot = b""
         if current.number > sync.version:
             delta, snapshot = self._config_update(sync.digest)
@@ -160,9 +161,11 @@
             snapshot=snapshot,
             wants_snapshot=sync.version > current.number,
             held_ms=held_ms,
-            revision=current.revision,
+            revision=current.revision.number,
+            revision_era=current.revision.era,
             leads="leader" in self._plane.roles(),
-            as_of=as_of,
+            as_of=as_of.number,
+            as_of_era=as_of.era,
         )
 
     def _members_for(
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -62,7 +62,7 @@
             except errors.ChiveroadError as exc:
                 _log.debug("The store did not confirm the version: {}.", exc)
 
-    def read(self) -> int:
+    def read(self) -> store.Revision:
         """Read and apply the accepted version.
 
         :returns: the store's version of what was read.
@@ -132,7 +132,7 @@
         self._source = ""
         self._epoch = 0
         self._last_address = ""
-        self._records_sent = ("", 0)
+        self._records_sent = ("", store.ABSENT)
         self.address = ""
         self.answer: _messages.SyncAnswer | None = None
 
@@ -170,7 +170,7 @@
         :raises errors.BadMessage: when the answer can't be read.
         """
         node = self._node
-        if address != self._last_address and not node.as_of:
+        if address != self._last_address and node.as_of == store.ABSENT:
             node.requeue_members(region)
         pending_updates = node.pending_updates()
         current = node.applied.current
@@ -185,7 +185,8 @@
             members=pending_updates,
             behind=node.behind(),
             confirmations=self._confirmations,
-            as_of=node.as_of,
+            as_of=node.as_of.number,
+            as_of_era=node.as_of.era,
         )
         sent_s = clock.now_s()
         answer = self._post(address, request, hold_ms)
@@ -210,9 +211,9 @@
         """
         as_of = self._node.as_of
         source, sent_as_of = self._records_sent
-        parent_as_of = max(
-            answer.as_of, sent_as_of if source == answer.source else 0
-        )
+        parent_as_of = answer.synced_to
+        if source == answer.source:
+            parent_as_of = max(parent_as_of, sent_as_of)
         if parent_as_of < as_of:
             self._node.requeue_members(region, after=parent_as_of)
         self._records_sent = (answer.source, max(parent_as_of, as_of))
@@ -232,7 +233,7 @@
         node.merge(answer.members)
         # The parent leaves out only records up to the revision that this
         # daemon has named, so the view is complete up to the answer's as_of.
-        node.advance_as_of(answer.as_of)
+        node.advance_as_of(answer.synced_to)
         self._source = answer.source
         self._epoch = answer.epoch
         self.answer = answer
@@ -242,7 +243,7 @@
                 answer.version,
                 answer.digest,
                 items,
-                answer.revision,
+                answer.version_revision,
                 checked=True,
             )
         current_number = node.applied.current.number
--- a/src/chiveroad/control/_sweeper.py
+++ b/src/chiveroad/control/_sweeper.py
@@ -22,6 +22,7 @@
 from chiveroad.control import _condition_timer
 from chiveroad.control import _member_expiry
 from chiveroad.control import _node
+from chiveroad.control import _record
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -143,8 +144,12 @@
     def _remove(self, member: membership.Member) -> None:
         """Delete a record, unless it was written again since it was read."""
         try:
+            stored = self._store.get(store.Kind.MEMBERS, member.instance)
+            record = _record.read(stored)
+            if record and record.member.recorded_at != member.recorded_at:
+                return
             self._store.delete(
-                store.Kind.MEMBERS, member.instance, member.sequence
+                store.Kind.MEMBERS, member.instance, stored.version
             )
         except errors.StoreError as exc:
             _log.info(
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -11,9 +11,11 @@
 
 from chiveroad import connection
 from chiveroad import decoding
+from chiveroad import store
 
 _NUMBERS: typing.Final = (
     "incarnation",
+    "era",
     "sequence",
     "target_started_at_ms",
     "slots",
@@ -43,7 +45,9 @@
     """The self-reported record of one daemon and its target.
 
     ``incarnation`` grows with each start of the daemon and ``sequence`` with
-    each record of the same incarnation.  The addresses are ``HOST:PORT``.
+    each record of the same incarnation.  In deployments that record members
+    in the store, ``sequence`` is the revision of the record, and ``era`` the
+    store's era in which it was written.  The addresses are ``HOST:PORT``.
     ``target_id`` and ``target_started_at_ms`` identify the incarnation of the
     target, if the target reports them.  ``store_distance_ms`` is the latency
     from the daemon to the store.  ``capacity_percent`` is the CPU that the
@@ -67,6 +71,7 @@
     slots: int = 0
     store_distance_ms: int = 0
     capacity_percent: int = 0
+    era: int = 0
 
     def defect(self) -> str:
         """Return why a received record can't be used, or an empty string.
@@ -86,10 +91,19 @@
             return "a name is empty, too long or has control characters"
         return ""
 
-    def order(self) -> tuple[int, int, bool]:
-        """Return the sort key; the greater record of an instance wins."""
+    def order(self) -> tuple[int, int, int, bool]:
+        """Return the sort key; the greater record of an instance wins.
+
+        A record that the store has lost, and one that it has brought back by
+        going back to a copy, are ordered as they were written.
+        """
         dead = self.state is State.DEAD
-        return (self.incarnation, self.sequence, dead)
+        return (self.incarnation, self.era, self.sequence, dead)
+
+    @property
+    def recorded_at(self) -> store.Revision:
+        """Return the state of the store in which the record was written."""
+        return store.Revision(self.era, self.sequence)
 
     @property
     def alive(self) -> bool:
--- a/src/chiveroad/membership/_view.py
+++ b/src/chiveroad/membership/_view.py
@@ -7,6 +7,7 @@
 import threading
 
 from chiveroad.membership import _member
+from chiveroad import store
 
 _Members = tuple[_member.Member, ...]
 
@@ -61,18 +62,17 @@
             )
             return Changes(self.epoch, members)
 
-    def since_revision(self, revision: int) -> Changes:
+    def since_revision(self, revision: store.Revision) -> Changes:
         """Return the members that a daemon synced up to a revision may lack.
 
-        In deployments that record members in the store, sequence numbers are
-        store revisions, and members without a record have sequence number 0.
-        Revision 0 gives all members.
+        In deployments that record members in the store, members without a
+        record have sequence number 0.  ``store.ABSENT`` gives all members.
         """
         with self._changed:
             members = tuple(
                 member
                 for member in self._members.values()
-                if member.sequence > revision or not member.sequence
+                if member.recorded_at > revision or not member.sequence
             )
             return Changes(self.epoch, members)
 
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -63,6 +63,11 @@
     cold_until_s: float = 0.0
     ended_by_ms: int = 0
 
+    @property
+    def leaves(self) -> bool:
+        """Return whether the target has announced its leave."""
+        return self.phase in (Phase.DRAINING, Phase.GONE)
+
     @property
     def incarnation(self) -> tuple[int, str]:
         """Return the incarnation; a later incarnation compares greater.
@@ -136,8 +141,7 @@
         return recorded
     if recorded.incarnation > status.incarnation:
         return recorded
-    leaves = recorded.phase in (Phase.DRAINING, Phase.GONE)
-    if recorded.incarnation == status.incarnation and leaves:
+    if recorded.incarnation == status.incarnation and recorded.leaves:
         gone = mark_leaving(status, recorded.phase, recorded.left_s)
         return dataclasses.replace(gone, ended_by_ms=recorded.ended_by_ms)
     return status
--- a/src/chiveroad/store/__init__.py
+++ b/src/chiveroad/store/__init__.py
@@ -12,7 +12,11 @@
 from chiveroad.store._client import Client
 from chiveroad.store._client import encode_object
 from chiveroad.store._client import encode_spec
+from chiveroad.store._client import Reply
 from chiveroad.store._counted import CountedStore
+from chiveroad.store._era import EraTracker
+from chiveroad.store._era import Revision
+from chiveroad.store._http import ERA_HEADER
 from chiveroad.store._http import HttpStore
 from chiveroad.store._outcome import answer_lost_error
 from chiveroad.store._outcome import decode_answer
@@ -22,12 +26,16 @@
     "ABSENT",
     "Client",
     "CountedStore",
+    "ERA_HEADER",
+    "EraTracker",
     "Event",
     "EventType",
     "HttpStore",
     "Kind",
     "Listing",
     "MAX_VALUE_BYTES",
+    "Reply",
+    "Revision",
     "Store",
     "StoredObject",
     "answer_lost_error",
--- a/src/chiveroad/store/_base.py
+++ b/src/chiveroad/store/_base.py
@@ -11,8 +11,9 @@
 import msgspec
 
 from chiveroad import errors
+from chiveroad.store import _era
 
-ABSENT: typing.Final = 0
+ABSENT: typing.Final = _era.Revision(0, 0)
 """The version to pass for an object that must not exist yet."""
 
 MAX_VALUE_BYTES: typing.Final = 1_000_000
@@ -50,7 +51,7 @@
     """
 
     name: str
-    version: int
+    version: _era.Revision
     spec: msgspec.Raw
 
 
@@ -58,7 +59,7 @@
 class Listing:
     """The objects of a kind at ``version``."""
 
-    version: int
+    version: _era.Revision
     objects: tuple[StoredObject, ...]
 
 
@@ -67,7 +68,7 @@
     """One event of a watch.  A bookmark has no object."""
 
     type: EventType
-    version: int
+    version: _era.Revision
     object: StoredObject | None
 
 
@@ -77,8 +78,17 @@
     Every method raises ``errors.StoreUnavailable`` when the store can't be
     reached, and every write raises ``errors.StoreOutcomeUnknown`` when its
     answer was lost and the write may have taken effect.
+
+    The store may be restored from an older copy, which begins a new era.  A
+    version from an earlier era matches no object and begins no watch, even
+    if its number has been given out again since.
     """
 
+    @property
+    @abc.abstractmethod
+    def eras(self) -> _era.EraTracker:
+        """Return the tracker of the latest era that is known."""
+
     @abc.abstractmethod
     def get(self, kind: Kind, name: str) -> StoredObject:
         """Return an object.
@@ -92,7 +102,7 @@
 
     @abc.abstractmethod
     def put(
-        self, kind: Kind, name: str, spec: object, version: int
+        self, kind: Kind, name: str, spec: object, version: _era.Revision
     ) -> StoredObject:
         """Write an object if its version still equals ``version``.
 
@@ -104,7 +114,7 @@
         """
 
     @abc.abstractmethod
-    def delete(self, kind: Kind, name: str, version: int) -> None:
+    def delete(self, kind: Kind, name: str, version: _era.Revision) -> None:
         """Delete an object if its version still equals ``version``.
 
         :raises errors.StoreConflict: when the object has another version.
@@ -113,12 +123,13 @@
 
     @abc.abstractmethod
     def watch(
-        self, kind: Kind, version: int, timeout_s: float
+        self, kind: Kind, version: _era.Revision, timeout_s: float
     ) -> collections.abc.Iterator[Event]:
         """Yield the changes after a version until the timeout has passed.
 
         :raises errors.StoreExpired: when the version is older than the
-            store's history; the caller then lists again.
+            store's history, or from an earlier era; the caller then lists
+            again.
         """
 
 
--- a/src/chiveroad/store/_counted.py
+++ b/src/chiveroad/store/_counted.py
@@ -8,6 +8,7 @@
 
 from chiveroad import errors
 from chiveroad.store import _base
+from chiveroad.store import _era
 
 CALLS_METRIC: typing.Final = "chiveroad.store.calls"
 
@@ -25,6 +26,11 @@
         self._store = counted
         self._count = count
 
+    @property
+    def eras(self) -> _era.EraTracker:
+        """Return the tracker of the latest era that is known."""
+        return self._store.eras
+
     def get(self, kind: _base.Kind, name: str) -> _base.StoredObject:
         """Return an object."""
         with self._counting("get", kind):
@@ -36,19 +42,21 @@
             return self._store.list(kind, prefix)
 
     def put(
-        self, kind: _base.Kind, name: str, spec: object, version: int
+        self, kind: _base.Kind, name: str, spec: object, version: _era.Revision
     ) -> _base.StoredObject:
         """Write an object if its version still equals ``version``."""
         with self._counting("put", kind):
             return self._store.put(kind, name, spec, version)
 
-    def delete(self, kind: _base.Kind, name: str, version: int) -> None:
+    def delete(
+        self, kind: _base.Kind, name: str, version: _era.Revision
+    ) -> None:
         """Delete an object if its version still equals ``version``."""
         with self._counting("delete", kind):
             self._store.delete(kind, name, version)
 
     def watch(
-        self, kind: _base.Kind, version: int, timeout_s: float
+        self, kind: _base.Kind, version: _era.Revision, timeout_s: float
     ) -> collections.abc.Iterator[_base.Event]:
         """Yield the changes after a version until the timeout has passed."""
         with self._counting("watch", kind):
--- a/src/chiveroad/store/_http.py
+++ b/src/chiveroad/store/_http.py
@@ -12,6 +12,7 @@
 from chiveroad import errors
 from chiveroad.store import _base
 from chiveroad.store import _client
+from chiveroad.store import _era
 from chiveroad.store import _outcome
 
 CONNECT_TIMEOUT_S: typing.Final = 1.0
@@ -21,6 +22,8 @@
 MAX_EVENT_BYTES: typing.Final = 2 * _base.MAX_VALUE_BYTES
 """Bounds one line of a watch: a value and its metadata."""
 
+ERA_HEADER: typing.Final = "Object-Api-Era"
+
 _PATH: typing.Final = "/apis/chiveroad/v1"
 
 
@@ -61,50 +64,64 @@
         self, address: str, timeout_s: float = READ_TIMEOUT_S
     ) -> None:
         self._client = _client.Client(
-            f"http://{address}{_PATH}", CONNECT_TIMEOUT_S, timeout_s
+            f"http://{address}{_PATH}",
+            CONNECT_TIMEOUT_S,
+            timeout_s,
+            ERA_HEADER,
         )
 
+    @property
+    def eras(self) -> _era.EraTracker:
+        """Return the tracker of the latest era that is known."""
+        return self._client.eras
+
     def get(self, kind: _base.Kind, name: str) -> _base.StoredObject:
         """Return an object."""
-        body = self._client.call("GET", self._client.url(kind.value, name))
-        return _stored_object(_outcome.decode_answer(_object_decoder, body))
+        reply = self._client.call("GET", self._client.url(kind.value, name))
+        found = _outcome.decode_answer(_object_decoder, reply.body)
+        return _stored_object(found, reply.era)
 
     def list(self, kind: _base.Kind, prefix: str = "") -> _base.Listing:
         """Return the objects whose names start with the prefix."""
         url = self._client.url(kind.value, query={"prefix": prefix})
-        body = self._client.call("GET", url)
-        listing = _outcome.decode_answer(_list_decoder, body)
+        reply = self._client.call("GET", url)
+        listing = _outcome.decode_answer(_list_decoder, reply.body)
         return _base.Listing(
-            _version(listing.metadata),
-            tuple(_stored_object(item) for item in listing.items),
+            _version(listing.metadata, reply.era),
+            tuple(_stored_object(item, reply.era) for item in listing.items),
         )
 
     def put(
-        self, kind: _base.Kind, name: str, spec: object, version: int
+        self, kind: _base.Kind, name: str, spec: object, version: _era.Revision
     ) -> _base.StoredObject:
         """Write an object if its version still equals ``version``."""
         value = _client.encode_spec(kind, name, spec)
         body = _client.encode_object(
-            {"name": name, "resourceVersion": str(version)}, value
+            {"name": name, "resourceVersion": str(version.number)}, value
         )
         url = self._client.url(kind.value, name)
-        answer = self._client.call("PUT", url, body)
-        written = _outcome.decode_answer(_object_decoder, answer)
-        return _base.StoredObject(name, _version(written.metadata), value)
+        reply = self._client.write("PUT", url, version, body)
+        written = _outcome.decode_answer(_object_decoder, reply.body)
+        return _base.StoredObject(
+            name, _version(written.metadata, reply.era), value
+        )
 
-    def delete(self, kind: _base.Kind, name: str, version: int) -> None:
+    def delete(
+        self, kind: _base.Kind, name: str, version: _era.Revision
+    ) -> None:
         """Delete an object if its version still equals ``version``."""
-        query = {"resourceVersion": version}
+        query = {"resourceVersion": version.number}
         url = self._client.url(kind.value, name, query)
-        self._client.call("DELETE", url)
+        self._client.write("DELETE", url, version)
 
     def watch(
-        self, kind: _base.Kind, version: int, timeout_s: float
+        self, kind: _base.Kind, version: _era.Revision, timeout_s: float
     ) -> collections.abc.Iterator[_base.Event]:
         """Yield the changes after a version until the timeout has passed."""
+        self._client.check_era(version, self.eras.current)
         query = {
             "watch": "true",
-            "resourceVersion": version,
+            "resourceVersion": version.number,
             "timeoutSeconds": timeout_s,
         }
         response = self._client.send(
@@ -113,23 +130,25 @@
             timeout_s=timeout_s + WATCH_GRACE_S,
             stream=True,
         )
+        answer = response.http
         try:
-            if response.status != http.HTTPStatus.OK:
+            if answer.status != http.HTTPStatus.OK:
                 raise _outcome.status_error(
-                    response.status, "GET", response.read()
+                    answer.status, "GET", answer.read()
                 )
-            yield from _events(response)
+            self._client.check_era(version, response.era)
+            yield from _events(answer, response.era)
         except urllib3.exceptions.HTTPError as exc:
             raise errors.StoreUnavailable(
                 f"watch {kind.value}: {exc}"
             ) from exc
         finally:
-            response.close()
-            response.release_conn()
+            answer.close()
+            answer.release_conn()
 
 
 def _events(
-    response: urllib3.BaseHTTPResponse,
+    response: urllib3.BaseHTTPResponse, era: int
 ) -> collections.abc.Iterator[_base.Event]:
     incomplete_line = b""
     for chunk in response.stream(64 * 1024):
@@ -138,19 +157,19 @@
             raise errors.StoreUnavailable("an event is too long")
         for line in lines:
             event = _outcome.decode_answer(_event_decoder, line)
-            version = _version(event.object.metadata)
+            version = _version(event.object.metadata, era)
             is_bookmark = event.type is _base.EventType.BOOKMARK
-            stored = None if is_bookmark else _stored_object(event.object)
+            stored = None if is_bookmark else _stored_object(event.object, era)
             yield _base.Event(event.type, version, stored)
 
 
-def _version(metadata: _Metadata) -> int:
-    return int(metadata.resource_version)
+def _version(metadata: _Metadata, era: int) -> _era.Revision:
+    return _era.Revision(era, int(metadata.resource_version))
 
 
-def _stored_object(item: _Object) -> _base.StoredObject:
+def _stored_object(item: _Object, era: int) -> _base.StoredObject:
     return _base.StoredObject(
         item.metadata.name,
-        _version(item.metadata),
+        _version(item.metadata, era),
         item.spec.copy(),
     )
--- a/src/chiveroad/traffic/_claims.py
+++ b/src/chiveroad/traffic/_claims.py
@@ -64,7 +64,7 @@
     """A claim that this guard holds."""
 
     name: str
-    version: int
+    version: store.Revision
     claim: Claim
 
 
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import threading
 import time
 import typing
@@ -17,23 +18,81 @@
 _Events = list[store.Event]
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """A copy of the objects, and the last revision at that time."""
+
+    objects: dict[store.Kind, dict[str, store.StoredObject]]
+    number: int
+
+
+def _in_era(stored: store.StoredObject, era: int) -> store.StoredObject:
+    version = store.Revision(era, stored.version.number)
+    return dataclasses.replace(stored, version=version)
+
+
 class MemoryStore(store.Store):
     """A store that keeps its objects in this process.
 
     All kinds share one sequence of versions.  A watch can start up to
-    ``history_length`` changes back.
+    ``history_length`` changes back.  ``restore`` goes back to a copy, and
+    gives the revisions after it out again.
     """
 
     def __init__(self, history_length: int = HISTORY_LENGTH) -> None:
         self._objects: dict[store.Kind, dict[str, store.StoredObject]] = {
             kind: {} for kind in store.Kind
         }
-        self._version = 0
+        self._eras = store.EraTracker()
+        self._eras.learn(1)
+        self._number = 0
         self._history: collections.deque[tuple[store.Kind, store.Event]] = (
             collections.deque(maxlen=history_length)
         )
         self._changed = threading.Condition()
 
+    @property
+    def eras(self) -> store.EraTracker:
+        """Return the tracker of the store's own era."""
+        return self._eras
+
+    @property
+    def _version(self) -> store.Revision:
+        return store.Revision(self._eras.current, self._number)
+
+    def _next_version(self) -> store.Revision:
+        self._number += 1
+        return self._version
+
+    def take_copy(self) -> Copy:
+        """Return a copy of the present state."""
+        with self._changed:
+            objects = {
+                kind: dict(by_name) for kind, by_name in self._objects.items()
+            }
+            return Copy(objects, self._number)
+
+    def restore(self, copy: Copy) -> int:
+        """Go back to a copy, which begins a new era.
+
+        :returns: how many revisions are lost.
+        """
+        with self._changed:
+            lost = self._number - copy.number
+            era = self._eras.current + 1
+            self._objects = {
+                kind: {
+                    name: _in_era(stored, era)
+                    for name, stored in by_name.items()
+                }
+                for kind, by_name in copy.objects.items()
+            }
+            self._number = copy.number
+            self._history.clear()
+            self._eras.learn(era)
+            self._changed.notify_all()
+            return lost
+
     def get(self, kind: store.Kind, name: str) -> store.StoredObject:
         """Return an object.
 
@@ -56,7 +115,11 @@
             return store.Listing(self._version, tuple(items))
 
     def put(
-        self, kind: store.Kind, name: str, spec: object, version: int
+        self,
+        kind: store.Kind,
+        name: str,
+        spec: object,
+        version: store.Revision,
     ) -> store.StoredObject:
         """Write an object if its version is the given one."""
         value = msgspec.json.encode(spec)
@@ -66,9 +129,8 @@
             current = self._objects[kind].get(name)
             if version != (current.version if current else store.ABSENT):
                 raise errors.StoreConflict(f"{kind.value}/{name}")
-            self._version += 1
             written = store.StoredObject(
-                name, self._version, msgspec.Raw(value)
+                name, self._next_version(), msgspec.Raw(value)
             )
             self._objects[kind][name] = written
             added = store.EventType.ADDED
@@ -76,7 +138,9 @@
             self._record(kind, changed if current else added, written)
             return written
 
-    def delete(self, kind: store.Kind, name: str, version: int) -> None:
+    def delete(
+        self, kind: store.Kind, name: str, version: store.Revision
+    ) -> None:
         """Delete an object if its version is the given one."""
         with self._changed:
             current = self._objects[kind].get(name)
@@ -85,12 +149,13 @@
             if current.version != version:
                 raise errors.StoreConflict(f"{kind.value}/{name}")
             del self._objects[kind][name]
-            self._version += 1
-            deleted = store.StoredObject(name, self._version, current.spec)
+            deleted = store.StoredObject(
+                name, self._next_version(), current.spec
+            )
             self._record(kind, store.EventType.DELETED, deleted)
 
     def watch(
-        self, kind: store.Kind, version: int, timeout_s: float
+        self, kind: store.Kind, version: store.Revision, timeout_s: float
     ) -> collections.abc.Iterator[store.Event]:
         """Yield the changes after a version, until ``timeout_s`` has passed.
 
@@ -124,12 +189,16 @@
         self._history.append((kind, event))
         self._changed.notify_all()
 
-    def _events_after(self, kind: store.Kind, version: int) -> "_Events":
-        oldest_version = self._version - len(self._history)
-        if version < oldest_version:
+    def _events_after(
+        self, kind: store.Kind, version: store.Revision
+    ) -> "_Events":
+        if version.era != self._eras.current:
+            raise errors.StoreExpired(f"version {version} was superseded")
+        oldest_number = self._number - len(self._history)
+        if not oldest_number <= version.number <= self._number:
             raise errors.StoreExpired(
-                f"version {version} precedes the history, which starts after "
-                f"version {oldest_version}"
+                f"version {version} isn't in the history, which goes from "
+                f"version {oldest_number} to {self._number}"
             )
         return [
             event
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -348,7 +348,7 @@
         """Write a file into the folder, and return its revision."""
         value = control.FolderFile(text)
         kind = store.Kind.FILES
-        return store.overwrite(self.store, kind, name, value).version
+        return store.overwrite(self.store, kind, name, value).version.number
 
     def push_example(self) -> None:
         """Write all files of the example of this deployment."""
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -3,7 +3,8 @@
 Besides the contract of ``docs/PLATFORM.md`` it answers ``/faults`` (POST
 sets an outage, a delay, and for how many writes the answer is lost after the
 write took effect), ``/calls`` (GET returns the number of calls by kind of
-call) and ``/compact`` (POST drops the history of the watches).
+call), ``/compact`` (POST drops the history of the watches), ``/copy`` (POST
+takes a copy of the objects) and ``/restore`` (POST goes back to that copy).
 """
 
 from __future__ import annotations
@@ -55,10 +56,17 @@
 
     def __init__(self) -> None:
         self.store = memory_store.MemoryStore()
+        self.copy = self.store.take_copy()
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self.lock = threading.Lock()
 
+    def version(self, number: int) -> store.Revision:
+        """Return a version of the present era."""
+        if number == store.ABSENT.number:
+            return store.ABSENT
+        return store.Revision(self.store.eras.current, number)
+
     def count(self, call: str) -> None:
         """Count a call."""
         with self.lock:
@@ -81,6 +89,7 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     wbufsize = 64 * 1024
+    era_header = store.ERA_HEADER
     api: ObjectApi
 
     def log_message(self, format: str, *args: object) -> None:
@@ -108,6 +117,10 @@
             self.api.faults = msgspec.json.decode(body, type=Faults)
         elif self.path == "/compact":
             self.api.store.compact()
+        elif self.path == "/copy":
+            self.api.copy = self.api.store.take_copy()
+        elif self.path == "/restore":
+            self.api.store.restore(self.api.copy)
         elif self.path == "/malformed-entry":
             store.overwrite(
                 self.api.store,
@@ -150,14 +163,16 @@
             self.api.count(f"watch {kind.value}")
             self._watch(
                 kind,
-                int(query["resourceVersion"]),
+                store.Revision(
+                    self.api.store.eras.current, int(query["resourceVersion"])
+                ),
                 float(query.get("timeoutSeconds", "30")),
             )
             return
         self.api.count(f"list {kind.value}")
         listing = self.api.store.list(kind, query.get("prefix", ""))
         answer = {
-            "metadata": {"resourceVersion": str(listing.version)},
+            "metadata": {"resourceVersion": str(listing.version.number)},
             "items": [_encoded_object(item) for item in listing.objects],
         }
         self._answer(http.HTTPStatus.OK, answer)
@@ -167,29 +182,37 @@
     ) -> None:
         self.api.count(f"put {kind.value}")
         request = msgspec.json.decode(body)
-        version = int(request["metadata"]["resourceVersion"])
+        number = int(request["metadata"]["resourceVersion"])
+        version = self.api.version(number)
         written = self.api.store.put(kind, name, request["spec"], version)
         if self.api.consume_lost_answer(kind.value):
             self.close_connection = True
             return
-        metadata = {"name": name, "resourceVersion": str(written.version)}
+        metadata = {
+            "name": name,
+            "resourceVersion": str(written.version.number),
+        }
         self._answer(http.HTTPStatus.OK, {"metadata": metadata})
 
     def _delete(
         self, kind: store.Kind, name: str, query: dict[str, str], _: bytes
     ) -> None:
         self.api.count(f"delete {kind.value}")
-        self.api.store.delete(kind, name, int(query["resourceVersion"]))
+        version = self.api.version(int(query["resourceVersion"]))
+        self.api.store.delete(kind, name, version)
         if self.api.consume_lost_answer(kind.value):
             self.close_connection = True
             return
         self._answer(http.HTTPStatus.OK, {})
 
-    def _watch(self, kind: store.Kind, version: int, timeout_s: float) -> None:
+    def _watch(
+        self, kind: store.Kind, version: store.Revision, timeout_s: float
+    ) -> None:
         end_s = time.monotonic() + timeout_s
         events = self.api.store.watch(kind, version, 0)
         past_events = list(events)
         self.send_response(http.HTTPStatus.OK)
+        self.send_header(self.era_header, str(version.era))
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         self._send_events(past_events)
@@ -226,6 +249,8 @@
     def _answer(self, status: int, value: object) -> None:
         body = msgspec.json.encode(value)
         self.send_response(status)
+        era = self.api.store.eras.current
+        self.send_header(self.era_header, str(era))
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -234,7 +259,10 @@
 
 
 def _encoded_object(item: store.StoredObject) -> dict[str, object]:
-    metadata = {"name": item.name, "resourceVersion": str(item.version)}
+    metadata = {
+        "name": item.name,
+        "resourceVersion": str(item.version.number),
+    }
     return {"metadata": metadata, "spec": item.spec}
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -37,6 +37,8 @@
 class Handler(object_api.Handler):
     """Handles one connection of a client."""
 
+    era_header = "Store-Era"
+
     def do_POST(self) -> None:
         """Create an object."""
         self._handle(self._create)
@@ -64,7 +66,9 @@
                 _encoded_object(self.api.store.get(kind, name)),
             )
         elif "watch" in query:
-            self._long_poll(kind, int(query["watch"]), int(query["wait_ms"]))
+            era = self.api.store.eras.current
+            version = store.Revision(era, int(query["watch"]))
+            self._long_poll(kind, version, int(query["wait_ms"]))
         else:
             self._list_page(kind, query.get("after", ""))
 
@@ -74,21 +78,21 @@
         answer = {
             "items": [_encoded_object(item) for item in remaining[:PAGE]],
             "has_more": len(remaining) > PAGE,
-            "as_of": listing.version,
+            "as_of": listing.version.number,
         }
         self._answer(http.HTTPStatus.OK, answer)
 
     def _long_poll(
-        self, kind: store.Kind, revision: int, wait_ms: int
+        self, kind: store.Kind, version: store.Revision, wait_ms: int
     ) -> None:
         changes: list[store.Event] = []
-        for event in self.api.store.watch(kind, revision, wait_ms / 1000):
+        for event in self.api.store.watch(kind, version, wait_ms / 1000):
             rest = self.api.store.watch(kind, event.version, 0)
             changes = [event, *rest]
-            revision = changes[-1].version
+            version = changes[-1].version
             break
         events = [_encoded_event(event) for event in changes]
-        answer = {"events": events, "as_of": revision}
+        answer = {"events": events, "as_of": version.number}
         self._answer(http.HTTPStatus.OK, answer)
 
     def _create(
@@ -105,7 +109,10 @@
         request = msgspec.json.decode(body)
         self.api.store.get(kind, name)
         self._put_and_answer(
-            kind, name, request, int(request["metadata"]["revision"])
+            kind,
+            name,
+            request,
+            self.api.version(int(request["metadata"]["revision"])),
         )
 
     def _put_and_answer(
@@ -113,9 +120,9 @@
         kind: store.Kind,
         name: str,
         request: dict[str, typing.Any],
-        revision: int,
+        version: store.Revision,
     ) -> None:
-        written = self.api.store.put(kind, name, request["spec"], revision)
+        written = self.api.store.put(kind, name, request["spec"], version)
         if self.api.consume_lost_answer(kind.value):
             self.close_connection = True
             return
@@ -124,7 +131,8 @@
     def _delete(
         self, kind: store.Kind, name: str, query: dict[str, str], _: bytes
     ) -> None:
-        self.api.store.delete(kind, name, int(query["revision"]))
+        version = self.api.version(int(query["revision"]))
+        self.api.store.delete(kind, name, version)
         self._answer(http.HTTPStatus.OK, {})
 
 
@@ -135,7 +143,7 @@
 
 
 def _encoded_object(item: store.StoredObject) -> dict[str, object]:
-    metadata = {"name": item.name, "revision": item.version}
+    metadata = {"name": item.name, "revision": item.version.number}
     return {"metadata": metadata, "spec": item.spec, "status": None}
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -42,7 +42,11 @@
         return super().get(kind, name)
 
     def put(
-        self, kind: store.Kind, name: str, spec: object, version: int
+        self,
+        kind: store.Kind,
+        name: str,
+        spec: object,
+        version: store.Revision,
     ) -> store.StoredObject:
         self._check()
         if self.refuse:
@@ -69,6 +73,7 @@
     state: membership.State = membership.State.READY,
     domain: str = "sherwood",
     service: str = "glade",
+    era: int = 0,
 ) -> membership.Member:
     """Return a member whose addresses are derived from its name."""
     return membership.Member(
@@ -82,6 +87,7 @@
         f"{instance}:1",
         f"{instance}:2",
         f"{instance}:3",
+        era=era,
     )
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -35,7 +35,7 @@
 def observed_lease(holder: str, since_s: float) -> _lease.Observed:
     """Return a lease observed since a time."""
     record = _lease.Record(holder, holder.partition(":")[0], "a", 1)
-    return _lease.Observed(record, 7, since_s)
+    return _lease.Observed(record, store.Revision(1, 7), since_s)
 
 
 @pytest.mark.parametrize(
@@ -111,7 +111,8 @@
     assert not contender.held
     contender.step()
     assert contender.held
-    assert platform.get(store.Kind.LEASES, "x").version == 1 + lose
+    written = platform.get(store.Kind.LEASES, "x").version
+    assert written == store.Revision(1, 1 + lose)
 
 
 def test_a_holder_keeps_acting_during_an_outage_of_the_store() -> None:
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -125,7 +125,7 @@
         if not _accept.may_merge(base.current.accepted, folder.version):
             return
         sources = [
-            config.Source(f.name, f.version, text_of(f))
+            config.Source(f.name, f.version.number, text_of(f))
             for f in folder.objects
         ]
         merged = config.merge(sources, base.sources)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -614,7 +614,9 @@
     prefix = b"HTTP/1.1 200 OK\r\n\r\n"
     peer = Endless(prefix, b"x" * 1_000_000, BURST)
     with test_exchange.target(peer) as address:
-        watch = store.HttpStore(address).watch(store.Kind.MEMBERS, 1, 1.0)
+        watch = store.HttpStore(address).watch(
+            store.Kind.MEMBERS, store.Revision(0, 1), 1.0
+        )
         with pytest.raises(errors.StoreUnavailable):
             next(watch)
         assert peer.closed.wait(1)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -405,6 +405,12 @@
         self.calls = 0
         self.watches = 0
         self.version_reads = 0
+        self._eras = store.EraTracker()
+
+    @property
+    def eras(self) -> store.EraTracker:
+        """Return the eras that the answers have stated."""
+        return self._eras
 
     def get(self, kind: store.Kind, name: str) -> store.StoredObject:
         """Return an object."""
@@ -416,17 +422,23 @@
         return self._connected().list(kind, prefix)
 
     def put(
-        self, kind: store.Kind, name: str, spec: object, version: int
+        self,
+        kind: store.Kind,
+        name: str,
+        spec: object,
+        version: store.Revision,
     ) -> store.StoredObject:
         """Write an object."""
         return self._connected().put(kind, name, spec, version)
 
-    def delete(self, kind: store.Kind, name: str, version: int) -> None:
+    def delete(
+        self, kind: store.Kind, name: str, version: store.Revision
+    ) -> None:
         """Delete an object."""
         self._connected().delete(kind, name, version)
 
     def watch(
-        self, kind: store.Kind, version: int, timeout_s: float
+        self, kind: store.Kind, version: store.Revision, timeout_s: float
     ) -> collections.abc.Iterator[store.Event]:
         """Yield changes."""
         self.watches += kind is store.Kind.ACCEPTED
@@ -436,6 +448,7 @@
         self.calls += 1
         if self.cut:
             raise errors.StoreUnavailable("cut off")
+        self._eras.learn(self._shared.eras.current)
         return self._shared
 
 
@@ -852,16 +865,16 @@
     """In a deployment all daemons of a region fail over to a new leader."""
     records = [recorded(f"m{n}", revision=n + 1) for n in range(228)]
     parent.node.merge(records)
-    parent.node.advance_as_of(228)
+    parent.node.advance_as_of(store.Revision(1, 228))
     node, source = child_of(parent)
     node.merge(records[:226])
-    node.advance_as_of(226)
+    node.advance_as_of(store.Revision(1, 226))
     source.sync(parent.address, 0, unconfirmed=False, region=True)
     assert source.answer is not None
     received = {member.instance for member in source.answer.members}
     # The parent's own member has no record yet, so it is sent as well.
     assert received == {"a", "m226", "m227"}
-    assert node.as_of == 228
+    assert node.as_of == store.Revision(1, 228)
     assert node.pending_updates() == []
 
 
@@ -871,7 +884,7 @@
     """The parent started while the store was down."""
     node, source = child_of(parent)
     node.merge([recorded(f"m{n}", revision=n + 1) for n in range(3)])
-    node.advance_as_of(3)
+    node.advance_as_of(store.Revision(1, 3))
     source.sync(parent.address, 0, unconfirmed=False)
     queued = {member.instance for member in node.pending_updates()}
     assert queued >= {"m0", "m1", "m2"}
@@ -884,7 +897,7 @@
 
 def recorded(name: str, revision: int) -> membership.Member:
     """Return a daemon's member as read from its record."""
-    return msgspec.structs.replace(daemon(name), sequence=revision)
+    return msgspec.structs.replace(daemon(name), sequence=revision, era=1)
 
 
 def test_a_deleted_record_is_written_again() -> None:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -248,11 +248,12 @@
     head = f"HTTP/1.1 {status} S\r\nContent-Length: {len(body)}\r\n"
     with answering_store(head.encode() + b"\r\n" + body) as object_store:
         kind = store.Kind.MEMBERS
+        version = store.Revision(0, 1)
         calls: tuple[collections.abc.Callable[[], object], ...] = (
             lambda: object_store.get(kind, "a"),
-            lambda: list(object_store.watch(kind, 1, 0.1)),
-            lambda: object_store.put(kind, "a", {}, 1),
-            lambda: object_store.delete(kind, "a", 1),
+            lambda: list(object_store.watch(kind, version, 0.1)),
+            lambda: object_store.put(kind, "a", {}, version),
+            lambda: object_store.delete(kind, "a", version),
         )
         for call in calls:
             with contextlib.suppress(errors.StoreError, errors.BadMessage):
@@ -261,7 +262,7 @@
 
 @hypothesis.given(st.binary(max_size=80))
 def test_arbitrary_member_record_is_read_or_skipped(spec: bytes) -> None:
-    stored = store.StoredObject("a", 1, msgspec.Raw(spec))
+    stored = store.StoredObject("a", store.Revision(1, 1), msgspec.Raw(spec))
     record = _record.read(stored)
     assert record is None or isinstance(record, _messages.MemberRecord)
 
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -30,6 +30,7 @@
 RECORD: typing.Final = msgspec.to_builtins(
     _messages.MemberRecord(fakes.member(NAME), presence.Phase.READY),
 )
+WRITTEN: typing.Final = store.Revision(1, 7)
 MALFORMED_RECORDS: typing.Final = dict(malformed.records(RECORD))
 
 
@@ -51,7 +52,9 @@
     listed = client.list(store.Kind.MEMBERS).objects
     watched = [
         event.object
-        for event in client.watch(store.Kind.MEMBERS, 0, 0.1)
+        for event in client.watch(
+            store.Kind.MEMBERS, store.Revision(1, 0), 0.1
+        )
         if event.object is not None
     ]
     server.shutdown()
@@ -65,19 +68,19 @@
 # number can't be encoded or whose address can't be connected to.
 @pytest.mark.parametrize("label", MALFORMED_RECORDS)
 def test_malformed_record_names_no_member(label: str) -> None:
-    stored = store.StoredObject(NAME, 7, MALFORMED_RECORDS[label])
+    stored = store.StoredObject(NAME, WRITTEN, MALFORMED_RECORDS[label])
     assert _record.read(stored) is None
 
 
 def test_record_with_a_nested_further_field_is_ignored() -> None:
     changed = malformed.with_nested_field(RECORD)
-    assert _record.read(store.StoredObject(NAME, 7, changed)) is None
+    assert _record.read(store.StoredObject(NAME, WRITTEN, changed)) is None
 
 
 def test_record_under_another_name_names_no_member() -> None:
     spec = msgspec.Raw(msgspec.json.encode(record_of("a")))
-    assert _record.read(store.StoredObject("a", 7, spec)) is not None
-    assert _record.read(store.StoredObject(NAME, 7, spec)) is None
+    assert _record.read(store.StoredObject("a", WRITTEN, spec)) is not None
+    assert _record.read(store.StoredObject(NAME, WRITTEN, spec)) is None
 
 
 # Guards against daemons that stop following members at a malformed entry.
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -42,7 +42,11 @@
         self.late: list[collections.abc.Callable[[], object]] = []
 
     def put(
-        self, kind: store.Kind, name: str, spec: object, version: int
+        self,
+        kind: store.Kind,
+        name: str,
+        spec: object,
+        version: store.Revision,
     ) -> store.StoredObject:
         if not self.put_off:
             return super().put(kind, name, spec, version)
@@ -109,6 +113,7 @@
         self.acknowledged: set[Incarnation] = set()
         self.acknowledged_ends: set[Incarnation] = set()
         self.recorded: tuple[Incarnation, presence.Phase] | None = None
+        self.copy: memory_store.Copy | None = None
         self.restart()
 
     @sf.rule()
@@ -184,6 +189,28 @@
                 continue
         self.store.late.clear()
 
+    @sf.rule()
+    def take_copy(self) -> None:
+        """The store's state is copied."""
+        self.copy = self.store.take_copy()
+
+    @sf.precondition(
+        lambda self: self.copy is not None
+        and self.recorder._loaded
+        and self.recorder._current()
+    )
+    @sf.rule()
+    def go_back_to_copy(self) -> None:
+        """The store loses what was written since, and the daemon writes it.
+
+        The daemon knows all that it has recorded, and isn't restarted before.
+        """
+        assert self.copy is not None
+        self.store.lose = self.store.drop = self.store.refuse = 0
+        self.store.put_off = False
+        self.store.restore(self.copy)
+        assert self._recorded()
+
     @sf.precondition(lambda self: not self.ended)
     @sf.rule(lost=st.booleans())
     def beat(self, lost: bool) -> None:
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -178,7 +178,9 @@
 def stored_texts(platform: store.Store) -> dict[str, str]:
     """Return the texts of the stored folder, by file."""
     found = _push.read_stored(platform)
-    return {name: source.text for name, source in found.items()}
+    return {
+        name: control.source_of(stored).text for name, stored in found.items()
+    }
 
 
 @pytest.mark.parametrize("lose", [0, 1, 2])
@@ -199,7 +201,7 @@
 def test_push_stops_at_a_concurrent_change() -> None:
     platform = fakes.FaultyStore()
     planned = plan_changes(platform)
-    platform.put(store.Kind.FILES, "b.toml", {"text": "theirs"}, 0)
+    platform.put(store.Kind.FILES, "b.toml", {"text": "theirs"}, store.ABSENT)
     with pytest.raises(errors.StoreConflict) as raised:
         _push.apply(platform, planned, lambda _: None)
     assert "1 of 3 changes were made" in str(raised.value)
--- a/tests/test_store_contract.py
+++ b/tests/test_store_contract.py
@@ -45,7 +45,10 @@
 
 
 def changes(
-    platform: store.Store, kind: store.Kind, version: int, timeout_s: float
+    platform: store.Store,
+    kind: store.Kind,
+    version: store.Revision,
+    timeout_s: float,
 ) -> list[store.Event]:
     """Return all changes after a version, without bookmarks.
 
@@ -74,15 +77,15 @@
         platform.get(FILES, "a.toml")
 
 
-@pytest.mark.parametrize("version", [store.ABSENT, 77])
+@pytest.mark.parametrize("version", [store.ABSENT, store.Revision(1, 77)])
 def test_write_with_another_version_conflicts(
-    platform: store.Store, version: int
+    platform: store.Store, version: store.Revision
 ) -> None:
     platform.put(FILES, "a.toml", 1, store.ABSENT)
     with pytest.raises(errors.StoreConflict):
         platform.put(FILES, "a.toml", 2, version)
     with pytest.raises(errors.StoreConflict):
-        platform.delete(FILES, "a.toml", 77)
+        platform.delete(FILES, "a.toml", store.Revision(1, 77))
     assert bytes(platform.get(FILES, "a.toml").spec) == b"1"
 
 
@@ -90,9 +93,9 @@
     platform: store.Store,
 ) -> None:
     with pytest.raises(errors.StoreConflict):
-        platform.put(FILES, "a.toml", 1, 5)
+        platform.put(FILES, "a.toml", 1, store.Revision(1, 5))
     with pytest.raises(errors.StoreNotFound):
-        platform.delete(FILES, "a.toml", 5)
+        platform.delete(FILES, "a.toml", store.Revision(1, 5))
 
 
 def test_exactly_one_of_concurrent_creators_succeeds(
@@ -140,7 +143,7 @@
     call = store.Client.call
     pages = 0
 
-    def call_and_write(*arguments: typing.Any) -> bytes:
+    def call_and_write(*arguments: typing.Any) -> store.Reply:
         nonlocal pages
         answer = call(*arguments)
         pages += 1
@@ -274,4 +277,4 @@
                 with pytest.raises(errors.StoreError):
                     client.get(FILES, "a")
                 continue
-            assert client.get(FILES, "a").version == 3
+            assert client.get(FILES, "a").version == store.Revision(0, 3)
--- a/tests/test_sweeper.py
+++ b/tests/test_sweeper.py
@@ -6,9 +6,11 @@
 
 from chiveroad import control
 from chiveroad.control import _member_expiry
+from chiveroad.control import _messages
 from chiveroad.control import _sweeper
 from chiveroad import errors
 from chiveroad import membership
+from chiveroad import presence
 from chiveroad import store
 from standins import memory_store
 from tests import fakes
@@ -87,10 +89,20 @@
         for name in "abc":
             self.write(name, store.ABSENT)
 
-    def write(self, name: str, version: int) -> None:
+    def write(self, name: str, version: store.Revision) -> None:
         """Write a record, and merge it into the view."""
-        written = self.platform.put(store.Kind.MEMBERS, name, {}, version)
-        self.node.merge([fakes.member(name, 0, written.version)])
+        era = self.platform.eras.current
+        written = self.platform.put(
+            store.Kind.MEMBERS,
+            name,
+            _messages.MemberRecord(
+                fakes.member(name, 0, era=era), presence.Phase.READY
+            ),
+            version,
+        )
+        self.node.merge(
+            [fakes.member(name, 0, written.version.number, era=era)]
+        )
 
     def recorded_names(self) -> str:
         """Return the names of the records in the store."""
@@ -117,7 +129,8 @@
     ring.unresponsive = {"b"}
     ring.sweep_each_minute(0, 10)
     known = ring.platform.get(store.Kind.MEMBERS, "b").version
-    ring.platform.put(store.Kind.MEMBERS, "b", {"new": True}, known)
+    stored = ring.platform.get(store.Kind.MEMBERS, "b")
+    ring.platform.put(store.Kind.MEMBERS, "b", stored.spec, known)
     ring.sweep_each_minute(11, 12)
     assert ring.recorded_names() == "abc"
 
