Acknowledge a leave only if it is in effect, whatever start times say

Cause, two faults: incarnations were ordered by start times, so that each heartbeat of the present one was superseded by one of before; and a heartbeat that was ignored was acknowledged, whatever it said.

Change: an incarnation with a lower start time supersedes the known one once that has been unheard for the maximum delay of a heartbeat, and at once if it announces the leave of the known id. Superseded incarnations are remembered.

Why it works: only one target at a time has the address. What arrives after ten seconds of silence was sent after the silent one's last heartbeat.

--- a/src/chiveroad/presence/_handler.py
+++ b/src/chiveroad/presence/_handler.py
@@ -78,12 +78,15 @@
                 heartbeat.service,
             )
             raise errors.BadRequest("the service isn't known")
-        if self._target.receive(heartbeat) is _state.Verdict.FOREIGN:
-            return
-        if self._target.status.phase is _state.Phase.READY:
-            self._record(0.0)
-        else:
+        verdict = self._target.receive(heartbeat)
+        if heartbeat.state is wire.TargetState.DRAINING:
+            if not self._target.has_left(heartbeat):
+                raise errors.NotRecorded(
+                    f"the leave was ignored: {verdict.value}", RECORD_RETRY_MS
+                )
             self._record_leave()
+        elif verdict is not _state.Verdict.FOREIGN:
+            self._record(0.0)
 
     def _leave(self, leave: wire.Leave) -> None:
         source = self._target.leave(leave.target_id)
@@ -94,6 +97,7 @@
             # may name this target.
             source = self._target.leave(leave.target_id)
         if source is _local.LeaveSource.UNKNOWN:
+            # A late heartbeat could bring it back after a restart.
             raise errors.NotRecorded("no record names it", RECORD_RETRY_MS)
         if source is _local.LeaveSource.CURRENT:
             self._record_leave()
--- a/src/chiveroad/presence/_local.py
+++ b/src/chiveroad/presence/_local.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 import threading
 import typing
@@ -17,6 +18,10 @@
 seconds for which a draining target goes on serving.
 """
 
+MAX_SUPERSEDED: typing.Final = 32
+"""How many superseded incarnations are remembered: far more than can start
+within the maximum delay of a heartbeat."""
+
 _log = logs.Logger("presence")
 
 
@@ -24,8 +29,8 @@
     """Which target sent a leave, relative to the current target."""
 
     CURRENT = "the current target"
-    OTHER = "a target other than the current one"
-    UNKNOWN = "there is no current target yet"
+    EARLIER = "a target that the current one has superseded"
+    UNKNOWN = "no target that has been heard"
 
 
 class LocalTarget:
@@ -45,6 +50,7 @@
         self._lock = threading.Lock()
         self._status = _state.TargetStatus()
         self._terminations: dict[str, _state.Termination] = {}
+        self._superseded: dict[_state.Incarnation, _state.Superseded] = {}
 
     @property
     def status(self) -> _state.TargetStatus:
@@ -64,14 +70,18 @@
         """Apply a heartbeat to the status."""
         with self._lock:
             verdict, status = _state.decide(
-                self._status, heartbeat, self._address, self._clock.steady_s()
+                self._status,
+                heartbeat,
+                self._address,
+                self._clock.steady_s(),
+                self._superseded,
             )
             new_incarnation = verdict is _state.Verdict.NEW_INCARNATION
             if new_incarnation and self._has_ended(
                 heartbeat.target_id, heartbeat.started_at_ms
             ):
                 verdict, status = _state.Verdict.STALE, self._status
-            self._status = status
+            self._replace_status(status)
         if verdict in (_state.Verdict.NEW_INCARNATION, _state.Verdict.CHANGED):
             _log.info(
                 "Target {} of service {} is {} as of heartbeat {}.",
@@ -99,14 +109,23 @@
             self._terminations[target_id] = termination
             if status.target_id == target_id:
                 self._status = _state.mark_ended(status, termination)
+            earlier = any(known == target_id for _, known in self._superseded)
         if status.target_id == target_id:
             _log.info("Target {} sent its leave and is gone.", target_id)
             return LeaveSource.CURRENT
+        source = LeaveSource.EARLIER if earlier else LeaveSource.UNKNOWN
         _log.warning(
-            "Target {} sent a leave but isn't the current target.", target_id
+            "Target {} sent a leave but isn't the current target: it is {}.",
+            target_id,
+            source.value,
         )
-        unknown = status.phase is _state.Phase.UNKNOWN
-        return LeaveSource.UNKNOWN if unknown else LeaveSource.OTHER
+        return source
+
+    def has_left(self, heartbeat: wire.Heartbeat) -> bool:
+        """Return whether the leave that a heartbeat announces is in effect."""
+        status = self._status
+        same = _state.incarnation_of(heartbeat) == status.incarnation
+        return same and status.leaves
 
     def mark_leaving(self, incarnation: tuple[int, str]) -> bool:
         """Apply an answer in which the target states that it leaves.
@@ -150,7 +169,13 @@
                 # The status stems from a delayed heartbeat that was accepted
                 # before the record was read.
                 status = recorded
-            self._status = _state.restore(status, recorded)
+            restored = _state.restore(status, recorded)
+            if not restored.received_s:
+                # A heartbeat that is delayed may precede the record.
+                restored = dataclasses.replace(
+                    restored, received_s=self._clock.steady_s()
+                )
+            self._replace_status(restored)
             status = self._status
         _log.info(
             "Record read: target {} of service {} is {}.",
@@ -159,6 +184,19 @@
             status.phase.value,
         )
 
+    def _replace_status(self, status: _state.TargetStatus) -> None:
+        """Set the status, and remember an incarnation that it supersedes."""
+        former = self._status
+        self._status = status
+        self._superseded.pop(status.incarnation, None)
+        if former.incarnation == status.incarnation or not former.target_id:
+            return
+        self._superseded[former.incarnation] = _state.Superseded(
+            former.sequence, former.leaves
+        )
+        while len(self._superseded) > MAX_SUPERSEDED:
+            del self._superseded[next(iter(self._superseded))]
+
     def _restore_termination(
         self, recorded: _state.TargetStatus
     ) -> _state.TargetStatus:
@@ -187,7 +225,7 @@
                 return
             if self._status.phase is not _state.Phase.READY:
                 return
-            self._status = _state.TargetStatus()
+            self._replace_status(_state.TargetStatus())
         _log.warning(
             "Another target answers at the address of {}; "
             "its status is unknown until the next heartbeat.",
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -5,10 +5,15 @@
 target's id and start time.  A later incarnation supersedes an earlier one,
 and within an incarnation the greater sequence number wins.  An incarnation
 that has announced its leave never takes work again.
+
+Start times are read from a clock that may jump, so a lower one doesn't prove
+that an incarnation is earlier.  Only one target at a time has the address, and
+heartbeats are late by a limited time; see ``_succeeds``.
 """
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import enum
 import typing
@@ -22,6 +27,10 @@
 """For how long a target repeats its leave while it isn't acknowledged."""
 
 
+Incarnation = tuple[int, str]
+"""The start time and the id of a target."""
+
+
 class Phase(enum.Enum):
     """The phases of a target's life cycle, as known to its daemon."""
 
@@ -69,15 +78,27 @@
         return self.phase in (Phase.DRAINING, Phase.GONE)
 
     @property
-    def incarnation(self) -> tuple[int, str]:
-        """Return the incarnation; a later incarnation compares greater.
+    def incarnation(self) -> Incarnation:
+        """Return the incarnation.
 
-        The id breaks the tie between two incarnations that started in the
-        same millisecond, so that they don't alternate.
+        A later one compares greater unless the clock has jumped.  The id
+        breaks the tie between two incarnations that started in the same
+        millisecond, so that they don't alternate.
         """
         return (self.started_at_ms, self.target_id)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """What was known of an incarnation when another one superseded it."""
+
+    sequence: int
+    leaves: bool
+
+
+Superseding = collections.abc.Mapping[Incarnation, Superseded]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Termination:
     """A target's notice that it ends, which carries only the target's id.
@@ -103,18 +124,22 @@
 
 
 def decide(
-    status: TargetStatus, heartbeat: wire.Heartbeat, address: str, now_s: float
+    status: TargetStatus,
+    heartbeat: wire.Heartbeat,
+    address: str,
+    now_s: float,
+    superseded: Superseding,
 ) -> tuple[Verdict, TargetStatus]:
     """Return the verdict on a heartbeat and the status that results.
 
     :param address: the address of the daemon's local target.
+    :param superseded: the incarnations that were superseded.
     """
     if heartbeat.address != address:
         return Verdict.FOREIGN, status
-    incarnation = (heartbeat.started_at_ms, heartbeat.target_id)
-    if incarnation > status.incarnation:
-        return Verdict.NEW_INCARNATION, _initial_status(heartbeat, now_s)
-    if incarnation < status.incarnation:
+    if incarnation_of(heartbeat) != status.incarnation:
+        if _succeeds(heartbeat, status, now_s, superseded):
+            return Verdict.NEW_INCARNATION, _initial_status(heartbeat, now_s)
         return Verdict.STALE, status
     if heartbeat.sequence <= status.sequence:
         return Verdict.STALE, status
@@ -131,6 +156,46 @@
     return Verdict.FRESH, updated
 
 
+def incarnation_of(heartbeat: wire.Heartbeat) -> Incarnation:
+    """Return the incarnation that has sent a heartbeat."""
+    return (heartbeat.started_at_ms, heartbeat.target_id)
+
+
+def _succeeds(
+    heartbeat: wire.Heartbeat,
+    status: TargetStatus,
+    now_s: float,
+    superseded: Superseding,
+) -> bool:
+    """Return whether a heartbeat's incarnation supersedes the known one.
+
+    Once the known one has been unheard for the maximum delay of a heartbeat,
+    a heartbeat that arrives was sent after its last one, and so comes from
+    the target that has the address now.  Before that, one with a lower start
+    time may be a delayed one of an earlier incarnation.  If it announces the
+    leave of a target with the known id, it is believed all the same: the
+    target couldn't tell that work for it is meant for another incarnation.
+    """
+    incarnation = incarnation_of(heartbeat)
+    leaves = heartbeat.state is wire.TargetState.DRAINING
+    same_id = heartbeat.target_id == status.target_id
+    earlier = superseded.get(incarnation)
+    if earlier is not None and (
+        heartbeat.sequence <= earlier.sequence
+        or (earlier.leaves and not leaves)
+    ):
+        return False
+    if status.phase is Phase.UNKNOWN:
+        return True
+    if now_s - status.received_s > MAX_HEARTBEAT_DELAY_S:
+        return True
+    if earlier is not None:
+        return False
+    if incarnation > status.incarnation:
+        return True
+    return leaves and same_id and status.phase is Phase.READY
+
+
 def restore(status: TargetStatus, recorded: TargetStatus) -> TargetStatus:
     """Merge the status with the one that an earlier daemon recorded.
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -393,6 +393,7 @@
     def stop(self) -> None:
         """Stop without announcing it."""
         self.plane.stopped = True
+        self.plane._recorder.stopped = True
         self.server.stop()
 
 
