Bound the memory of all buffered answers together

A target that sends bodies without end could end a daemon, with the requests of all its callers: 100 callers at one entry, four such targets, and the daemon grew from 27 to 284 MB within 4 s; an instance has 200 to 300 MB.

Cause: an entry buffers up to 1 MB of each answer, for up to 160 requests, without a bound for all. The prefix was kept while the rest was passed on.

An answer without a reservation is passed on as it comes. Prefixes are sent in pieces and dropped. The stand-in target learns endless answers.

Why it works: what is beyond 64 KB of an answer is reserved before it is kept, and given back when it has been sent.

--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -12,6 +12,7 @@
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import serving
+from chiveroad.traffic import _buffers
 from chiveroad.traffic import _failover
 from chiveroad import wire
 
@@ -181,6 +182,7 @@
     replaced by another target's answer, and ``failure_answer`` is such a
     failure.  ``pending`` holds the open exchanges, the oldest first.
     ``rate_limit_per_s`` is the target's rate limit as far as the entry knows.
+    ``buffers`` is what the answers to all requests may take in memory.
     """
 
     id: str
@@ -203,6 +205,9 @@
     pending: list[Pending] = dataclasses.field(default_factory=list)
     limit: Limit = dataclasses.field(default_factory=Limit)
     rate_limit_per_s: float = wire.UNLIMITED
+    buffers: _buffers.BufferBudget = dataclasses.field(
+        default_factory=_buffers.BufferBudget
+    )
 
     @property
     def due_s(self) -> float:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -25,6 +25,7 @@
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _balancer
+from chiveroad.traffic import _buffers
 from chiveroad.traffic import _call
 from chiveroad.traffic import _caller_timeouts
 from chiveroad.traffic import _deadline
@@ -87,6 +88,7 @@
         self._own_host = options.target.address.rpartition(":")[0]
         self._sampler = logs.Sampler()
         self._limit = _call.Limit()
+        self._buffers = _buffers.BufferBudget()
         self._refuses_outlasting = False
         self._ids = itertools.count(1)
         self._id_prefix = f"{options.instance}-{uuid.uuid4().hex[:8]}"
@@ -283,6 +285,7 @@
             objective_s=objective_s,
             inner=inner,
             limit=self._limit,
+            buffers=self._buffers,
         )
         return call, route
 
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -22,11 +22,12 @@
 from chiveroad import errors
 from chiveroad import serving
 from chiveroad.traffic import _answer
+from chiveroad.traffic import _buffers
 from chiveroad.traffic import _call
 from chiveroad.traffic import _pool
 from chiveroad import wire
 
-SMALL_ANSWER_BYTES: typing.Final = 64 * 1024
+SMALL_ANSWER_BYTES: typing.Final = _buffers.SMALL_ANSWER_BYTES
 STALL_S: typing.Final = 10.0
 MIN_STALL_S: typing.Final = 0.05
 EARLIER_STALL_S: typing.Final = 0.2
@@ -95,10 +96,12 @@
         response: _answer.Response,
         method: str,
         read_terms: ReadTerms,
+        buffers: _buffers.BufferBudget,
     ) -> None:
         self._pool = pool
         self._connection = connection
         self._response = response
+        self._buffers = buffers
         self._headers = typing.cast(_answer.Headers, response.headers)
         self._declared_length = None if response.chunked else response.length
         self.buffered = bytearray()
@@ -120,15 +123,20 @@
         """Read the whole body and return the connection to the pool.
 
         :raises errors.AnswerTruncated: when the body ends early, or is over
-            the limit.
+            the limit, or over what may be buffered at present.
         """
-        prefix = _buffer(self.chunks(), limit_bytes)
-        if not prefix.complete:
-            self.close()
-            raise errors.AnswerTruncated(
-                f"the answer is over {limit_bytes} bytes"
-            )
-        return prefix.body
+        with self.reserve() as reservation:
+            prefix = _buffer(self.chunks(), limit_bytes, reservation)
+            if prefix.complete:
+                return bytes(prefix.body)
+        self.close()
+        raise errors.AnswerTruncated(
+            f"the answer is over {len(prefix.body)} bytes"
+        )
+
+    def reserve(self) -> _buffers.Reservation:
+        """Return a reservation for a buffer of the body."""
+        return _buffers.Reservation(self._buffers)
 
     def chunks(self) -> collections.abc.Iterator[bytes]:
         """Yield the body, then return the connection to the pool.
@@ -299,6 +307,7 @@
             response,
             call.method,
             self._read_terms,
+            call.buffers,
         )
         echoed = answer.terms.request_id
         self._pool.echoes_ids = self._pool.echoes_ids or echoed == call.id
@@ -419,21 +428,37 @@
         # The head is forwarded only once a part of the body has arrived.
         rest = itertools.chain((next(chunks, b""),), chunks)
         return _stream(answer, rest, request, headers, length)
-    prefix = _buffer(chunks, buffer_bytes)
-    if prefix.complete:
-        request.answer(answer.status, headers, prefix.body)
-        return len(prefix.body)
-    rest = itertools.chain((prefix.body,), chunks)
-    return _stream(answer, rest, request, headers, length)
+    with answer.reserve() as reservation:
+        prefix = _buffer(chunks, buffer_bytes, reservation)
+        if prefix.complete:
+            request.answer(answer.status, headers, bytes(prefix.body))
+            return len(prefix.body)
+        continued = _continued(prefix.body, chunks, reservation)
+        return _stream(answer, continued, request, headers, length)
 
 
 class _Prefix(typing.NamedTuple):
-    body: bytes
+    body: bytearray
     complete: bool
 
 
+def _continued(
+    buffer: bytearray,
+    chunks: collections.abc.Iterator[bytes],
+    reservation: _buffers.Reservation,
+) -> collections.abc.Iterator[bytes]:
+    """Yield a buffered prefix in pieces, drop it, and yield the rest."""
+    for start in range(0, len(buffer), _CHUNK_BYTES):
+        yield bytes(buffer[start : start + _CHUNK_BYTES])
+    buffer.clear()
+    reservation.release()
+    yield from chunks
+
+
 def _buffer(
-    chunks: collections.abc.Iterator[bytes], buffer_bytes: int
+    chunks: collections.abc.Iterator[bytes],
+    buffer_bytes: int,
+    reservation: _buffers.Reservation,
 ) -> _Prefix:
     """Buffer chunks until the end, or until they exceed a size.
 
@@ -444,9 +469,10 @@
     buffer = bytearray()
     for number, chunk in enumerate(chunks):
         buffer += chunk
-        if len(buffer) + number * serving.CHUNK_LINE_BYTES > buffer_bytes:
-            return _Prefix(bytes(buffer), complete=False)
-    return _Prefix(bytes(buffer), complete=True)
+        size = len(buffer) + number * serving.CHUNK_LINE_BYTES
+        if size > buffer_bytes or not reservation.grow(len(buffer)):
+            return _Prefix(buffer, complete=False)
+    return _Prefix(buffer, complete=True)
 
 
 def _stream(
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -22,6 +22,7 @@
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _admission
+from chiveroad.traffic import _buffers
 from chiveroad.traffic import _call
 from chiveroad.traffic import _claims
 from chiveroad.traffic import _exchange
@@ -78,6 +79,7 @@
             _FALLBACK_LIMITS, policies[options.traffic.admission]
         )
         self._limit = _call.Limit()
+        self._buffers = _buffers.BufferBudget()
         self._sampler = logs.Sampler()
         self._incarnation: tuple[int, str] = (0, "")
         self.draining = False
@@ -245,6 +247,7 @@
             objective_s=_objective_s(request),
             inner=bool(request.header(_call.INNER)),
             limit=self._limit,
+            buffers=self._buffers,
             rate_limit_per_s=_known_rate_limit(request),
         )
 
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -11,6 +11,7 @@
 import dataclasses
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -314,6 +315,14 @@
         """Return the log output of a process."""
         return (self.path / f"{name}.log").read_text(errors="replace")
 
+    def peak_memory_mb(self, name: str) -> int:
+        """Return the greatest resident size of a process so far."""
+        pid = self.processes[name].pid
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+        found = re.search(r"^VmHWM:\s+(\d+) kB", status, re.MULTILINE)
+        assert found is not None
+        return int(found[1]) // 1024
+
     def close(self) -> None:
         """Kill all processes, and remove links, ports and files."""
         for process in self.processes.values():
--- a/standins/target.py
+++ b/standins/target.py
@@ -9,6 +9,7 @@
 
 import argparse
 import collections
+import contextlib
 import dataclasses
 import http
 import http.server
@@ -25,6 +26,8 @@
 MAX_CONNECTIONS: typing.Final = 120
 LOAD_REPORT_INTERVAL_S: typing.Final = 2.0
 SLOT_WAIT_S: typing.Final = 0.05
+ENDLESS_TIMEOUT_S: typing.Final = 5.0
+"""How long a caller of an endless answer may not read before it is ended."""
 
 
 class Mode(msgspec.Struct):
@@ -36,8 +39,9 @@
     answer, then no bytes for ``late_ms``), ``crossed`` (the answer of another
     request), ``late`` (the answer is delayed by ``late_ms``), ``extra`` (bytes
     after the answer), ``unframed`` (an answer without a length), ``shed``
-    (load shedding: an answer that says that the request didn't run) and
-    ``error`` (status 500).  For ``cold_s`` after the start of the target,
+    (load shedding: an answer that says that the request didn't run),
+    ``error`` (status 500) and ``endless`` (a body without end, until the
+    connection is closed).  For ``cold_s`` after the start of the target,
     requests take ten times as long.  ``reported_load``, unless negative, is
     reported in place of the actual load.  ``rate_limit`` is the text of the
     limit that answers state, and ``leaving`` has them state a leave.
@@ -319,6 +323,9 @@
         if mode.fault == "unframed":
             self._answer_unframed(answer)
             return
+        if mode.fault == "endless":
+            self._answer_without_end(headers)
+            return
         if mode.chunked:
             self._answer_chunked(answer, headers)
             return
@@ -343,6 +350,20 @@
         self.wfile.flush()
         self.close_connection = True
 
+    def _answer_without_end(self, headers: dict[str, str]) -> None:
+        self.close_connection = True
+        self.send_response(http.HTTPStatus.OK)
+        self.send_header("Transfer-Encoding", "chunked")
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.end_headers()
+        piece = b"x" * 64 * 1024
+        self.connection.settimeout(ENDLESS_TIMEOUT_S)
+        with contextlib.suppress(OSError):
+            self.wfile.write(b"fffffffff\r\n")
+            while True:
+                self.wfile.write(piece)
+
     def _answer_chunked(self, answer: bytes, headers: dict[str, str]) -> None:
         self.send_response(http.HTTPStatus.OK)
         self.send_header("Transfer-Encoding", "chunked")
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import gzip
+import http.client
 import itertools
 import select
 import socket
@@ -28,6 +29,7 @@
 from chiveroad.serving import _framing
 from chiveroad.serving import _request
 from chiveroad import store
+from chiveroad.traffic import _buffers
 from chiveroad.traffic import _call
 from chiveroad.traffic import _claims
 from chiveroad.traffic import _entry
@@ -36,6 +38,7 @@
 from chiveroad.traffic import _pool
 from chiveroad import wire
 from standins import mesh
+from standins import target
 from tests import fakes
 from tests import test_exchange
 
@@ -84,6 +87,7 @@
 
     def __init__(self) -> None:
         self.begun = False
+        self.streamed = False
         self.finished = False
         self.bytes_sent = 0
 
@@ -96,7 +100,7 @@
 
     def start(self, _status: int, _headers: list[serving.Header]) -> None:
         """Record the start of an answer."""
-        self.begun = True
+        self.begun = self.streamed = True
 
     def send(self, chunk: bytes) -> None:
         """Record a part of an answer."""
@@ -226,6 +230,129 @@
     assert peer.sent_bytes < 16 * _exchange.MAX_READ_BYTES
 
 
+# Guards against answers without end that fill a buffer for each request.
+def test_answer_over_the_budget_of_all_buffers_is_forwarded_as_it_comes() -> (
+    None
+):
+    size = 8 * _exchange.SMALL_ANSWER_BYTES
+    body = b"x" * size
+    sent = test_exchange.OWN + b"Connection: close\r\n\r\n" + body
+    for budget_bytes, streamed in ((size, False), (size // 2, True)):
+        budget = _buffers.BufferBudget(budget_bytes)
+        with test_exchange.target(test_exchange.answering(sent)) as address:
+            request = test_exchange.call()
+            request.buffers = budget
+            caller = Caller()
+            _forward(address, request, caller)
+        assert caller.finished and caller.bytes_sent == size
+        assert caller.streamed is streamed
+        assert budget.left_bytes == budget_bytes
+
+
+def test_failure_over_the_budget_of_all_buffers_is_truncated() -> None:
+    size = 8 * _exchange.SMALL_ANSWER_BYTES
+    sent = test_exchange.OWN + b"\r\n" + b"x" * size
+    with test_exchange.target(test_exchange.answering(sent)) as address:
+        request = test_exchange.call()
+        request.buffers = _buffers.BufferBudget(0)
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            answer = _exchange.send_request(
+                _pool.Pool(address),
+                request,
+                request.headers,
+                ours,
+                platform.Protocol().read_answer,
+            )
+            with pytest.raises(errors.AnswerTruncated):
+                answer.read()
+
+
+def _forward(address: str, request: _call.Call, caller: Caller) -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        answer = _exchange.send_request(
+            _pool.Pool(address),
+            request,
+            request.headers,
+            ours,
+            platform.Protocol().read_answer,
+        )
+        _exchange.forward_answer(
+            answer,
+            caller,  # type: ignore[arg-type]
+            buffer_bytes=_exchange.MAX_READ_BYTES,
+        )
+
+
+ENDLESS_DEPLOYMENT: typing.Final = mesh.Deployment(
+    "four", "r", {"r": ["a"]}, {"glade": 4}
+)
+ENDLESS_FILE: typing.Final = """
+team = "schools"
+[service.glade]
+slots = 60
+queue_length = 64
+open_to = ["*"]
+[service.glade.kind.read]
+weight = 2
+idempotent = true
+timeout_ms = 2000
+[route.read]
+path = "/read"
+service = "glade"
+kind = "read"
+"""
+MEMORY_MB: typing.Final = 200
+"""The memory of the smallest instance."""
+
+ENDLESS_CALLERS: typing.Final = 150
+ENDLESS_S: typing.Final = 8.0
+READ_S: typing.Final = 2.0
+
+
+# Guards against a daemon that ends, with the requests of all its callers, as
+# targets send bodies without end.
+def test_endless_answers_leave_a_daemon_within_its_memory() -> None:
+    options = f"[traffic]\nthreads = {2 * ENDLESS_CALLERS}\n"
+    with mesh.Mesh(ENDLESS_DEPLOYMENT, options) as running_mesh:
+        running_mesh.start()
+        running_mesh.push_file("10-glade.toml", ENDLESS_FILE)
+        running_mesh.wait_in_force(1)
+        running_mesh.wait_serving()
+        for name in running_mesh.instances:
+            running_mesh.set_mode(name, target.Mode(fault="endless"))
+        entry = running_mesh.instances["glade-1"].entry
+        end_s = time.monotonic() + ENDLESS_S
+        callers = [
+            threading.Thread(target=_read_slowly, args=(entry, end_s))
+            for _ in range(ENDLESS_CALLERS)
+        ]
+        for each in callers:
+            each.start()
+        for each in callers:
+            each.join()
+        for name in running_mesh.daemons():
+            peak_mb = running_mesh.peak_memory_mb(name)
+            assert peak_mb <= MEMORY_MB, name
+
+
+def _read_slowly(entry: str, end_s: float) -> None:
+    """Read answers a little at a time, each for a while."""
+    host, _, port = entry.rpartition(":")
+    while time.monotonic() < end_s:
+        connection = http.client.HTTPConnection(host, int(port), timeout=2.0)
+        with (
+            contextlib.closing(connection),
+            contextlib.suppress(OSError, http.client.HTTPException),
+        ):
+            connection.request("GET", "/read")
+            answer = connection.getresponse()
+            close_s = time.monotonic() + READ_S
+            while time.monotonic() < close_s and answer.read1(65_536):
+                time.sleep(0.02)
+
+
 def test_endless_trailers_abort_a_download() -> None:
     """Trailers aren't forwarded, so a disconnect couldn't end the read."""
     prefix = CHUNKED + b"30000\r\n" + b"x" * 0x30000 + b"\r\n0\r\n"
