Move the reading of recorded members out of the follower

What keeps a daemon's view equal to the records in the store is a class of its own, with its timings; the follower keeps the loop, and what it does with its own record. No behaviour changes.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -26,6 +26,7 @@
 from chiveroad.control import _parent_exchanges
 from chiveroad.control import _parent_selector
 from chiveroad.control import _record
+from chiveroad.control import _recorded_members
 from chiveroad.control import _source
 from chiveroad.control import _sweeper
 from chiveroad.control import _threads
@@ -53,11 +54,6 @@
 """Wait of the watch while the version is suspect: the daemon's descendants
 wait for its confirmation, and would read the store themselves."""
 
-WATCH_MEMBERS_S: typing.Final = 2.0
-MEMBER_BATCH_DELAY_S: typing.Final = 0.2
-"""Pause after a change of members, to batch changes: when many daemons start,
-each change would otherwise cost one call by each watcher."""
-
 HOLD_MS: typing.Final = 700
 """Longest wait of a long poll.  It is longer than the interval between
 confirmations.  Together with ``HEDGE_DELAY_S`` it lets a daemon detect an
@@ -83,9 +79,6 @@
 """Time over which daemons spread the writes of their records when the store
 has come back from an older copy."""
 
-RESTORE_TIMEOUT_S: typing.Final = 2.0
-"""How long after that the record of a living daemon may be missing."""
-
 BOOTSTRAP_INTERVAL_S: typing.Final = 0.3
 TICK_S: typing.Final = 0.1
 MEMBER_LIST_WAIT_S: typing.Final = 0.2
@@ -156,10 +149,9 @@
         self._recorder = _record.Recorder(
             platform, options.instance, self._compose, self._restore
         )
-        self._missing_until_s: dict[str, float] = {}
-        """Until when the members that the store has lost may be restored, by
-        their names."""
-
+        self._members = _recorded_members.RecordedMembers(
+            platform, node, self._restore
+        )
         platform.eras.subscribe(self._begin_era)
 
     @property
@@ -566,9 +558,9 @@
             self._wait_until_watching()
             try:
                 if revision != store.ABSENT:
-                    revision = self._watch_members(revision)
+                    revision = self._members.watch(revision)
                 else:
-                    revision = self._list_members()
+                    revision = self._members.read()
                     self._parent_selector.mark_all_settled()
                     self._members_listed.set()
                     self._wait_until_following()
@@ -581,98 +573,6 @@
                 )
                 backoff.wait()
 
-    def _list_members(self) -> store.Revision:
-        listing = self._store.list(store.Kind.MEMBERS)
-        names = set()
-        own: store.StoredObject | None = None
-        for stored in listing.objects:
-            names.add(stored.name)
-            if stored.name == self._node.member.instance:
-                own = stored
-            self._merge_record(stored)
-        self._restore(own)
-        for member in self._node.view.all():
-            known = member.sequence and member.recorded_at <= listing.version
-            if known and member.instance not in names:
-                self._process_missing(member, listing.version)
-        self._node.advance_as_of(listing.version)
-        return listing.version
-
-    def _process_missing(
-        self, member: membership.Member, listed_at: store.Revision
-    ) -> None:
-        """Process that the store has no record of a known member.
-
-        The record was deleted, or the store went back to a copy from before
-        it was written; then its daemon writes it again.
-        """
-        if member.era == listed_at.era:
-            self._mark_gone(member.instance, listed_at)
-        elif member.alive and member.instance != self._node.member.instance:
-            self._missing_until_s.setdefault(
-                member.instance, clock.now_s() + RESTORE_TIMEOUT_S
-            )
-
-    def _expire_missing(self, revision: store.Revision) -> None:
-        """Mark the members gone whose records weren't restored in time."""
-        now_s = clock.now_s()
-        for name, until_s in list(self._missing_until_s.items()):
-            member = self._node.view.get(name)
-            restored = member is None or member.era == revision.era
-            if not restored and now_s < until_s:
-                continue
-            del self._missing_until_s[name]
-            if not restored:
-                _log.warning(
-                    "Member {} has no record in era {} after {} s and counts "
-                    "as gone.",
-                    name,
-                    revision.era,
-                    RESTORE_TIMEOUT_S,
-                )
-                self._mark_gone(name, revision)
-
-    def _watch_members_s(self) -> float:
-        """Return the wait of the next watch for a change of members."""
-        ends_s = self._missing_until_s.values()
-        left_s = min(ends_s, default=clock.NEVER_S) - clock.now_s()
-        return min(WATCH_MEMBERS_S, max(MEMBER_BATCH_DELAY_S, left_s))
-
-    def _watch_members(self, revision: store.Revision) -> store.Revision:
-        before = revision
-        for event in self._store.watch(
-            store.Kind.MEMBERS, revision, self._watch_members_s()
-        ):
-            revision = max(revision, event.version)
-            if event.object is None:
-                continue
-            if event.type is store.EventType.DELETED:
-                self._mark_gone(event.object.name, event.version)
-            else:
-                self._merge_record(event.object)
-        self._node.advance_as_of(revision)
-        self._expire_missing(revision)
-        if revision > before:
-            time.sleep(MEMBER_BATCH_DELAY_S)
-        return revision
-
-    def _merge_record(self, stored: store.StoredObject) -> None:
-        record = _record.read(stored)
-        if record is not None:
-            self._node.merge([record.member])
-
-    def _mark_gone(self, name: str, revision: store.Revision) -> None:
-        member = self._node.view.get(name)
-        if member is None:
-            return
-        gone = msgspec.structs.replace(
-            member,
-            state=membership.State.GONE,
-            era=revision.era,
-            sequence=revision.number,
-        )
-        self._node.merge([gone])
-
     def _restore(self, own: store.StoredObject | None) -> None:
         """Restore the state that an earlier incarnation has recorded.
 
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -152,7 +152,7 @@
     @sf.rule()
     def read(self) -> None:
         """The daemon lists the records in the store."""
-        self.follower._list_members()
+        self.follower._members.read()
         self.has_read = True
 
     @sf.rule()
