Acknowledge the end of an earlier target once a later one is recorded

Reading the whole change: the end of a superseded target was acknowledged at once, also while no target was known or the later one's record wasn't written; after a restart the earlier one's record would have been restored.

Change: it needs a current target, and waits for the record, as a target's own end does. The test has four rows.

--- a/src/chiveroad/presence/_handler.py
+++ b/src/chiveroad/presence/_handler.py
@@ -99,8 +99,8 @@
         if source is _local.LeaveSource.UNKNOWN:
             # A late heartbeat could bring it back after a restart.
             raise errors.NotRecorded("no record names it", RECORD_RETRY_MS)
-        if source is _local.LeaveSource.CURRENT:
-            self._record_leave()
+        # The record then names this target as gone, or a later one.
+        self._record_leave()
 
     def _record_leave(self) -> None:
         if not self._record(RECORD_TIMEOUT_S):
--- a/src/chiveroad/presence/_local.py
+++ b/src/chiveroad/presence/_local.py
@@ -109,7 +109,9 @@
             self._terminations[target_id] = termination
             if status.target_id == target_id:
                 self._status = _state.mark_ended(status, termination)
-            earlier = any(known == target_id for _, known in self._superseded)
+            earlier = status.phase is not _state.Phase.UNKNOWN and any(
+                known == target_id for _, known in self._superseded
+            )
         if status.target_id == target_id:
             _log.info("Target {} sent its leave and is gone.", target_id)
             return LeaveSource.CURRENT
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -398,25 +398,34 @@
 
 # Guards against an acknowledged leave that nothing records, and that a late
 # heartbeat undoes after a restart of the daemon.
-@pytest.mark.parametrize("known", [False, True])
-def test_leave_of_another_target_is_acknowledged_only_if_it_was_heard(
-    known: bool,
+@pytest.mark.parametrize(
+    ("heard", "recorded", "invalidated", "acknowledged"),
+    [
+        (True, True, False, True),
+        (True, False, False, False),
+        (True, True, True, False),
+        (False, True, False, False),
+    ],
+)
+def test_leave_of_another_target_needs_the_record_of_a_later_one(
+    heard: bool, recorded: bool, invalidated: bool, acknowledged: bool
 ) -> None:
     target = presence.LocalTarget(ADDRESS)
-    if known:
+    if heard:
         target.receive(dataclasses.replace(HEARTBEAT, target_id="i-0"))
     target.receive(HEARTBEAT)
+    if invalidated:
+        target.invalidate(HEARTBEAT.target_id)
     handler = presence.HeartbeatHandler(
-        wire.Native(), target, HOST, lambda _: True, lambda: {"glade"}
+        wire.Native(), target, HOST, lambda _: recorded, lambda: {"glade"}
     )
     request = _Request(state="gone", upstream="i-0")
-    if known:
+    if acknowledged:
         handler.handle(_as_request(request))
         assert request.status == 200
     else:
         with pytest.raises(errors.NotRecorded):
             handler.handle(_as_request(request))
-    assert phase_of(target) is presence.Phase.READY
 
 
 # Guards against an acknowledged `draining` that was ignored.
