Play restorations of the store at random, with restarts and leaves

Seeded: four daemons over the platform's protocol, copies, restorations with and without what was lost, revisions given out again, leaves that are lost, restarts, outages. Checked: no work after an acknowledged leave, no version goes back, the newest is in force in calm.

--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -5,6 +5,8 @@
 import collections.abc
 import contextlib
 import dataclasses
+import os
+import random
 import threading
 import time
 import typing
@@ -433,3 +435,205 @@
         found = _record.read(stored)
         assert found is not None
         assert found.member.recorded_at == store.Revision(era, 40)
+
+
+SEEDS: typing.Final = os.environ.get("RESTORATION_SEEDS", "1-3")
+"""A range of seeds; docs/SOAK.md tells how more are run by hand."""
+
+STEPS: typing.Final = 12
+BEAT_S: typing.Final = 0.3
+CALM_TIMEOUT_S: typing.Final = 10.0
+
+
+def _seeds() -> range:
+    first, _, last = SEEDS.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+class Restorations:
+    """Restorations of the store, with restarts, leaves, versions and outages.
+
+    Targets send heartbeats until their end.  ``acknowledged`` holds the names
+    of those whose leave was recorded, and ``broken`` what was broken.
+    """
+
+    def __init__(self, running: Fleet, seed: int) -> None:
+        self._running = running
+        self._random = random.Random(seed)
+        self._states = {name: "ready" for name in running.daemons}
+        self._sequence = 1
+        self._number = 3
+        self._copy = running.api.store.take_copy()
+        self._ended = threading.Event()
+        self.acknowledged: set[str] = set()
+        self.broken: list[str] = []
+
+    def play(self) -> None:
+        """Make all steps, then wait for what must hold in calm."""
+        threads = [
+            threading.Thread(target=task, daemon=True)
+            for task in (self._beat, self._watch)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            for _ in range(STEPS):
+                step = self._random.choice(
+                    (
+                        self._take_copy,
+                        self._restore,
+                        self._restore,
+                        self._lose_leave,
+                        self._give_out_again,
+                        self._accept,
+                        self._leave,
+                        self._restart,
+                        self._cut,
+                    )
+                )
+                step()
+                time.sleep(self._random.uniform(0.0, 0.8))
+            self._accept()
+            self._wait_for_version()
+        finally:
+            self._ended.set()
+            for thread in threads:
+                thread.join()
+
+    def _take_copy(self) -> None:
+        self._copy = self._running.api.store.take_copy()
+
+    def _lose_leave(self) -> None:
+        """Lose a leave, and restart its daemon at once or later."""
+        self._take_copy()
+        name = self._leave()
+        self._restore()
+        time.sleep(self._random.choice([0.0, 0.0, 1.0]))
+        if name is not None:
+            self._restart(name)
+
+    def _give_out_again(self) -> None:
+        """Lose some revisions, and give out exactly as many again."""
+        shared = self._running.api.store
+        self._take_copy()
+        before = shared.take_copy().number
+        shared.put(
+            store.Kind.CLAIMS, f"{before}-{self._sequence}", 1, store.ABSENT
+        )
+        self._accept()
+        time.sleep(self._random.uniform(0.3, 1.0))
+        self._running.api.faults.outage = True
+        time.sleep(self._random.uniform(0.3, 0.6))
+        lost = shared.restore(self._copy)
+        test_follower.accept(shared, self._number)
+        for _ in range(1, lost):
+            self._accept()
+        self._running.api.faults.outage = False
+        self._wait_for_version()
+
+    def _restore(self) -> None:
+        faults = self._running.api.faults
+        faults.outage = True
+        time.sleep(self._random.uniform(0.05, 0.6))
+        self._running.api.store.restore(self._copy)
+        written_first = self._random.random() < 0.5
+        if written_first:
+            # The operator writes again what was lost.
+            test_follower.accept(self._running.api.store, self._number)
+        faults.outage = False
+        if not written_first:
+            time.sleep(self._random.uniform(0.0, 0.5))
+            test_follower.accept(self._running.api.store, self._number)
+
+    def _accept(self) -> None:
+        self._number += 1
+        test_follower.accept(self._running.api.store, self._number)
+
+    def _leave(self) -> str | None:
+        """Have a target leave; return its name, or None if none may."""
+        ready = [n for n, s in self._states.items() if s == "ready"]
+        if len(ready) < 2:
+            return None
+        name = self._random.choice(ready)
+        self._states[name] = self._random.choice(["draining", "gone"])
+        daemon = self._running.daemons[name]
+        if self._states[name] == "gone":
+            if (
+                daemon.target.leave(f"i-{name}")
+                is not presence.LeaveSource.CURRENT
+            ):
+                return None
+        else:
+            self._send_beat(name)
+        if daemon.target.status.leaves and daemon.plane.record(1.0):
+            self.acknowledged.add(name)
+        return name
+
+    def _restart(self, name: str = "") -> None:
+        name = name or self._random.choice(sorted(self._running.daemons))
+        self._running.daemons[name].stop()
+        self._running.start(name)
+
+    def _cut(self) -> None:
+        self._running.api.faults.outage = True
+        time.sleep(self._random.uniform(0.1, 0.8))
+        self._running.api.faults.outage = False
+
+    def _send_beat(self, name: str) -> None:
+        self._sequence += 1
+        state = wire.TargetState(self._states[name])
+        daemon = self._running.daemons[name]
+        daemon.target.receive(
+            wire.Heartbeat(
+                f"i-{name}",
+                "glade",
+                "127.0.0.1:9",
+                state,
+                self._sequence,
+                1_000,
+                12,
+            )
+        )
+        daemon.plane.record(0.0)
+
+    def _beat(self) -> None:
+        while not self._ended.wait(BEAT_S):
+            for name, state in list(self._states.items()):
+                if state != "gone":
+                    self._send_beat(name)
+
+    def _watch(self) -> None:
+        """Note work that is admitted after an acknowledged leave.
+
+        A version that goes back within one process is noted as well.
+        """
+        numbers: dict[test_follower.FollowerDaemon, int] = {}
+        while not self._ended.wait(0.02):
+            later_s = time.monotonic() + 1.0
+            for name in list(self.acknowledged):
+                if self._running.daemons[name].target.accepts_work(later_s):
+                    self.broken.append(f"{name} takes work after its leave")
+            for name, daemon in list(self._running.daemons.items()):
+                number = daemon.node.applied.current.number
+                if number < numbers.get(daemon, 0):
+                    self.broken.append(f"{name} goes back to {number}")
+                numbers[daemon] = number
+
+    def _wait_for_version(self) -> None:
+        end_s = time.monotonic() + CALM_TIMEOUT_S
+        while time.monotonic() < end_s:
+            if self._running.numbers() == {self._number}:
+                return
+            time.sleep(0.05)
+        self.broken.append(
+            f"version {self._number} isn't in force: {self._running.numbers()}"
+        )
+
+
+# Guards against combinations of restorations with restarts and leaves.
+@pytest.mark.parametrize("seed", _seeds())
+def test_random_restorations_break_no_promise(seed: int) -> None:
+    with fleet("abcd") as running:
+        restorations = Restorations(running, seed)
+        restorations.play()
+        assert not restorations.broken
