--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -230,59 +230,56 @@
     assert peer.sent_bytes < 16 * _exchange.MAX_READ_BYTES
 
 
-# Guards against answers without end that fill a buffer for each request.
-def test_answer_over_the_budget_of_all_buffers_is_forwarded_as_it_comes() -> (
-    None
-):
-    size = 8 * _exchange.SMALL_ANSWER_BYTES
-    body = b"x" * size
-    sent = test_exchange.OWN + b"Connection: close\r\n\r\n" + body
-    for budget_bytes, streamed in ((size, False), (size // 2, True)):
-        budget = _buffers.BufferBudget(budget_bytes)
-        with test_exchange.target(test_exchange.answering(sent)) as address:
-            request = test_exchange.call()
-            request.buffers = budget
-            caller = Caller()
-            _forward(address, request, caller)
-        assert caller.finished and caller.bytes_sent == size
-        assert caller.streamed is streamed
-        assert budget.left_bytes == budget_bytes
-
-
-def test_failure_over_the_budget_of_all_buffers_is_truncated() -> None:
-    size = 8 * _exchange.SMALL_ANSWER_BYTES
-    sent = test_exchange.OWN + b"\r\n" + b"x" * size
-    with test_exchange.target(test_exchange.answering(sent)) as address:
-        request = test_exchange.call()
-        request.buffers = _buffers.BufferBudget(0)
-        ours, theirs = socket.socketpair()
-        with ours, theirs:
-            answer = _exchange.send_request(
-                _pool.Pool(address),
-                request,
-                request.headers,
-                ours,
-                platform.Protocol().read_answer,
-            )
-            with pytest.raises(errors.AnswerTruncated):
-                answer.read()
-
-
-def _forward(address: str, request: _call.Call, caller: Caller) -> None:
+@contextlib.contextmanager
+def begun(
+    sent: bytes, budget_bytes: int
+) -> collections.abc.Iterator[tuple[_exchange.Answer, _buffers.BufferBudget]]:
+    """Yield the answer that a target has begun, and what it may take."""
+    budget = _buffers.BufferBudget(budget_bytes)
+    request = test_exchange.call()
+    request.buffers = budget
     ours, theirs = socket.socketpair()
-    with ours, theirs:
-        answer = _exchange.send_request(
+    with (
+        test_exchange.target(test_exchange.answering(sent)) as address,
+        ours,
+        theirs,
+    ):
+        yield _exchange.send_request(
             _pool.Pool(address),
             request,
             request.headers,
             ours,
             platform.Protocol().read_answer,
-        )
+        ), budget
+
+
+LONG_BODY: typing.Final = b"x" * 8 * _exchange.SMALL_ANSWER_BYTES
+LONG_ANSWER: typing.Final = test_exchange.OWN + b"\r\n" + LONG_BODY
+
+
+# Guards against answers without end that fill a buffer for each request.
+@pytest.mark.parametrize("divisor", [1, 2])
+def test_answer_over_the_budget_of_all_buffers_is_forwarded_as_it_comes(
+    divisor: int,
+) -> None:
+    budget_bytes = len(LONG_BODY) // divisor
+    caller = Caller()
+    with begun(LONG_ANSWER, budget_bytes) as (answer, budget):
         _exchange.forward_answer(
             answer,
             caller,  # type: ignore[arg-type]
             buffer_bytes=_exchange.MAX_READ_BYTES,
         )
+    assert caller.finished and caller.bytes_sent == len(LONG_BODY)
+    assert caller.streamed is (divisor > 1)
+    assert budget.left_bytes == budget_bytes
+
+
+def test_failure_over_the_budget_of_all_buffers_is_truncated() -> None:
+    with begun(LONG_ANSWER, 0) as (answer, budget):
+        with pytest.raises(errors.AnswerTruncated):
+            answer.read()
+        assert budget.left_bytes == 0
 
 
 ENDLESS_DEPLOYMENT: typing.Final = mesh.Deployment(
