Record the incarnations that a target superseded by a lower start time

A target starts while the time of day is ahead, crashes, starts again under its id with a lower start time, and announces its leave, which is acknowledged. The daemon is restarted, and a delayed heartbeat of the first start arrives: it has the greater start time, so the daemon took it for a later incarnation, and requests reached the target that had left.

Cause: which incarnation superseded which is known to the process alone, and after a restart start times decide again.

Evidence: test_leave_binds_after_a_restart_and_a_heartbeat_of_an_earlier_start failed for jumps of 2 and 5 s before the change.

Change: the record of a daemon holds the superseded incarnations whose start times are greater than the present one's, with the sequence numbers of their last heartbeats. A daemon that starts restores them, also against a heartbeat that came before the record was read. Without a jump of the clock there are none, so records and writes stay as they were.

The property over starts, delays and jumps has restarts of the daemon as well. The two calls of _state.restore in tests pass its new argument.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -264,7 +264,17 @@
             store_distance_ms=self._distance_ms,
             era=self._store.eras.current,
         )
-        return _messages.MemberRecord(member, status.phase, status.ended_by_ms)
+        superseded = tuple(
+            _messages.SupersededTarget(
+                target_id, started_at_ms, known.sequence, known.leaves
+            )
+            for (started_at_ms, target_id), known in sorted(
+                self._target.superseded_with_later_start().items()
+            )
+        )
+        return _messages.MemberRecord(
+            member, status.phase, status.ended_by_ms, superseded
+        )
 
     # Choosing and following a parent.
 
@@ -594,7 +604,13 @@
                     started_at_ms=member.target_started_at_ms,
                     slots=member.slots,
                     ended_by_ms=record.ended_by_ms,
-                )
+                ),
+                {
+                    (each.started_at_ms, each.target_id): presence.Superseded(
+                        each.sequence, each.leaves
+                    )
+                    for each in record.superseded
+                },
             )
         # The target is restored first: callers that wait for the stored
         # record see the restored state.
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -145,17 +145,37 @@
     behind: list[str]
 
 
-class MemberRecord(msgspec.Struct, frozen=True):
+class SupersededTarget(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An incarnation of a target that another one has superseded.
+
+    ``sequence`` is that of its last heartbeat, and ``leaves`` says whether
+    it had announced its leave.
+    """
+
+    target_id: str = msgspec.field(name="upstream_id")
+    started_at_ms: int = 0
+    sequence: int = 0
+    leaves: bool = False
+
+    def in_range(self) -> bool:
+        """Return whether all numbers can be compared and encoded."""
+        numbers = (self.started_at_ms, self.sequence)
+        return all(0 <= each <= decoding.MAX_INTEGER for each in numbers)
+
+
+class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """The record that a daemon stores of itself and its local target.
 
     ``phase`` is the target's own phase.  ``member.state``, which other
     daemons route by, depends on the daemon's state as well.  ``ended_by_ms``
-    is as in ``presence.TargetStatus``.
+    is as in ``presence.TargetStatus``.  ``superseded`` holds the incarnations
+    that the target has superseded though their start times are greater.
     """
 
     member: membership.Member
     phase: presence.Phase
     ended_by_ms: int = 0
+    superseded: tuple[SupersededTarget, ...] = ()
 
 
 class DomainMembers(msgspec.Struct, frozen=True):
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -262,4 +262,6 @@
         return f"it names the instance {record.member.instance!r}"
     if not 0 <= record.ended_by_ms <= decoding.MAX_INTEGER:
         return "ended_by_ms is out of range"
+    if not all(each.in_range() for each in record.superseded):
+        return "a superseded incarnation is out of range"
     return record.member.defect()
--- a/src/chiveroad/presence/__init__.py
+++ b/src/chiveroad/presence/__init__.py
@@ -5,6 +5,7 @@
 from chiveroad.presence._local import LocalTarget
 from chiveroad.presence._state import decide
 from chiveroad.presence._state import Phase
+from chiveroad.presence._state import Superseded
 from chiveroad.presence._state import TargetStatus
 from chiveroad.presence._state import Verdict
 
@@ -13,6 +14,7 @@
     "LeaveSource",
     "LocalTarget",
     "Phase",
+    "Superseded",
     "TargetStatus",
     "Verdict",
     "decide",
--- a/src/chiveroad/presence/_local.py
+++ b/src/chiveroad/presence/_local.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import threading
+import types
 import typing
 
 from chiveroad import clock
@@ -155,13 +156,37 @@
         with self._lock:
             self._status = status
 
-    def restore(self, recorded: _state.TargetStatus) -> None:
+    def superseded_with_later_start(self) -> _state.Superseding:
+        """Return what start times don't tell about the order of incarnations.
+
+        These are the incarnations that the present one has superseded though
+        their start times are greater, since the clock has jumped.  An earlier
+        daemon's record has to hold them: their heartbeats may be delayed.
+        """
+        with self._lock:
+            present = self._status.incarnation
+            return {
+                incarnation: known
+                for incarnation, known in self._superseded.items()
+                if incarnation > present
+            }
+
+    def restore(
+        self,
+        recorded: _state.TargetStatus,
+        superseded: _state.Superseding = types.MappingProxyType({}),
+    ) -> None:
         """Merge the status recorded by an earlier incarnation of this daemon.
 
         A delayed heartbeat may have been received before the record was
         read: a leave in the record takes precedence over it.
+
+        :param superseded: the result of ``superseded_with_later_start``, as
+            it was recorded.
         """
         with self._lock:
+            for incarnation, known in superseded.items():
+                self._superseded.setdefault(incarnation, known)
             recorded = self._restore_termination(recorded)
             status = self._status
             gone = status.phase is _state.Phase.GONE
@@ -171,7 +196,7 @@
                 # The status stems from a delayed heartbeat that was accepted
                 # before the record was read.
                 status = recorded
-            restored = _state.restore(status, recorded)
+            restored = _state.restore(status, recorded, superseded)
             if not restored.received_s:
                 # A heartbeat that is delayed may precede the record.
                 restored = dataclasses.replace(
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -196,13 +196,18 @@
     return leaves and same_id and status.phase is Phase.READY
 
 
-def restore(status: TargetStatus, recorded: TargetStatus) -> TargetStatus:
+def restore(
+    status: TargetStatus, recorded: TargetStatus, superseded: Superseding
+) -> TargetStatus:
     """Merge the status with the one that an earlier daemon recorded.
 
     The record takes precedence over received heartbeats if it holds a later
     incarnation, or a leave of the same incarnation.
+
+    :param superseded: the incarnations that the recorded one superseded,
+        whatever their start times.
     """
-    if status.phase is Phase.UNKNOWN:
+    if status.phase is Phase.UNKNOWN or status.incarnation in superseded:
         return recorded
     if recorded.incarnation > status.incarnation:
         return recorded
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -72,6 +72,18 @@
     assert _record.read(stored) is None
 
 
+@pytest.mark.parametrize(
+    ("started_at_ms", "sequence"), [(-1, 0), (2**54, 0), (0, -1), (0, 2**54)]
+)
+def test_record_with_a_superseded_target_out_of_range_is_ignored(
+    started_at_ms: int, sequence: int
+) -> None:
+    superseded = _messages.SupersededTarget("i-1", started_at_ms, sequence)
+    record = msgspec.structs.replace(record_of(NAME), superseded=(superseded,))
+    spec = msgspec.Raw(msgspec.json.encode(record))
+    assert _record.read(store.StoredObject(NAME, WRITTEN, spec)) is None
+
+
 def test_record_with_a_nested_further_field_is_ignored() -> None:
     changed = malformed.with_nested_field(RECORD)
     assert _record.read(store.StoredObject(NAME, WRITTEN, changed)) is None
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -22,6 +22,7 @@
 from chiveroad import serving
 from chiveroad import store
 from chiveroad import wire
+from standins import memory_store
 from tests import fakes
 
 ADDRESS = "10.0.0.1:80"
@@ -184,12 +185,26 @@
 
     def __init__(self) -> None:
         self.clock = _SteppedClock()
-        self.target = presence.LocalTarget(ADDRESS, self.clock)
+        self.store = memory_store.MemoryStore()
+        self.restart()
         self.delayed: list[tuple[int, wire.Heartbeat]] = []
         self.present = LATER
         self.leave_acknowledged = False
         self.start(same_id=True)
 
+    def restart(self) -> None:
+        """Start the daemon, again after a kill; it reads its record."""
+        self.target = presence.LocalTarget(ADDRESS, self.clock)
+        node = control.Node(fakes.member("daemon", 0, 0), recorded=True)
+        self._follower = control.Follower(
+            fakes.options("daemon"),
+            self.store,
+            node,
+            wire.Native(),
+            self.target,
+        )
+        self._follower._members.read()
+
     def start(self, same_id: bool) -> None:
         """Replace the present target; its first heartbeat is on time."""
         sent = self.present
@@ -215,7 +230,8 @@
         """Announce the leave, which is acknowledged if it is in effect."""
         self.present = dataclasses.replace(self.present, state=DRAINING)
         self.beat(0)
-        self.leave_acknowledged |= self.target.has_left(self.present)
+        if self.target.has_left(self.present):
+            self.leave_acknowledged |= self._follower._recorder._current()
 
     def step(self, step_ms: int) -> None:
         """Have the time of day jump."""
@@ -228,6 +244,13 @@
             if item[0] <= self.clock.steady_ms:
                 self.delayed.remove(item)
                 self.target.receive(item[1])
+                self._record()
+
+    def _record(self) -> None:
+        """Write the record if it has changed, as after each heartbeat."""
+        recorder = self._follower._recorder
+        while not recorder._current():
+            recorder._write(self._follower._compose())
 
     def reaches_present(self) -> bool:
         """Return whether a new request would reach the present target."""
@@ -240,13 +263,15 @@
     st.tuples(st.just("start"), st.booleans()),
     st.tuples(st.just("beat"), st.integers(0, 9_900)),
     st.tuples(st.just("drain")),
+    st.tuples(st.just("restart")),
     st.tuples(st.just("step"), st.sampled_from([-5_000, -2_000, 2_000])),
     st.tuples(st.just("wait"), st.sampled_from([1, 700, 1_500, 4_000])),
 )
 
 
 # Guards against requests to a target after its acknowledged leave, whatever
-# the time of day does and however its heartbeats are delayed.
+# the time of day does, however its heartbeats are delayed, and whenever the
+# daemon is restarted.
 @hypothesis.settings(max_examples=500)
 @hypothesis.given(st.lists(heard_events, max_size=40))
 def test_acknowledged_leave_binds_while_the_time_of_day_jumps(
@@ -258,6 +283,23 @@
         assert not (heard.leave_acknowledged and heard.reaches_present())
 
 
+# Guards against requests to a target after its acknowledged leave, as a
+# heartbeat of its earlier start arrives once the daemon was restarted.
+@pytest.mark.parametrize("step_ms", [-2_000, -5_000])
+def test_leave_binds_after_a_restart_and_a_heartbeat_of_an_earlier_start(
+    step_ms: int,
+) -> None:
+    heard = _Heard()
+    heard.beat(9_000)
+    heard.step(step_ms)
+    heard.start(same_id=True)
+    heard.drain()
+    assert heard.leave_acknowledged
+    heard.restart()
+    heard.wait(9_000)
+    assert not heard.reaches_present()
+
+
 def test_a_draining_target_takes_work_only_briefly() -> None:
     target = presence.LocalTarget(ADDRESS)
     assert not target.accepts_work(time.monotonic())
@@ -495,10 +537,10 @@
     if received == "UNKNOWN":
         status = presence.TargetStatus()
     record = dataclasses.replace(RECORDED, phase=presence.Phase[recorded])
-    assert _state.restore(status, record).phase is presence.Phase[phase]
+    assert _state.restore(status, record, {}).phase is presence.Phase[phase]
     earlier = dataclasses.replace(record, started_at_ms=1)
     if received != "UNKNOWN":
-        assert _state.restore(status, earlier) == status
+        assert _state.restore(status, earlier, {}) == status
 
 
 class _Request:
--- a/tests/test_presence_machine.py
+++ b/tests/test_presence_machine.py
@@ -369,7 +369,7 @@
     if fault == "forgets":
         monkeypatch.setattr(
             "chiveroad.presence._state.restore",
-            lambda status, recorded: status,
+            lambda status, recorded, superseded: status,
         )
     else:
         monkeypatch.setattr(
