Keep a request under which three targets have ended from further targets

Callers repeat an idempotent request after any failure, each time with another id, and each attempt may go to two targets.

Cause: nothing knew that two attempts are the same request, and nothing told "this request ends targets" from "this target broke off an answer".

Change: - A guard whose target gives no answer checks whether the target still accepts connections, or is another incarnation, and answers E4034 if it has ended. Planned leaves don't count. - An entry knows requests by their content: method, host, path with query and body, never the id. Large bodies are told by their declared length, or by their first 64 KB: what decides has to be known before the body is sent. - All that a target was running are suspects of its end. An answer clears a content. While it is suspect, no more attempts run at once than targets may still end; the others wait. After three ends it is refused with E4035 (502: it has run) for 60 s, then admitted one attempt at a time. A further end doubles the quarantine, up to ten minutes. - A daemon's record names the contents under which two targets have ended for it, so that ends at several entries add up, and restarted daemons read them. - "chiveroad quarantine" lists and lifts them; a log line and a counter tell when one begins, is extended and ends.

While no content is suspect, a request costs a comparison of two numbers.

--- a/src/chiveroad/cli/_app.py
+++ b/src/chiveroad/cli/_app.py
@@ -13,6 +13,7 @@
 from chiveroad.cli import _explain
 from chiveroad.cli import _output
 from chiveroad.cli import _push
+from chiveroad.cli import _quarantine
 from chiveroad.cli import _status
 from chiveroad.cli import _trace
 from chiveroad import daemon
@@ -117,6 +118,23 @@
     _print_and_exit(_explain.report(explanation), output)
 
 
+@app.command()
+def quarantine(
+    daemons: typing.Annotated[
+        list[str],
+        typer.Argument(help="Control addresses of daemons, HOST:PORT."),
+    ],
+    lift: typing.Annotated[
+        str, typer.Option(help="A content to admit again at these daemons.")
+    ] = "",
+    output: Output = TABLE,
+) -> None:
+    """Show which requests are refused, as upstreams ended under them."""
+    _print_and_exit(
+        _quarantine.report(_quarantine.read(daemons, lift)), output
+    )
+
+
 @app.command()
 def trace(
     request: typing.Annotated[str, typer.Argument(help="A request's id.")],
--- a/src/chiveroad/connection.py
+++ b/src/chiveroad/connection.py
@@ -15,6 +15,10 @@
 
 SocketOption = tuple[int, int, int | bytes]
 
+EXIT_S: typing.Final = 0.01
+"""How long the kernel may take to close all sockets of a process that exits.
+"""
+
 
 _LABEL: typing.Final = r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
 _ADDRESS: typing.Final = re.compile(
@@ -78,6 +82,28 @@
     return True
 
 
+def refuses_connections(address: str, timeout_s: float) -> bool:
+    """Return whether nothing listens at ``HOST:PORT``.
+
+    An address that neither accepts nor refuses within the time doesn't count.
+    A process that exits may close its listening socket after others, so that
+    an accepted connection is closed at once, and the next one is refused.
+    """
+    host, _, port = address.rpartition(":")
+    for _ in range(2):
+        try:
+            with open_socket(host, int(port), timeout_s) as sock:
+                poll = select.poll()
+                poll.register(sock, select.POLLRDHUP)
+                if not poll.poll(1000 * EXIT_S):
+                    return False
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+    return False
+
+
 def _connect(
     sock: socket.socket, address: tuple[object, ...], timeout_s: float
 ) -> None:
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -263,6 +263,7 @@
             slots=status.slots,
             store_distance_ms=self._distance_ms,
             era=self._store.eras.current,
+            suspects=self._node.suspects,
         )
         superseded = tuple(
             _messages.SupersededTarget(
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -42,6 +42,7 @@
         the store's records, rather than from gossip between daemons.
 
     ``as_of`` is the store's revision up to which the view holds all records.
+    ``suspects`` is what this daemon's record is to name as suspects.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self.control_bytes = 0
         self.as_of = store.ABSENT
         self._member = member
+        self.suspects: tuple[membership.Suspect, ...] = ()
         self._pending_updates: dict[str, membership.Member] = {}
         self.view.merge([member])
 
@@ -72,6 +74,14 @@
                 return
             self._set_own_record(state, self._member.sequence + 1)
 
+    def set_suspects(self, suspects: tuple[membership.Suspect, ...]) -> None:
+        """Set the suspects that this daemon's record names."""
+        with self.changed:
+            self.suspects = suspects
+            if not self._recorded:
+                own = self._member
+                self._set_own_record(own.state, own.sequence + 1)
+
     def merge(
         self, received: collections.abc.Iterable[membership.Member]
     ) -> collections.abc.Sequence[membership.Member]:
@@ -202,7 +212,10 @@
 
     def _set_own_record(self, state: membership.State, sequence: int) -> None:
         self._member = msgspec.structs.replace(
-            self._member, state=state, sequence=sequence
+            self._member,
+            state=state,
+            sequence=sequence,
+            suspects=self.suspects,
         )
         self.view.merge([self._member])
         self._pending_updates[self._member.instance] = self._member
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -66,9 +66,10 @@
         self,
         path: str,
         page: collections.abc.Callable[[serving.Request], None],
+        method: str = "GET",
     ) -> None:
         """Serve a further page at a path."""
-        self._pages["GET", path] = page
+        self._pages[method, path] = page
 
     def handle(self, request: serving.Request) -> None:
         """Answer one request."""
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -123,10 +123,20 @@
             traffic.TARGETS_PATH,
             functools.partial(traffic.targets_page, self._entry),
         )
+        self._control.add_page(
+            traffic.QUARANTINE_PATH,
+            functools.partial(traffic.quarantine_page, self._entry),
+        )
+        self._control.add_page(
+            traffic.QUARANTINE_PATH,
+            functools.partial(traffic.lift_page, self._entry),
+            "POST",
+        )
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
         self._target_leaves = threading.Event()
         self._guard.on_leave = self._record_leave
+        self._entry.quarantine.publish = self._record_suspects
         self._peers_left = threading.Event()
         self._servers = self._make_servers()
         self._status_servers = self._make_status_servers()
@@ -327,6 +337,13 @@
         self._control_plane.record(0.0)
         self._target_leaves.set()
 
+    def _record_suspects(
+        self, suspects: tuple[membership.Suspect, ...]
+    ) -> None:
+        """Let other daemons know of the contents that are suspect here."""
+        self._node.set_suspects(suspects)
+        self._control_plane.record(0.0)
+
     def _probe_peers(self) -> None:
         """Probe unresponsive daemons while requests wait."""
         while not self._peers_left.wait(PEER_PROBE_INTERVAL_S):
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -444,6 +444,30 @@
     code = 4029
 
 
+class TargetEnded(OutcomeUnknown):
+    """The target's process ended while it was executing the request.
+
+    ``incarnation`` names the incarnation of the target, if it is known.
+    """
+
+    code = 4034
+
+    def __init__(
+        self, message: str, retry_after_ms: int = 0, incarnation: str = ""
+    ) -> None:
+        super().__init__(message, retry_after_ms)
+        self.incarnation = incarnation
+
+
+class Quarantined(Refusal):
+    """Targets have ended while executing requests with the same content."""
+
+    code = 4035
+    hint = "don't repeat it; its service's owner finds the cause in the logs"
+    status = 502
+    ran = "unknown"
+
+
 class PeerUnresponsive(OutcomeUnknown):
     """A target's daemon is unresponsive; a hedged request is sent."""
 
--- a/src/chiveroad/membership/__init__.py
+++ b/src/chiveroad/membership/__init__.py
@@ -5,9 +5,11 @@
 from chiveroad.membership._liveness import Detection
 from chiveroad.membership._liveness import FORGET_AFTER_S
 from chiveroad.membership._member import declared_dead
+from chiveroad.membership._member import MAX_SUSPECTS
 from chiveroad.membership._member import Member
 from chiveroad.membership._member import newer
 from chiveroad.membership._member import State
+from chiveroad.membership._member import Suspect
 from chiveroad.membership._tree import children
 from chiveroad.membership._tree import depth
 from chiveroad.membership._tree import FAN_OUT
@@ -21,8 +23,10 @@
     "Detection",
     "FAN_OUT",
     "FORGET_AFTER_S",
+    "MAX_SUSPECTS",
     "Member",
     "State",
+    "Suspect",
     "View",
     "children",
     "declared_dead",
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -23,6 +23,10 @@
     "capacity_percent",
 )
 _ADDRESSES: typing.Final = ("entry", "guard", "control")
+MAX_SUSPECTS: typing.Final = 32
+"""How many suspects, and ends of each, a record may name."""
+
+_DIGEST: typing.Final = re.compile(r"[0-9a-f]{16}")
 _NAME: typing.Final = re.compile(r"[^\x00-\x1f\x7f]{1,253}")
 
 
@@ -41,6 +45,27 @@
     DEAD = "dead"
 
 
+class Suspect(msgspec.Struct, frozen=True, array_like=True):
+    """A request's content under which targets have ended.
+
+    ``content`` and ``ends`` are digests: of the content, and of the names of
+    the targets' incarnations.
+    """
+
+    content: str
+    ends: tuple[str, ...]
+
+    def valid(self) -> bool:
+        """Return whether the record can be used."""
+        if len(self.ends) > MAX_SUSPECTS:
+            return False
+        return all(_DIGEST.fullmatch(each) for each in self.texts())
+
+    def texts(self) -> tuple[str, ...]:
+        """Return all digests."""
+        return (self.content, *self.ends)
+
+
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """The self-reported record of one daemon and its target.
 
@@ -51,7 +76,8 @@
     ``target_id`` and ``target_started_at_ms`` identify the incarnation of the
     target, if the target reports them.  ``store_distance_ms`` is the latency
     from the daemon to the store.  ``capacity_percent`` is the CPU that the
-    instance has for the daemon, in percent of a core.
+    instance has for the daemon, in percent of a core.  ``suspects`` are the
+    contents under which targets have ended for this daemon.
     """
 
     instance: str
@@ -72,6 +98,7 @@
     store_distance_ms: int = 0
     capacity_percent: int = 0
     era: int = 0
+    suspects: tuple[Suspect, ...] = ()
 
     def defect(self) -> str:
         """Return why a received record can't be used, or an empty string.
@@ -89,6 +116,10 @@
             _NAME.fullmatch(name) for name in (self.instance, self.service)
         ):
             return "a name is empty, too long or has control characters"
+        if len(self.suspects) > MAX_SUSPECTS:
+            return "there are too many suspects"
+        if not all(each.valid() for each in self.suspects):
+            return "a suspect can't be used"
         return ""
 
     def order(self) -> tuple[int, int, int, bool]:
--- a/src/chiveroad/traffic/__init__.py
+++ b/src/chiveroad/traffic/__init__.py
@@ -5,6 +5,10 @@
 from chiveroad.traffic._claims import collect_expired_claims
 from chiveroad.traffic._entry import Entry
 from chiveroad.traffic._guard import Guard
+from chiveroad.traffic._pages import lift_page
+from chiveroad.traffic._pages import quarantine_page
+from chiveroad.traffic._pages import QUARANTINE_PATH
+from chiveroad.traffic._pages import SuspectView
 from chiveroad.traffic._pages import targets_page
 from chiveroad.traffic._pages import TARGETS_PATH
 from chiveroad.traffic._pages import TargetView
@@ -14,8 +18,12 @@
     "Claims",
     "Entry",
     "Guard",
+    "QUARANTINE_PATH",
+    "SuspectView",
     "TARGETS_PATH",
     "TargetView",
     "collect_expired_claims",
+    "lift_page",
+    "quarantine_page",
     "targets_page",
 ]
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -5,6 +5,7 @@
 import abc
 import collections.abc
 import dataclasses
+import hashlib
 import time
 import typing
 
@@ -42,6 +43,9 @@
 LEAVING: typing.Final = "Chiveroad-Leaving"
 """The incarnation of the guard's target, once that target leaves."""
 
+ENDED: typing.Final = "Chiveroad-Ended"
+"""The incarnation of the guard's target that ended during the request."""
+
 RETRY_AFTER_MS: typing.Final = "Chiveroad-Retry-After-Ms"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
 
@@ -118,6 +122,7 @@
         self._started = False
         self.length = request.content_length
         self.buffered: bytes | None = None
+        self._start_digest = b""
         if self.length is None or self.length <= MAX_BUFFERED_BODY_BYTES:
             self._buffer(request)
 
@@ -126,6 +131,19 @@
         """Tell whether the body can be sent, again or for the first time."""
         return self.buffered is not None or not self._started
 
+    @property
+    def identity(self) -> bytes:
+        """Return bytes that differ between most different bodies.
+
+        A body that is streamed is told by its declared length, or else by
+        its start: the rest isn't known before it is sent.
+        """
+        if self.buffered is not None:
+            return self.buffered
+        if self._start_digest:
+            return self._start_digest
+        return f"{self.length} bytes".encode()
+
     def stream(self) -> collections.abc.Iterator[bytes]:
         """Yield the body as it arrives; may be called once."""
         self._started = True
@@ -140,6 +158,8 @@
                 self._prefix.append(chunk)
                 total += len(chunk)
                 if total > MAX_BUFFERED_BODY_BYTES:
+                    start = b"".join(self._prefix)[:MAX_BUFFERED_BODY_BYTES]
+                    self._start_digest = hashlib.blake2b(start).digest()
                     return
         except serving.BodyTruncated as exc:
             raise _body_refusal(exc) from exc
@@ -183,6 +203,7 @@
     failure.  ``pending`` holds the open exchanges, the oldest first.
     ``rate_limit_per_s`` is the target's rate limit as far as the entry knows.
     ``buffers`` is what the answers to all requests may take in memory.
+    ``content`` is a digest of what is asked for, once it has been needed.
     """
 
     id: str
@@ -208,6 +229,7 @@
     buffers: _buffers.BufferBudget = dataclasses.field(
         default_factory=_buffers.BufferBudget
     )
+    content: str = ""
 
     @property
     def due_s(self) -> float:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -33,6 +33,7 @@
 from chiveroad.traffic import _failover
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _guard_answer
+from chiveroad.traffic import _quarantine
 from chiveroad.traffic import _reachability
 from chiveroad.traffic import _retry
 from chiveroad.traffic import _retry_budget
@@ -53,6 +54,7 @@
     errors.CallerDisconnected,
     errors.CallerDisconnectedEarly,
     errors.DeadlineTooShort,
+    errors.Quarantined,
 )
 _log = logs.Logger("entry")
 
@@ -83,6 +85,7 @@
         self._budget = _retry_budget.RetryBudget(
             _terms(options.retries), lambda: len(view.all())
         )
+        self.quarantine = _quarantine.Quarantine(view, recorder)
         self._splitter = _split.Splitter()
         self._caller_timeouts = _caller_timeouts.CallerTimeouts()
         self._own_host = options.target.address.rpartition(":")[0]
@@ -153,6 +156,7 @@
     def tick(self) -> None:
         """Close idle connections and drop the state of departed targets."""
         self._targets.tick()
+        self.quarantine.tick()
 
     def probe(self) -> bool:
         """Probe the daemons that are unresponsive.
@@ -294,9 +298,28 @@
         return request.peer_host == self._own_host
 
     def _try_once(self, attempts: _Attempts) -> None:
-        call, tried = attempts.call, attempts.tried
+        """Try one target, unless the request's content is in quarantine."""
+        call = attempts.call
         if call.left_ms() <= 0:
             raise errors.DeadlineExceeded("the deadline passed")
+        suspect = self.quarantine.admit(call)
+        try:
+            self._try_target(attempts)
+        except errors.TargetEnded as refusal:
+            self.quarantine.target_ended(
+                call, f"{attempts.tried[-1]}/{refusal.incarnation}"
+            )
+            raise
+        except errors.TargetFailed:
+            self.quarantine.answered(call)
+            raise
+        finally:
+            if suspect is not None:
+                self.quarantine.release(suspect)
+        self.quarantine.answered(call)
+
+    def _try_target(self, attempts: _Attempts) -> None:
+        call, tried = attempts.call, attempts.tried
         self._check_time_left(call)
         chosen, member = self._targets.pick(
             call.service, self._targets.profile(call), tried
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -14,6 +14,7 @@
 import typing
 
 from chiveroad import clock
+from chiveroad import connection
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import logs
@@ -39,10 +40,16 @@
 SHED_RETRY_AFTER_MS: typing.Final = 200
 UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
 TIMEOUT_FACTOR: typing.Final = 2.0
+END_CHECK_TIMEOUT_S: typing.Final = 0.1
+"""On the same machine a connection is accepted or refused at once."""
+
 STOP_CHECK_S: typing.Final = _exchange.STOP_CHECK_MS / 1000
 
 _FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
 _NO_LIMITS: typing.Final = _admission.Limits(slots=10_000, queue_length=0)
+_BROKEN_OFF: typing.Final = (errors.OutcomeUnknown, errors.AnswerTruncated)
+"""The refusals that a target may have caused by ending."""
+
 _log = logs.Logger("guard")
 
 
@@ -67,6 +74,7 @@
         self._claims = claims
         self._protocol = protocol
         self._target = target
+        self._address = options.target.address
         self._pool = _pool.Pool(
             options.target.address, echoes_ids=protocol.echoes_ids
         )
@@ -102,6 +110,8 @@
                 raise
             retry_ms = str(refusal.retry_after_ms)
             extra += [*self._state_headers(), (_call.RETRY_AFTER_MS, retry_ms)]
+            if isinstance(refusal, errors.TargetEnded):
+                extra.append((_call.ENDED, refusal.incarnation))
             request.refuse(refusal, extra)
 
     def serve(
@@ -118,7 +128,7 @@
         :raises errors.Refusal: when the request wasn't answered.
         """
         try:
-            return self._serve(request, call, extra)
+            return self._serve_or_explain(request, call, extra)
         except errors.Refusal as refusal:
             outcome = str(refusal.code)
             self._recorder.count("chiveroad.guard.requests", outcome)
@@ -131,6 +141,45 @@
                 )
             raise
 
+    def _serve_or_explain(
+        self,
+        request: serving.Request,
+        call: _call.Call,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> int:
+        """Serve a request; say so if its target has ended meanwhile.
+
+        :raises errors.TargetEnded: when no answer came, as it has ended.
+        """
+        before = self._target.status
+        try:
+            return self._serve(request, call, extra)
+        except errors.OutcomeUnknown as refusal:
+            broken_off = type(refusal) in _BROKEN_OFF
+            if request.begun or not broken_off or not self._has_ended(before):
+                raise
+            incarnation = _incarnation(before)
+            raise errors.TargetEnded(
+                f"the upstream has ended: {refusal.reason}",
+                incarnation=incarnation,
+            ) from refusal
+
+    def _has_ended(self, before: presence.TargetStatus) -> bool:
+        """Return whether a target has ended unplanned since a request.
+
+        A target that only broke off one answer still accepts connections.
+
+        :param before: the target's status when the request came.
+        """
+        status = self._target.status
+        if before.leaves or status.leaves:
+            return False
+        if status.incarnation != before.incarnation:
+            return True
+        return connection.refuses_connections(
+            self._address, END_CHECK_TIMEOUT_S
+        )
+
     def _serve(
         self,
         request: serving.Request,
@@ -183,8 +232,7 @@
             headers.append((_call.RATE_LIMIT, f"{self.rate_limit_per_s:.3f}"))
         status = self._target.status
         if status.phase in (presence.Phase.DRAINING, presence.Phase.GONE):
-            incarnation = f"{status.target_id}@{status.started_at_ms}"
-            headers.append((_call.LEAVING, incarnation))
+            headers.append((_call.LEAVING, _incarnation(status)))
         return headers
 
     @property
@@ -529,6 +577,11 @@
     return call.failover is not None and call.failover.replaces(status)
 
 
+def _incarnation(status: presence.TargetStatus) -> str:
+    """Return the name of a target's incarnation in headers."""
+    return f"{status.target_id}@{status.started_at_ms}"
+
+
 def _objective_s(request: serving.Request) -> float:
     """Return when the answer to an entry's request counts as late.
 
--- a/src/chiveroad/traffic/_guard_answer.py
+++ b/src/chiveroad/traffic/_guard_answer.py
@@ -36,4 +36,10 @@
     standard_ms = 1000 * _call.number(answer.header("Retry-After"), 0)
     retry_ms = _call.number(answer.header(_call.RETRY_AFTER_MS), standard_ms)
     error = _REFUSALS.get(_call.number(code, 0), errors.OutcomeUnknown)
+    if error is errors.TargetEnded:
+        return errors.TargetEnded(
+            f"refused by the guard with E{code}",
+            retry_ms,
+            answer.header(_call.ENDED),
+        )
     return error(f"refused by the guard with E{code}", retry_ms)
--- a/src/chiveroad/traffic/_pages.py
+++ b/src/chiveroad/traffic/_pages.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import time
 import typing
 
 import msgspec
 
+from chiveroad import errors
 from chiveroad import serving
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _entry
 from chiveroad.traffic import _reachability
 
 TARGETS_PATH: typing.Final = "/control/v1/upstreams"
+QUARANTINE_PATH: typing.Final = "/control/v1/quarantine"
 
 _JSON: typing.Final = (("Content-Type", "application/json"),)
 
@@ -36,6 +39,48 @@
     request.answer(200, _JSON, msgspec.json.encode(views))
 
 
+class SuspectView(msgspec.Struct):
+    """A request's content under which upstreams have ended.
+
+    ``request`` is empty where it was seen at other daemons alone.  ``left_s``
+    is the time until the quarantine ends, or until it counts as a suspect no
+    more.
+    """
+
+    content: str
+    request: str
+    ended: int
+    state: str
+    left_s: float
+
+
+def quarantine_page(entry: _entry.Entry, request: serving.Request) -> None:
+    """Answer with the contents under which upstreams have ended, as JSON."""
+    now_s = time.monotonic()
+    views = [
+        SuspectView(
+            content,
+            suspect.request,
+            len(suspect.ends),
+            "quarantine" if now_s < suspect.until_s else "suspect",
+            (suspect.until_s or suspect.forget_at_s) - now_s,
+        )
+        for content, suspect in sorted(entry.quarantine.all())
+    ]
+    request.answer(200, _JSON, msgspec.json.encode(views))
+
+
+def lift_page(entry: _entry.Entry, request: serving.Request) -> None:
+    """Lift the quarantine of the content that the query names.
+
+    :raises errors.NoRoute: when the content isn't suspect.
+    """
+    content = request.uri.partition("?")[2]
+    if not entry.quarantine.lift(content):
+        raise errors.NoRoute("no such content is suspect")
+    quarantine_page(entry, request)
+
+
 def _view(candidate: _balancer.Candidate) -> TargetView:
     why = {
         _balancer.Distance.DOMAIN: "first choice",
--- a/standins/target.py
+++ b/standins/target.py
@@ -13,6 +13,7 @@
 import dataclasses
 import http
 import http.server
+import os
 import select
 import socket
 import socketserver
@@ -44,7 +45,8 @@
     connection is closed).  For ``cold_s`` after the start of the target,
     requests take ten times as long.  ``reported_load``, unless negative, is
     reported in place of the actual load.  ``rate_limit`` is the text of the
-    limit that answers state, and ``leaving`` has them state a leave.
+    limit that answers state, and ``leaving`` has them state a leave.  A
+    request whose path contains ``ends_on`` ends the process while it runs.
     """
 
     service_ms: float = 5.0
@@ -56,6 +58,7 @@
     reported_load: int = -1
     rate_limit: str = ""
     leaving: bool = False
+    ends_on: str = ""
 
 
 class Arrival(msgspec.Struct):
@@ -247,6 +250,8 @@
         if cancelled:
             self.close_connection = True
             return
+        if mode.ends_on and mode.ends_on in self.path:
+            os._exit(1)
         # The mode may have changed while the request ran.
         stated = target.mode
         self._answer_run(mode, request, body, _statements(stated))
