Believe headers of daemons and targets only from whom they concern

Cause: a target passes on the headers of its refused call in lower case, and the guard removed what targets send under daemons' names letter for letter. So the entry took the target's answer for a refusal by the guard.

Change: the prefix is compared in any case, at the one place for requests and answers. On related paths: what a target states to the daemon beside it ends there, as another target that calls it could pass it on as its own word; and a request that an entry has forwarded is never taken for a probe between daemons.

It works because the guard is an entry's only peer on its connections.

--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -36,6 +36,9 @@
     name.lower()
     for name in (REQUEST_ID, DEADLINE_MS, EXPECTED_ID, CALLER_SERVICE)
 )
+_STATEMENTS: typing.Final = frozenset(
+    name.lower() for name in (NOT_EXECUTED, LOAD, RATE_LIMIT, LEAVING)
+)
 _IDLE_TIMEOUT: typing.Final = re.compile(r"timeout=(\d+)")
 _JSON_CONTENT_TYPE: typing.Final = ("Content-Type", "application/json")
 
@@ -125,6 +128,10 @@
             leaving=header(LEAVING, "") == "1",
         )
 
+    def is_statement(self, name: str) -> bool:
+        """Return whether a header is a target's statement to its daemon."""
+        return name in _STATEMENTS
+
     def read_heartbeat(
         self, request: serving.Request
     ) -> wire.Heartbeat | wire.Leave:
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -26,6 +26,8 @@
 """
 
 PREFIX: typing.Final = "Chiveroad-"
+"""The prefix, in any case, of the headers that daemons send each other."""
+
 SERVICE: typing.Final = "Chiveroad-Service"
 KIND: typing.Final = "Chiveroad-Kind"
 TEAM: typing.Final = "Chiveroad-Team"
@@ -49,6 +51,7 @@
 RETRY_AFTER_MS: typing.Final = "Chiveroad-Retry-After-Ms"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
 
+_PREFIX: typing.Final = PREFIX.lower()
 _HOP_BY_HOP: typing.Final = frozenset(
     {
         "connection",
@@ -312,7 +315,10 @@
     """Return the end-to-end headers.
 
     Removes hop-by-hop headers, headers named by ``Connection``, and headers
-    that chiveroad itself adds.
+    that daemons send each other: whoever else sends one isn't a daemon.
+
+    >>> end_to_end([("chiveroad-code", "4017"), ("X-Other", "kept")])
+    [('X-Other', 'kept')]
     """
     found: list[serving.Header] = []
     named: set[str] = set()
@@ -320,7 +326,7 @@
         lower = name.lower()
         if lower == "connection":
             named.update(part.strip().lower() for part in value.split(","))
-        elif lower not in _HOP_BY_HOP and not name.startswith(PREFIX):
+        elif lower not in _HOP_BY_HOP and not lower.startswith(_PREFIX):
             found.append((name, value))
     if named <= _HOP_BY_HOP_OPTIONS:
         return found
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -114,6 +114,17 @@
         """Return the first header of a name, or the default."""
         return self._headers.get(name) or default
 
+    def remove_headers(
+        self, removed: collections.abc.Callable[[str], bool]
+    ) -> None:
+        """Don't pass some headers on.
+
+        :param removed: takes a header's name in lower case.
+        """
+        self.headers = [
+            header for header in self.headers if not removed(header[0].lower())
+        ]
+
     @property
     def length(self) -> int | None:
         """Return the declared length of the body in bytes, or None."""
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -99,7 +99,8 @@
 
     def handle(self, request: serving.Request) -> None:
         """Serve a request that another daemon's entry sent."""
-        if request.path == PROBE_PATH:
+        forwarded = bool(request.header(_call.REQUEST))
+        if request.path == PROBE_PATH and not forwarded:
             request.answer(http.HTTPStatus.NO_CONTENT, (), b"")
             return
         extra = [(_call.REQUEST, request.header(_call.REQUEST))]
@@ -404,6 +405,7 @@
             raise
         self._learn(call.id, answer.terms, status, started_s)
         self._check_answer(answer, target_id)
+        answer.remove_headers(self._protocol.is_statement)
         if answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
             # The duration of a failure says nothing about that of a success.
             self._record_duration(call, time.monotonic() - started_s)
--- a/src/chiveroad/wire/_native.py
+++ b/src/chiveroad/wire/_native.py
@@ -103,6 +103,10 @@
             leaving=header(LEAVING_HEADER, "") == "1",
         )
 
+    def is_statement(self, name: str) -> bool:
+        """Return whether a header is a target's statement to its daemon."""
+        return name.startswith("chiveroad-")
+
     def read_heartbeat(
         self, request: serving.Request
     ) -> _protocol.Heartbeat | _protocol.Leave:
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -175,6 +175,16 @@
         :param header: returns the header with a name, or the given default.
         """
 
+    @abc.abstractmethod
+    def is_statement(self, name: str) -> bool:
+        """Return whether a target states something to its daemon by a header.
+
+        Such a header isn't passed on: a target that calls another one could
+        pass it on again, and seem to state it of itself.
+
+        :param name: the header's name in lower case.
+        """
+
     @abc.abstractmethod
     def read_heartbeat(self, request: serving.Request) -> Heartbeat | Leave:
         """Read a heartbeat of a target.
