Bound the ends that a daemon's record names for a suspect

Found by reading: a record names at most 32 ends for each suspect, and one that names more is ignored as malformed. A daemon under which more targets ended (attempts that began before the quarantine) would have written such a record, and so would have vanished for all others. test_record_stays_valid_however_many_targets_end guards it.

Also: the fetching of a daemon's page stood twice in the command line, and the reading of superseded incarnations was in the follower.

--- a/src/chiveroad/cli/_explain.py
+++ b/src/chiveroad/cli/_explain.py
@@ -2,22 +2,16 @@
 
 from __future__ import annotations
 
-import typing
-
 import msgspec
-import urllib3
 
+from chiveroad.cli import _daemon_page
 from chiveroad.cli import _output
 from chiveroad import config
 from chiveroad import control
 from chiveroad import errors
-from chiveroad import http_calls
 from chiveroad import store
 from chiveroad import traffic
 
-TIMEOUT_S: typing.Final = 2.0
-"""How long the daemon may take to accept a connection, and to answer."""
-
 
 class Explanation(msgspec.Struct):
     """The route, the service and the targets of a request.
@@ -67,18 +61,8 @@
 
     :raises errors.PeerUnavailable: when the daemon gives no valid answer.
     """
-    url = f"http://{address}{traffic.TARGETS_PATH}?{service}"
-    try:
-        client = http_calls.Client(1, TIMEOUT_S)
-        response = client.request("GET", url, None, TIMEOUT_S)
-    except urllib3.exceptions.HTTPError as exc:
-        raise errors.PeerUnavailable(f"{address}: {exc}") from exc
-    try:
-        return msgspec.json.decode(
-            response.data, type=list[traffic.TargetView]
-        )
-    except msgspec.DecodeError as exc:
-        raise errors.PeerUnavailable(f"{address}: {exc}") from exc
+    page = f"{traffic.TARGETS_PATH}?{service}"
+    return _daemon_page.fetch(address, page, list[traffic.TargetView])
 
 
 def report(explanation: Explanation) -> _output.Report:
--- a/src/chiveroad/cli/_quarantine.py
+++ b/src/chiveroad/cli/_quarantine.py
@@ -3,19 +3,13 @@
 from __future__ import annotations
 
 import collections.abc
-import typing
 
 import msgspec
-import urllib3
 
+from chiveroad.cli import _daemon_page
 from chiveroad.cli import _output
-from chiveroad import errors
-from chiveroad import http_calls
 from chiveroad import traffic
 
-TIMEOUT_S: typing.Final = 2.0
-"""How long a daemon may take to accept a connection, and to answer."""
-
 
 class DaemonSuspect(msgspec.Struct):
     """A suspect content as one daemon knows it."""
@@ -33,11 +27,14 @@
     :param lift: a content whose quarantine the daemons are to end first.
     :raises errors.PeerUnavailable: when a daemon gives no valid answer.
     """
-    return [
-        DaemonSuspect(address, suspect)
-        for address in addresses
-        for suspect in _ask(address, lift)
-    ]
+    found = []
+    for address in addresses:
+        page = traffic.QUARANTINE_PATH
+        if lift:
+            _daemon_page.fetch(address, f"{page}?{lift}", object, "POST")
+        views = _daemon_page.fetch(address, page, list[traffic.SuspectView])
+        found += [DaemonSuspect(address, view) for view in views]
+    return found
 
 
 def report(suspects: list[DaemonSuspect]) -> _output.Report:
@@ -58,20 +55,3 @@
             for each in suspects
         ],
     )
-
-
-def _ask(address: str, lift: str) -> list[traffic.SuspectView]:
-    url = f"http://{address}{traffic.QUARANTINE_PATH}"
-    try:
-        client = http_calls.Client(1, TIMEOUT_S)
-        if lift:
-            client.request("POST", f"{url}?{lift}", b"", TIMEOUT_S)
-        response = client.request("GET", url, None, TIMEOUT_S)
-    except urllib3.exceptions.HTTPError as exc:
-        raise errors.PeerUnavailable(f"{address}: {exc}") from exc
-    try:
-        return msgspec.json.decode(
-            response.data, type=list[traffic.SuspectView]
-        )
-    except msgspec.DecodeError as exc:
-        raise errors.PeerUnavailable(f"{address}: {exc}") from exc
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -265,16 +265,13 @@
             era=self._store.eras.current,
             suspects=self._node.suspects,
         )
-        superseded = tuple(
-            _messages.SupersededTarget(
-                target_id, started_at_ms, known.sequence, known.leaves
-            )
-            for (started_at_ms, target_id), known in sorted(
-                self._target.superseded_with_later_start().items()
-            )
-        )
         return _messages.MemberRecord(
-            member, status.phase, status.ended_by_ms, superseded
+            member,
+            status.phase,
+            status.ended_by_ms,
+            _record.encode_superseded(
+                self._target.superseded_with_later_start()
+            ),
         )
 
     # Choosing and following a parent.
@@ -606,12 +603,7 @@
                     slots=member.slots,
                     ended_by_ms=record.ended_by_ms,
                 ),
-                {
-                    (each.started_at_ms, each.target_id): presence.Superseded(
-                        each.sequence, each.leaves
-                    )
-                    for each in record.superseded
-                },
+                _record.decode_superseded(record),
             )
         # The target is restored first: callers that wait for the stored
         # record see the restored state.
--- a/src/chiveroad/control/_record.py
+++ b/src/chiveroad/control/_record.py
@@ -15,6 +15,7 @@
 from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
+from chiveroad import presence
 from chiveroad import store
 
 RETRY_S: typing.Final = 0.1
@@ -256,6 +257,28 @@
     return msgspec.structs.replace(record, member=member)
 
 
+def encode_superseded(
+    superseded: presence.Superseding,
+) -> tuple[_messages.SupersededTarget, ...]:
+    """Return superseded incarnations as a record holds them."""
+    return tuple(
+        _messages.SupersededTarget(
+            target_id, started_at_ms, known.sequence, known.leaves
+        )
+        for (started_at_ms, target_id), known in sorted(superseded.items())
+    )
+
+
+def decode_superseded(record: _messages.MemberRecord) -> presence.Superseding:
+    """Return the superseded incarnations that a record holds."""
+    return {
+        (each.started_at_ms, each.target_id): presence.Superseded(
+            each.sequence, each.leaves
+        )
+        for each in record.superseded
+    }
+
+
 def _defect(record: _messages.MemberRecord, name: str) -> str:
     """Return why a record can't be used, or an empty string."""
     if record.member.instance != name:
--- a/src/chiveroad/presence/__init__.py
+++ b/src/chiveroad/presence/__init__.py
@@ -6,6 +6,7 @@
 from chiveroad.presence._state import decide
 from chiveroad.presence._state import Phase
 from chiveroad.presence._state import Superseded
+from chiveroad.presence._state import Superseding
 from chiveroad.presence._state import TargetStatus
 from chiveroad.presence._state import Verdict
 
@@ -15,6 +16,7 @@
     "LocalTarget",
     "Phase",
     "Superseded",
+    "Superseding",
     "TargetStatus",
     "Verdict",
     "decide",
--- a/src/chiveroad/traffic/_pages.py
+++ b/src/chiveroad/traffic/_pages.py
@@ -43,8 +43,7 @@
     """A request's content under which upstreams have ended.
 
     ``request`` is empty where it was seen at other daemons alone.  ``left_s``
-    is the time until the quarantine ends, or until it counts as a suspect no
-    more.
+    is the time until it is forgotten, unless another target ends.
     """
 
     content: str
@@ -63,7 +62,7 @@
             suspect.request,
             len(suspect.ends),
             "quarantine" if now_s < suspect.until_s else "suspect",
-            (suspect.until_s or suspect.forget_at_s) - now_s,
+            max(suspect.until_s, suspect.forget_at_s) - now_s,
         )
         for content, suspect in sorted(entry.quarantine.all())
     ]
--- a/src/chiveroad/traffic/_quarantine.py
+++ b/src/chiveroad/traffic/_quarantine.py
@@ -27,8 +27,16 @@
 other target ends."""
 
 WAIT_CHECK_S: typing.Final = 0.5
+"""How often a waiting attempt checks whether a planned stop has set an earlier
+deadline."""
+
 MAX_DESCRIBED: typing.Final = 200
+"""How many characters of a request are kept for operators."""
+
 MAX_REPORTED: typing.Final = 1_024
+"""How many ends under attempts of this daemon are remembered; each is needed
+until the record that names it has come back."""
+
 COUNTER: typing.Final = "chiveroad.entry.quarantine"
 
 Publish = collections.abc.Callable[[tuple[membership.Suspect, ...]], None]
@@ -205,8 +213,11 @@
         """Name the suspects to others, if that has changed."""
         with self._changed:
             named = tuple(
-                membership.Suspect(content, tuple(sorted(suspect.own_ends)))
-                for content, suspect in sorted(self._suspects.items())
+                membership.Suspect(content, _first(suspect.own_ends))
+                for content, suspect in sorted(
+                    self._suspects.items(),
+                    key=lambda item: -item[1].last_end_s,
+                )
                 if suspect.own_ends and len(suspect.ends) >= PUBLISHED_ENDS
             )[: membership.MAX_SUSPECTS]
             if named == self._published:
@@ -263,6 +274,11 @@
     return ""
 
 
+def _first(ends: collections.abc.Set[str]) -> tuple[str, ...]:
+    """Return as many ends as a record may name; fewer decide already."""
+    return tuple(sorted(ends)[: membership.MAX_SUSPECTS])
+
+
 def _digest(parts: collections.abc.Iterable[bytes]) -> str:
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for part in parts:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from chiveroad.cli import _daemon_page
 from chiveroad.cli import _explain
 from chiveroad import config
 from chiveroad import control
@@ -488,7 +489,7 @@
             with pytest.raises(errors.StoreUnavailable):
                 object_store.get(store.Kind.MEMBERS, "a")
         elif peer_kind == "explained":
-            monkeypatch.setattr(_explain, "TIMEOUT_S", 0.3, raising=False)
+            monkeypatch.setattr(_daemon_page, "TIMEOUT_S", 0.3)
             with pytest.raises(errors.PeerUnavailable):
                 _explain.ask_daemon(address, "glade")
         else:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -239,6 +239,25 @@
     assert not daemons.quarantines["a"].all()
 
 
+# Guards against a daemon whose record is ignored, as it names more ends than
+# a record may.
+def test_record_stays_valid_however_many_targets_end() -> None:
+    daemons = _Daemons("a")
+    quarantine = daemons.quarantines["a"]
+    named: list[membership.Suspect] = []
+    quarantine.publish = named.extend
+    for number in range(100):
+        for body in (b"body", b"%d" % number):
+            quarantine.target_ended(test_exchange.call(body), f"t{number}")
+            quarantine.target_ended(test_exchange.call(body), f"u{number}")
+    assert len(quarantine.all()) == 101
+    record = msgspec.structs.replace(
+        fakes.member(), suspects=quarantine._published
+    )
+    assert not record.defect()
+    assert len(record.suspects) == membership.MAX_SUSPECTS
+
+
 def test_lifted_quarantine_admits_the_content() -> None:
     daemons = _Daemons("a")
     daemons.end("a", "t1", "t2", "t3")
