Test who is believed in which header for the other rows of the table

Properties over name, case and repetition: what a target is told of a caller stands in its guard's words alone, and headers of one connection end there. Both hold on the code as it is.

--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -84,6 +84,72 @@
     assert _call.end_to_end(headers) == kept
 
 
+CALLERS_TERMS: typing.Final = (
+    "X-Request-Id",
+    "X-Deadline-Ms",
+    "X-Expected-Instance",
+    "X-Caller-Service",
+)
+HOP_BY_HOP: typing.Final = (
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Expect",
+    "Content-Length",
+)
+
+named_headers = st.lists(
+    st.tuples(
+        st.sampled_from((*CALLERS_TERMS, *HOP_BY_HOP, *BETWEEN_DAEMONS)),
+        st.integers(0, 2**16),
+    ),
+    max_size=8,
+)
+
+
+# Guards against a caller that names another service, instance or deadline to
+# a target than its own daemon does.
+@hypothesis.given(named_headers)
+def test_target_gets_only_the_terms_that_its_guard_states(
+    named: list[tuple[str, int]],
+) -> None:
+    spoofed = [(_in_any_case(name, seed), "spoofed") for name, seed in named]
+    call = test_exchange.call()
+    call.headers = _call.end_to_end([("Host", "h"), *spoofed])
+    call.caller_service = "glade"
+    sent = list(call.target_headers(platform.Protocol(), "i-7"))
+    names = [name.lower() for name, _ in sent]
+    assert sorted(names) == sorted(
+        ["host", *(name.lower() for name in CALLERS_TERMS)]
+    )
+    assert "spoofed" not in dict(sent).values()
+
+
+# Guards against a header of one connection that reaches the next one.
+@hypothesis.given(named_headers, st.integers(0, 2**16))
+def test_headers_that_connection_lists_end_there_in_any_case(
+    named: list[tuple[str, int]], seed: int
+) -> None:
+    listed = _in_any_case("X-Listed", seed)
+    hops = [(_in_any_case(name, each), "x") for name, each in named]
+    headers = [
+        (_in_any_case("Connection", seed), f"close , {listed}"),
+        *(hop for hop in hops if hop[0].lower() not in _TERMS),
+        (_in_any_case("X-Listed", seed + 1), "1"),
+        ("X-Kept", "1"),
+    ]
+    assert _call.end_to_end(headers) == [("X-Kept", "1")]
+
+
+_TERMS: typing.Final = {name.lower() for name in CALLERS_TERMS}
+
+
 @contextlib.contextmanager
 def _guard_of(answer: bytes) -> collections.abc.Iterator[str]:
     """Yield the address of a guard whose target gives one answer."""
