Bound what an answer of the store or of a daemon takes in memory

And a stated length of 15 digits raised MemoryError, which ends the thread that reads versions or members for a second.

Cause: an answer may be 64 MB, several are read at once, and each is held two or three times while it is put together; the client allocates what is stated.

Evidence: test_endless_answers_of_the_store_take_little_memory took 183, 190 and 2,864 MB where 100 are allowed, half of the smallest instance; test_answer_that_states_an_impossible_length_is_refused failed for 10, 15 and 18 digits.

Change: answers are bounded by 8 MB, and a length is compared with it before memory is allocated. A list has a bound of its own, 16 MB with all its pages; the test of endless pages sets that one now, with the same figure.

--- a/src/chiveroad/http_calls.py
+++ b/src/chiveroad/http_calls.py
@@ -20,8 +20,9 @@
 """How long an answer may take from its first byte on, unless the call's own
 limit ends later: an answer of 1 MB over a link of 1 Mbit/s takes 8 s."""
 
-MAX_ANSWER_BYTES: typing.Final = 64 * 1024 * 1024
-"""The size limit of a control message."""
+MAX_ANSWER_BYTES: typing.Final = 8 * 1024 * 1024
+"""The size limit of an answer: twice the records of 5,700 members.  A daemon
+reads several answers at once, and an instance may have 200 MB for it."""
 
 
 class _BoundedReader(io.RawIOBase):
@@ -93,6 +94,18 @@
         bounded = typing.cast(socket.socket, _BoundedSocket(sock))
         super().__init__(bounded, *args, **keywords)
 
+    def _safe_read(self, amt: int) -> bytes:
+        """Read a number of bytes, for which memory is allocated at once.
+
+        Overrides a method of ``http.client.HTTPResponse``.
+
+        :raises OSError: when the answer is over ``MAX_ANSWER_BYTES``.
+        """
+        if amt > MAX_ANSWER_BYTES:
+            raise OSError("the answer is too long")
+        read: bytes = super()._safe_read(amt)  # type: ignore[misc]
+        return read
+
 
 class _Connection(urllib3.connection.HTTPConnection):
     response_class = _BoundedResponse
--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from chiveroad import errors
-from chiveroad import http_calls
 from chiveroad import store
 
+MAX_LIST_BYTES: typing.Final = 16 * 1024 * 1024
+"""The size limit of a list with all its pages."""
+
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 WATCH_GRACE_S: typing.Final = 0.6
 """How long after the end of its long poll the answer to a watch may arrive."""
@@ -94,7 +96,7 @@
         after = ""
         as_of: store.Revision | None = None
         page_ends: set[str] = set()
-        left_bytes = http_calls.MAX_ANSWER_BYTES
+        left_bytes = MAX_LIST_BYTES
         while True:
             url = self._url(kind, query={"after": after} if after else None)
             reply = self._client.call("GET", url)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import concurrent.futures
 import contextlib
 import gzip
 import http.client
@@ -11,6 +12,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 import typing
 
 import pytest
@@ -500,6 +502,61 @@
         assert peer.closed.wait(1)
 
 
+SMALLEST_INSTANCE_MB: typing.Final = 200
+"""The memory of the smallest instances, of which a daemon may take half for
+the answers of the store."""
+
+
+# Guards against a daemon that runs out of memory while the store's answers
+# have no end.
+@pytest.mark.parametrize("kind", ["a length", "no length", "chunks"])
+def test_endless_answers_of_the_store_take_little_memory(kind: str) -> None:
+    chunk = b"100000\r\n" + b" " * 2**20 + b"\r\n"
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    prefix, unit = (
+        (chunked, chunk) if kind == "chunks" else ENDLESS_CALLS[kind]
+    )
+    members = store.Kind.MEMBERS
+    calls: tuple[
+        collections.abc.Callable[[platform.ObjectStore], object], ...
+    ] = (
+        lambda client: client.get(members, "a"),
+        lambda client: client.list(members),
+        lambda client: list(client.watch(members, store.Revision(0, 1), 1.0)),
+    )
+
+    def fail(call: typing.Any) -> None:
+        peer = Endless(prefix, unit if len(unit) > 1 else unit * 2**20, BURST)
+        with test_exchange.target(peer) as address:
+            with pytest.raises(errors.StoreUnavailable):
+                call(platform.ObjectStore(address, 1.0))
+            assert peer.closed.wait(1)
+
+    tracemalloc.start()
+    try:
+        with concurrent.futures.ThreadPoolExecutor(len(calls)) as pool:
+            list(pool.map(fail, calls))
+        peak_mb = tracemalloc.get_traced_memory()[1] / 2**20
+    finally:
+        tracemalloc.stop()
+    assert peak_mb < SMALLEST_INSTANCE_MB / 2
+
+
+# Guards against a MemoryError, which ends the thread until it is restarted, as
+# memory is allocated for the whole length that an answer states.
+@pytest.mark.parametrize("digits", [10, 15, 18])
+def test_answer_that_states_an_impossible_length_is_refused(
+    digits: int,
+) -> None:
+    length = b"9" * digits
+    prefix = b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\n" % length
+    peer = Endless(prefix, b"x", TRICKLE_S)
+    with test_exchange.target(peer) as address:
+        with pytest.raises(errors.StoreUnavailable):
+            platform.ObjectStore(address, 0.3).get(store.Kind.MEMBERS, "a")
+        assert peer.closed.wait(1)
+
+
 def test_slow_answer_is_read_while_data_arrives() -> None:
     """A nearly full link delays an answer beyond the first timeout."""
     prefix = BODY.replace(b"999999999", b"50")
@@ -714,7 +771,7 @@
     monkeypatch: pytest.MonkeyPatch, named: bytes
 ) -> None:
     """The client requested pages forever while each said there are more."""
-    monkeypatch.setattr(http_calls, "MAX_ANSWER_BYTES", 10_000)
+    monkeypatch.setattr(platform._objects, "MAX_LIST_BYTES", 10_000)
     numbers = itertools.count()
     calls: list[bytes] = []
 
