--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -244,15 +244,15 @@
 def test_record_stays_valid_however_many_targets_end() -> None:
     daemons = _Daemons("a")
     quarantine = daemons.quarantines["a"]
-    named: list[membership.Suspect] = []
-    quarantine.publish = named.extend
+    published: list[tuple[membership.Suspect, ...]] = []
+    quarantine.publish = published.append
     for number in range(100):
         for body in (b"body", b"%d" % number):
             quarantine.target_ended(test_exchange.call(body), f"t{number}")
             quarantine.target_ended(test_exchange.call(body), f"u{number}")
     assert len(quarantine.all()) == 101
     record = msgspec.structs.replace(
-        fakes.member(), suspects=quarantine._published
+        fakes.member(), suspects=published[-1]
     )
     assert not record.defect()
     assert len(record.suspects) == membership.MAX_SUSPECTS
