--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -251,9 +251,7 @@
             quarantine.target_ended(test_exchange.call(body), f"t{number}")
             quarantine.target_ended(test_exchange.call(body), f"u{number}")
     assert len(quarantine.all()) == 101
-    record = msgspec.structs.replace(
-        fakes.member(), suspects=published[-1]
-    )
+    record = msgspec.structs.replace(fakes.member(), suspects=published[-1])
     assert not record.defect()
     assert len(record.suspects) == membership.MAX_SUSPECTS
 
