A new version of a service ends the quarantine of its requests

What callers saw: a request that had ended three targets was refused for 60 s and more, also when the service had been mended and rolled out meanwhile: the heartbeats' versions weren't read.

Change: heartbeats' software version is read (whatever else it holds, no heartbeat is refused for it), recorded with the member and restored. A quarantine remembers which versions the services ran when it began, and ends once no living target of the service runs one of them. It doesn't end with the first target of a new version: an answer of that one would admit the request to those of the old version, and end up to three more.

Two gaps of the same decision: - at the end of a quarantine each daemon made an attempt of its own, each of which could end a target. Those under whose attempts none has ended wait 5 s longer, and know by then from the records what came of the first attempt. - with more than 512 suspects a content in quarantine could be dropped before one that had merely run beside one end. Contents without a quarantine go first now.

`membership.Suspect` is called RecordedSuspect, as the traffic package has a Suspect of its own.

The expected heartbeat in test_heartbeat_and_leave_are_decoded names its version now: it was sent before and dropped.

--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -58,7 +58,7 @@
         self.control_bytes = 0
         self.as_of = store.ABSENT
         self._member = member
-        self.suspects: tuple[membership.Suspect, ...] = ()
+        self.suspects: tuple[membership.RecordedSuspect, ...] = ()
         self._pending_updates: dict[str, membership.Member] = {}
         self.view.merge([member])
 
@@ -74,7 +74,9 @@
                 return
             self._set_own_record(state, self._member.sequence + 1)
 
-    def set_suspects(self, suspects: tuple[membership.Suspect, ...]) -> None:
+    def set_suspects(
+        self, suspects: tuple[membership.RecordedSuspect, ...]
+    ) -> None:
         """Set the suspects that this daemon's record names."""
         with self.changed:
             self.suspects = suspects
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -338,7 +338,7 @@
         self._target_leaves.set()
 
     def _record_suspects(
-        self, suspects: tuple[membership.Suspect, ...]
+        self, suspects: tuple[membership.RecordedSuspect, ...]
     ) -> None:
         """Let other daemons know of the contents that are suspect here."""
         self._node.set_suspects(suspects)
--- a/src/chiveroad/membership/__init__.py
+++ b/src/chiveroad/membership/__init__.py
@@ -8,8 +8,8 @@
 from chiveroad.membership._member import MAX_SUSPECTS
 from chiveroad.membership._member import Member
 from chiveroad.membership._member import newer
+from chiveroad.membership._member import RecordedSuspect
 from chiveroad.membership._member import State
-from chiveroad.membership._member import Suspect
 from chiveroad.membership._tree import children
 from chiveroad.membership._tree import depth
 from chiveroad.membership._tree import FAN_OUT
@@ -25,8 +25,8 @@
     "FORGET_AFTER_S",
     "MAX_SUSPECTS",
     "Member",
+    "RecordedSuspect",
     "State",
-    "Suspect",
     "View",
     "children",
     "declared_dead",
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -45,7 +45,7 @@
     DEAD = "dead"
 
 
-class Suspect(msgspec.Struct, frozen=True, array_like=True):
+class RecordedSuspect(msgspec.Struct, frozen=True, array_like=True):
     """A request's content under which targets have ended.
 
     ``content`` and ``ends`` are digests: of the content, and of the names of
@@ -78,6 +78,7 @@
     from the daemon to the store.  ``capacity_percent`` is the CPU that the
     instance has for the daemon, in percent of a core.  ``suspects`` are the
     contents under which targets have ended for this daemon.
+    ``software_version`` is that of the target, if the target names it.
     """
 
     instance: str
@@ -98,7 +99,8 @@
     store_distance_ms: int = 0
     capacity_percent: int = 0
     era: int = 0
-    suspects: tuple[Suspect, ...] = ()
+    suspects: tuple[RecordedSuspect, ...] = ()
+    software_version: str = ""
 
     def defect(self) -> str:
         """Return why a received record can't be used, or an empty string.
@@ -112,9 +114,8 @@
         for name in _ADDRESSES:
             if not connection.is_address(getattr(self, name)):
                 return f"{name} is no address"
-        if not all(
-            _NAME.fullmatch(name) for name in (self.instance, self.service)
-        ):
+        names = (self.instance, self.service, self.software_version or "-")
+        if not all(_NAME.fullmatch(name) for name in names):
             return "a name is empty, too long or has control characters"
         if len(self.suspects) > MAX_SUSPECTS:
             return "there are too many suspects"
--- a/src/chiveroad/membership/_view.py
+++ b/src/chiveroad/membership/_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import dataclasses
 import threading
@@ -10,6 +11,7 @@
 from chiveroad import store
 
 _Members = tuple[_member.Member, ...]
+_Versions = collections.abc.Mapping[str, frozenset[str]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +36,7 @@
         self._members: dict[str, _member.Member] = {}
         self._changed_at: dict[str, int] = {}
         self._selections: dict[str, _Members] = {}
+        self._versions: _Versions | None = None
         self.epoch = 0
 
     def merge(
@@ -49,6 +52,7 @@
             for instance in updates:
                 self._changed_at[instance] = self.epoch
             self._selections = {}
+            self._versions = None
             self._changed.notify_all()
             return tuple(updates.values())
 
@@ -99,6 +103,23 @@
             lambda member: member.failure_domain == domain and member.alive,
         )
 
+    def software_versions(self) -> _Versions:
+        """Return which versions the living targets of each service run.
+
+        An empty version stands for targets that haven't named theirs.
+        """
+        with self._changed:
+            if self._versions is None:
+                versions = collections.defaultdict[str, set[str]](set)
+                for member in self._members.values():
+                    if member.alive:
+                        versions[member.service].add(member.software_version)
+                self._versions = {
+                    service: frozenset(named)
+                    for service, named in versions.items()
+                }
+            return self._versions
+
     def _select(
         self,
         name: str,
@@ -124,3 +145,4 @@
                 self._members.pop(instance, None)
                 self._changed_at.pop(instance, None)
             self._selections = {}
+            self._versions = None
--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -49,8 +49,11 @@
 
 
 class _Info(msgspec.Struct):
+    """``version`` may be anything: no heartbeat is refused for it."""
+
     service: str
     slots: wire.Count
+    version: typing.Any = ""
 
 
 class _Status(msgspec.Struct):
@@ -159,6 +162,9 @@
             started_at_ms=heartbeat.born,
             slots=heartbeat.info.slots,
             cold_ms=max(0, int(heartbeat.status.cold_remaining_s * 1000)),
+            software_version=wire.parse_software_version(
+                heartbeat.info.version
+            ),
         )
 
     def heartbeat_answer(self) -> tuple[serving.Header, bytes]:
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -56,7 +56,8 @@
 
     ``received_s`` is when its last heartbeat was received, ``left_s`` when
     the target first announced its leave, and ``cold_until_s`` when its slow
-    start ends, all in monotonic seconds.  Once a notice of the target's end
+    start ends, all in monotonic seconds.  ``software_version`` is empty if
+    the target doesn't name it.  Once a notice of the target's end
     was received, all incarnations of its id that started by ``ended_by_ms``,
     in Unix milliseconds, count as ended.
     """
@@ -71,6 +72,7 @@
     left_s: float = 0.0
     cold_until_s: float = 0.0
     ended_by_ms: int = 0
+    software_version: str = ""
 
     @property
     def leaves(self) -> bool:
@@ -149,6 +151,9 @@
         received_s=now_s,
         slots=heartbeat.slots or status.slots,
         cold_until_s=now_s + heartbeat.cold_ms / 1000,
+        software_version=(
+            heartbeat.software_version or status.software_version
+        ),
     )
     leaves = heartbeat.state is wire.TargetState.DRAINING
     if leaves and status.phase is Phase.READY:
@@ -251,4 +256,5 @@
         received_s=now_s,
         left_s=now_s if leaves else 0.0,
         cold_until_s=now_s + heartbeat.cold_ms / 1000,
+        software_version=heartbeat.software_version,
     )
--- a/src/chiveroad/traffic/_quarantine.py
+++ b/src/chiveroad/traffic/_quarantine.py
@@ -39,7 +39,9 @@
 
 COUNTER: typing.Final = "chiveroad.entry.quarantine"
 
-Publish = collections.abc.Callable[[tuple[membership.Suspect, ...]], None]
+Publish = collections.abc.Callable[
+    [tuple[membership.RecordedSuspect, ...]], None
+]
 """Tells other daemons which contents are suspect, and by which ends."""
 
 _log = logs.Logger("quarantine")
@@ -65,7 +67,7 @@
         """The ends under attempts of this daemon, the oldest first: they come
         back with its own record, also when they have been cleared."""
 
-        self._published: tuple[membership.Suspect, ...] = ()
+        self._published: tuple[membership.RecordedSuspect, ...] = ()
         self._changed = threading.Condition()
         self.publish: Publish = lambda suspects: None
 
@@ -83,7 +85,7 @@
         content = content_of(call)
         with self._changed:
             while True:
-                decision = self._suspects.decide(content, time.monotonic())
+                decision = self._decide(content, call.service)
                 if decision is not _suspects.Decision.WAIT:
                     break
                 if call.pending:
@@ -104,6 +106,22 @@
             )
         return None
 
+    def _decide(self, content: str, service: str) -> _suspects.Decision:
+        """Return whether a content may be sent to a target of a service."""
+        now_s = time.monotonic()
+        decision = self._suspects.decide(content, now_s)
+        if decision is not _suspects.Decision.REFUSED:
+            return decision
+        running = self._view.software_versions()
+        if not self._suspects.end_if_replaced(
+            content, service, running, now_s
+        ):
+            return decision
+        suspect = self._suspects.get(content)
+        assert suspect is not None, "report this: ended unknown"
+        self._log_end(content, suspect, "all targets run another version")
+        return self._suspects.decide(content, now_s)
+
     def release(self, suspect: _suspects.Suspect) -> None:
         """End an attempt that was admitted."""
         with self._changed:
@@ -136,7 +154,10 @@
             while len(self._reported) > MAX_REPORTED:
                 del self._reported[next(iter(self._reported))]
             change = self._suspects.target_ended(
-                content, end, time.monotonic()
+                content,
+                end,
+                time.monotonic(),
+                self._view.software_versions(),
             )
             suspect = self._suspects.get(content)
             if suspect is not None and not suspect.request:
@@ -196,10 +217,13 @@
             new = named - self._learnt - self._reported.keys()
             self._learnt = named
             now_s = time.monotonic()
+            running = self._view.software_versions()
             changes = [
                 (
                     content,
-                    self._suspects.target_ended(content, end, now_s, False),
+                    self._suspects.target_ended(
+                        content, end, now_s, running, own=False
+                    ),
                 )
                 for content, end in sorted(new)
             ]
@@ -213,7 +237,7 @@
         """Name the suspects to others, if that has changed."""
         with self._changed:
             named = tuple(
-                membership.Suspect(content, _first(suspect.own_ends))
+                membership.RecordedSuspect(content, _first(suspect.own_ends))
                 for content, suspect in sorted(
                     self._suspects.items(),
                     key=lambda item: -item[1].last_end_s,
--- a/src/chiveroad/traffic/_suspects.py
+++ b/src/chiveroad/traffic/_suspects.py
@@ -27,9 +27,18 @@
 """A quarantine doubles in length if the content ends another target after it.
 """
 
+OTHERS_DELAY_S: typing.Final = 5.0
+"""How much longer a quarantine lasts for daemons under whose attempts no
+target has ended.  Records of members spread within this time: if the first
+attempt after a quarantine ends a target, the other daemons make none."""
+
 MAX_SUSPECTS: typing.Final = 512
-"""How many contents are remembered; the one without an end for the longest
-time is dropped first."""
+"""How many contents are remembered.  Those that were never in quarantine are
+dropped first, and of them the one without an end for the longest time."""
+
+
+Versions = collections.abc.Mapping[str, frozenset[str]]
+"""Which versions the targets of each service run; an empty one is unknown."""
 
 
 class Decision(enum.Enum):
@@ -58,7 +67,8 @@
     this daemon.  ``in_progress`` counts this daemon's attempts.
     ``quarantine_s`` is the length of the last quarantine, or 0 without one;
     it ends at ``until_s``.  Once it has ended, one attempt at a time is
-    admitted.  ``request`` describes the request to operators.
+    admitted.  ``versions`` holds which versions the targets of each service
+    ran when it began.  ``request`` describes the request to operators.
     """
 
     request: str = ""
@@ -68,6 +78,7 @@
     last_end_s: float = 0.0
     until_s: float = 0.0
     quarantine_s: float = 0.0
+    versions: Versions = dataclasses.field(default_factory=dict)
 
     def decide(self, now_s: float) -> Decision:
         """Return whether the content may be sent to a target now."""
@@ -78,6 +89,20 @@
             return Decision.ADMITTED
         return Decision.WAIT
 
+    @property
+    def delay_s(self) -> float:
+        """Return how much later than others this daemon makes an attempt."""
+        return 0.0 if self.own_ends else OTHERS_DELAY_S
+
+    def all_replaced(self, service: str, running: Versions) -> bool:
+        """Return whether a service runs none of the versions it ran before.
+
+        :param running: the versions that the targets of each service run now.
+        """
+        before = self.versions.get(service, frozenset()) - {""}
+        now = running.get(service, frozenset())
+        return bool(before and now) and not now & (before | {""})
+
     @property
     def forget_at_s(self) -> float:
         """Return when the content is no longer suspect without an end."""
@@ -91,7 +116,7 @@
 
     >>> suspects = Suspects()
     >>> for number in range(MAX_ENDS):
-    ...     change = suspects.target_ended("c", f"target-{number}", 1.0)
+    ...     change = suspects.target_ended("c", f"target-{number}", 1.0, {})
     >>> change, suspects.decide("c", 2.0)
     (<Change.BEGUN: 'begun'>, <Decision.REFUSED: 'in quarantine'>)
     """
@@ -118,11 +143,17 @@
         return suspect.decide(now_s)
 
     def target_ended(
-        self, content: str, incarnation: str, now_s: float, own: bool = True
+        self,
+        content: str,
+        incarnation: str,
+        now_s: float,
+        running: Versions,
+        own: bool = True,
     ) -> Change:
         """Learn that a target ended while it ran a content.
 
         :param incarnation: names the incarnation of the target.
+        :param running: the versions that the targets of each service run.
         :param own: whether it ended under an attempt of this daemon.
         """
         suspect = self._suspects.setdefault(content, Suspect())
@@ -142,9 +173,30 @@
         suspect.quarantine_s = min(
             MAX_QUARANTINE_S, 2 * before_s or QUARANTINE_S
         )
-        suspect.until_s = now_s + suspect.quarantine_s
+        suspect.until_s = now_s + suspect.quarantine_s + suspect.delay_s
+        suspect.versions = running
         return Change.EXTENDED if before_s else Change.BEGUN
 
+    def end_if_replaced(
+        self, content: str, service: str, running: Versions, now_s: float
+    ) -> bool:
+        """End a quarantine if all targets run another version than before.
+
+        :param service: the service that the content is for.
+        :param running: the versions that the targets of each service run.
+        :returns: whether it ends earlier by this.
+        """
+        suspect = self._suspects.get(content)
+        if suspect is None or now_s >= suspect.until_s:
+            return False
+        if not suspect.all_replaced(service, running):
+            return False
+        until_s = now_s + suspect.delay_s
+        if until_s >= suspect.until_s:
+            return False
+        suspect.until_s = until_s
+        return True
+
     def clear(self, content: str) -> Suspect | None:
         """Forget a suspect whose content was answered, and return it."""
         return self._suspects.pop(content, None)
@@ -162,8 +214,9 @@
 
     def _drop_oldest(self) -> None:
         while len(self._suspects) > MAX_SUSPECTS:
-            oldest = min(
-                self._suspects,
-                key=lambda content: self._suspects[content].last_end_s,
-            )
-            del self._suspects[oldest]
+            del self._suspects[min(self._suspects, key=self._worth)]
+
+    def _worth(self, content: str) -> tuple[bool, float]:
+        """Return the sort key; the least of the suspects is dropped first."""
+        suspect = self._suspects[content]
+        return bool(suspect.quarantine_s), suspect.last_end_s
--- a/src/chiveroad/wire/__init__.py
+++ b/src/chiveroad/wire/__init__.py
@@ -14,6 +14,7 @@
 from chiveroad.wire._protocol import Load
 from chiveroad.wire._protocol import MAX_COLD_S
 from chiveroad.wire._protocol import parse_rate_limit
+from chiveroad.wire._protocol import parse_software_version
 from chiveroad.wire._protocol import Protocol
 from chiveroad.wire._protocol import RequestTerms
 from chiveroad.wire._protocol import TARGET_ID
@@ -37,4 +38,5 @@
     "TargetTerms",
     "UNLIMITED",
     "parse_rate_limit",
+    "parse_software_version",
 ]
--- a/src/chiveroad/wire/_native.py
+++ b/src/chiveroad/wire/_native.py
@@ -33,7 +33,10 @@
 
 
 class _HeartbeatBody(msgspec.Struct, frozen=True):
-    """The body of a heartbeat; ``state`` may also be ``gone``."""
+    """The body of a heartbeat; ``state`` may also be ``gone``.
+
+    ``software_version`` may be anything: no heartbeat is refused for it.
+    """
 
     target: _TargetId = msgspec.field(name="upstream")
     service: str
@@ -43,6 +46,7 @@
     started_at_ms: _protocol.Count
     slots: _protocol.Count = 0
     cold_ms: _ColdMs = 0
+    software_version: typing.Any = ""
 
 
 class _VersionBody(msgspec.Struct, frozen=True):
@@ -130,6 +134,7 @@
             body.started_at_ms,
             body.slots,
             body.cold_ms,
+            _protocol.parse_software_version(body.software_version),
         )
 
     def heartbeat_answer(self) -> tuple[serving.Header, bytes]:
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -29,6 +29,7 @@
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
 """A number that other daemons are sent, and have to decode."""
 
+_SOFTWARE_VERSION: typing.Final = re.compile(r"[!-~]{1,64}")
 _DECIMAL: typing.Final = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?", re.ASCII)
 
 
@@ -110,7 +111,8 @@
     ``started_at_ms`` is the Unix millisecond of the target's start, which
     distinguishes incarnations with the same ``target_id``; ``sequence`` grows
     with each heartbeat of an incarnation.  ``cold_ms`` is the remaining time
-    of the slow start.
+    of the slow start.  ``software_version`` is empty if the target
+    doesn't name a usable one.
     """
 
     target_id: str
@@ -121,6 +123,7 @@
     started_at_ms: int
     slots: int
     cold_ms: int = 0
+    software_version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,6 +208,19 @@
         """
 
 
+def parse_software_version(received: object) -> str:
+    """Return the version of its software that a target names.
+
+    :returns: an empty string when the target doesn't name a usable one.
+
+    >>> parse_software_version("v2.1"), parse_software_version(None)
+    ('v2.1', '')
+    """
+    if not isinstance(received, str):
+        return ""
+    return received if _SOFTWARE_VERSION.fullmatch(received) else ""
+
+
 def parse_rate_limit(text: str) -> float | None:
     """Return the requests a second in a header, or ``UNLIMITED`` without one.
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -382,6 +382,7 @@
                 sequence,
                 1_000,
                 12,
+                software_version="v2",
             )
         )
         self.plane.record(0.0)
@@ -738,6 +739,28 @@
         restarted.stop()
 
 
+# Guards against a quarantine that a new version of the service doesn't end.
+def test_software_version_is_recorded_and_restored() -> None:
+    shared = memory_store.MemoryStore()
+    accept(shared, 3)
+    ports = mesh.Ports()
+    earlier = FollowerDaemon("a", ports, StoreLink(shared))
+    earlier.start()
+    wait_for(lambda: earlier.plane.record(0.1))
+    view = earlier.node.view
+    try:
+        wait_for(lambda: view.software_versions() == {"glade": {"v2"}})
+    finally:
+        earlier.stop()
+    restarted = FollowerDaemon("a", ports, StoreLink(shared))
+    restarted.server.open()
+    restarted.plane.start()
+    try:
+        wait_for(lambda: restarted.target.status.software_version == "v2")
+    finally:
+        restarted.stop()
+
+
 def _numbers(followers: dict[str, FollowerDaemon]) -> set[int]:
     return {
         follower.node.applied.current.number for follower in followers.values()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -75,11 +75,34 @@
         1_700_000_000_123,
         18,
         1_500,
+        "v1",
     )
     leave = HEARTBEAT_URI.replace("heartbeat", "deregister")
     assert decode_heartbeat(leave, b"") == wire.Leave("i-7")
 
 
+# Guards against a heartbeat that is refused for a version of no use.
+@pytest.mark.parametrize(
+    ("named", "software_version"),
+    [
+        ("v2", "v2"),
+        ("", ""),
+        ("x" * 65, ""),
+        ("v\n", ""),
+        (7, ""),
+        (None, ""),
+        ({"major": 2}, ""),
+    ],
+)
+def test_software_version_is_read_if_it_is_usable(
+    named: object, software_version: str
+) -> None:
+    info = {"service": "s1", "slots": 18, "version": named}
+    heartbeat = decode_heartbeat(HEARTBEAT_URI, HEARTBEAT | {"info": info})
+    assert isinstance(heartbeat, wire.Heartbeat)
+    assert heartbeat.software_version == software_version
+
+
 @pytest.mark.parametrize(
     ("uri", "body", "error"),
     [
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -40,7 +40,7 @@
     for at_s, content, ended in events:
         suspects.expire(at_s)
         if ended:
-            suspects.target_ended(content, ended, at_s)
+            suspects.target_ended(content, ended, at_s, {})
         else:
             suspects.clear(content)
     return suspects
@@ -111,7 +111,7 @@
 def test_popular_content_is_never_refused_while_it_is_answered() -> None:
     suspects = _suspects.Suspects()
     for number in range(100):
-        suspects.target_ended("page", f"t{number}", number)
+        suspects.target_ended("page", f"t{number}", number, {})
         assert suspects.decide("page", number) is ADMITTED
         suspects.clear("page")
 
@@ -133,7 +133,7 @@
     assert suspect is not None
     suspect.in_progress = 2
     assert suspects.decide("c", 1.0) is WAIT
-    suspects.target_ended("c", "t2", 1.0)
+    suspects.target_ended("c", "t2", 1.0, {})
     suspect.in_progress = 1
     assert suspects.decide("c", 1.0) is WAIT
     suspect.in_progress = 0
@@ -149,7 +149,7 @@
     assert suspects.decide("c", after_s) is ADMITTED
     suspect.in_progress = 1
     assert suspects.decide("c", after_s) is WAIT
-    change = suspects.target_ended("c", "t4", after_s)
+    change = suspects.target_ended("c", "t4", after_s, {})
     assert change is _suspects.Change.EXTENDED
     again_s = after_s + 2 * _suspects.QUARANTINE_S
     assert suspects.decide("c", again_s - 1) is REFUSED
@@ -168,6 +168,68 @@
     assert suspects.get("c0") is None
 
 
+# Guards against a quarantine that is forgotten for contents that ran once
+# while a target ended.
+def test_quarantined_content_is_dropped_last() -> None:
+    suspects = _after((0.0, "c", f"t{end}") for end in range(3))
+    for number in range(2 * _suspects.MAX_SUSPECTS):
+        suspects.target_ended(f"c{number}", "t", 1 + number / 1000, {})
+    assert len(suspects) == _suspects.MAX_SUSPECTS
+    assert suspects.decide("c", 4.0) is REFUSED
+
+
+def _versions(*running: str) -> dict[str, frozenset[str]]:
+    return {"glade": frozenset(running), "hollow": frozenset({"v1"})}
+
+
+@pytest.mark.parametrize(
+    ("before", "now", "service", "decision"),
+    [
+        pytest.param(["v1"], ["v1"], "glade", REFUSED, id="none new"),
+        pytest.param(["v1"], ["v2"], "glade", ADMITTED, id="all new"),
+        pytest.param(["v1"], ["v1", "v2"], "glade", REFUSED, id="some new"),
+        pytest.param(["v1", "v2"], ["v2"], "glade", REFUSED, id="one gone"),
+        pytest.param(["v1"], ["v2"], "hollow", REFUSED, id="other service"),
+        pytest.param(["v1"], ["v2", ""], "glade", REFUSED, id="one unknown"),
+        pytest.param([""], ["v2"], "glade", REFUSED, id="unknown before"),
+        pytest.param(["v1"], [], "glade", REFUSED, id="none running"),
+        pytest.param(["v1"], ["v2"], "none", REFUSED, id="unknown service"),
+    ],
+)
+def test_quarantine_ends_once_all_targets_run_another_version(
+    before: list[str],
+    now: list[str],
+    service: str,
+    decision: _suspects.Decision,
+) -> None:
+    suspects = _suspects.Suspects()
+    for end in range(_suspects.MAX_ENDS):
+        suspects.target_ended("c", f"t{end}", 0.0, _versions(*before))
+    ended = suspects.end_if_replaced("c", service, _versions(*now), 1.0)
+    assert ended is (decision is ADMITTED)
+    assert suspects.decide("c", 1.0) is decision
+    if ended:
+        change = suspects.target_ended("c", "t9", 2.0, _versions(*now))
+        assert change is _suspects.Change.EXTENDED
+        assert not suspects.end_if_replaced("c", service, _versions(*now), 3.0)
+
+
+# Guards against one attempt of each daemon at the end of a quarantine, each
+# of which ends a target.
+def test_daemons_without_an_own_end_try_later() -> None:
+    suspects = _suspects.Suspects()
+    for end in range(_suspects.MAX_ENDS):
+        suspects.target_ended("c", f"t{end}", 0.0, _versions("v1"), own=False)
+    assert suspects.end_if_replaced("c", "glade", _versions("v2"), 1.0)
+    assert suspects.decide("c", 1.0) is REFUSED
+    assert not suspects.end_if_replaced("c", "glade", _versions("v2"), 2.0)
+    later_s = 1.0 + _suspects.OTHERS_DELAY_S
+    assert suspects.decide("c", later_s) is ADMITTED
+    # The attempt of another daemon has ended a target.
+    suspects.target_ended("c", "t9", later_s, _versions("v2"), own=False)
+    assert suspects.decide("c", later_s) is REFUSED
+
+
 class _Daemons:
     """Entries' quarantines that learn of each other by their records."""
 
@@ -183,15 +245,27 @@
             quarantine.publish = self._publisher(name)
 
     def _publisher(self, name: str) -> _quarantine.Publish:
-        def publish(suspects: tuple[membership.Suspect, ...]) -> None:
+        def publish(suspects: tuple[membership.RecordedSuspect, ...]) -> None:
             self._sequence += 1
-            member = fakes.member(name, 1, self._sequence)
+            member = fakes.member(name, 1, self._sequence, service="hollow")
             self._view.merge(
                 [msgspec.structs.replace(member, suspects=suspects)]
             )
 
         return publish
 
+    def run(self, service: str, version: str) -> None:
+        """Let a target of a service run a version of its software."""
+        self._sequence += 1
+        member = fakes.member("target", 1, self._sequence)
+        self._view.merge(
+            [
+                msgspec.structs.replace(
+                    member, service=service, software_version=version
+                )
+            ]
+        )
+
     def end(self, name: str, *targets: str) -> None:
         """End targets one after the other, under attempts of one daemon."""
         quarantine = self.quarantines[name]
@@ -244,7 +318,7 @@
 def test_record_stays_valid_however_many_targets_end() -> None:
     daemons = _Daemons("a")
     quarantine = daemons.quarantines["a"]
-    published: list[tuple[membership.Suspect, ...]] = []
+    published: list[tuple[membership.RecordedSuspect, ...]] = []
     quarantine.publish = published.append
     for number in range(100):
         for body in (b"body", b"%d" % number):
@@ -266,6 +340,15 @@
     assert not daemons.refused("a")
 
 
+def test_new_version_of_a_service_ends_its_quarantine() -> None:
+    daemons = _Daemons("a")
+    daemons.run("glade", "v1")
+    daemons.end("a", "t1", "t2", "t3")
+    assert daemons.refused("a")
+    daemons.run("glade", "v2")
+    assert not daemons.refused("a")
+
+
 def test_attempt_waits_for_the_one_before_it() -> None:
     daemons = _Daemons("a")
     daemons.end("a", "t1", "t2")
