A restarted daemon keeps the quarantines of its earlier start

What callers saw: three targets had ended under a request, and it was refused. Once the daemon where it had come in was killed and started again, the request reached targets again, and ended them (E4034 instead of E4035).

Cause: only the daemon under whose attempts targets have ended names them in its record. Its new record, which names none, replaces that one; a daemon that starts reads the records of the others, which never named these ends.

Change: what the record of the earlier start named is taken over before it is replaced. Where members are recorded, it is read from the store with the rest of the record. The first parent keeps it, too, when the new record supersedes the old one, and answers with it once: the only way without records, and the one that is left while the store can't be read. Ends in records are remembered after a record has dropped them, as a restarted daemon names them again; a content that has been answered since at another daemon would have become suspect there once more.

Why it works: a daemon serves once it has a version, which comes with the answer of a parent, and the answer's suspects are taken over before its version. Not covered without records in the store: a daemon that is restarted together with its parent.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -593,6 +593,8 @@
             self._recorder.set_stored(None, store.ABSENT)
             return
         record = _record.read(own)
+        if record is not None:
+            self._node.inherit(record.member.suspects)
         if record is not None and self._restores_target(record, own.version):
             member = record.member
             self._target.restore(
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -58,7 +58,8 @@
     of the long poll.  ``revision`` and ``revision_era`` are the store's
     revision of the version.  ``leads`` says that the parent is its region's
     leader.  ``as_of`` and ``as_of_era`` are as in ``SyncRequest``, for the
-    parent.
+    parent.  ``former_suspects`` is what the child's record named before the
+    child was restarted.
     """
 
     source: str
@@ -78,6 +79,7 @@
     as_of: int = 0
     revision_era: int = 0
     as_of_era: int = 0
+    former_suspects: membership.RecordedSuspects = ()
 
     @property
     def version_revision(self) -> store.Revision:
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -18,6 +18,8 @@
 MAX_BEHIND: typing.Final = 20
 MAX_LOGGED_NAME: typing.Final = 80
 
+Inherit = collections.abc.Callable[[membership.RecordedSuspects], None]
+
 _log = logs.Logger("membership")
 
 
@@ -42,7 +44,8 @@
         the store's records, rather than from gossip between daemons.
 
     ``as_of`` is the store's revision up to which the view holds all records.
-    ``suspects`` is what this daemon's record is to name as suspects.
+    ``suspects`` is what this daemon's record is to name as suspects, and
+    ``inherit`` takes over what the record of an earlier start of it named.
     """
 
     def __init__(
@@ -58,7 +61,11 @@
         self.control_bytes = 0
         self.as_of = store.ABSENT
         self._member = member
-        self.suspects: tuple[membership.RecordedSuspect, ...] = ()
+        self.suspects: membership.RecordedSuspects = ()
+        self.inherit: Inherit = lambda suspects: None
+        self._former_suspects: dict[str, membership.RecordedSuspects] = {}
+        """What records of daemons that have been restarted since named."""
+
         self._pending_updates: dict[str, membership.Member] = {}
         self.view.merge([member])
 
@@ -74,9 +81,7 @@
                 return
             self._set_own_record(state, self._member.sequence + 1)
 
-    def set_suspects(
-        self, suspects: tuple[membership.RecordedSuspect, ...]
-    ) -> None:
+    def set_suspects(self, suspects: membership.RecordedSuspects) -> None:
         """Set the suspects that this daemon's record names."""
         with self.changed:
             self.suspects = suspects
@@ -94,7 +99,9 @@
 
         :returns: the members that changed the view.
         """
-        updated = self.view.merge(self._usable(received))
+        usable = list(self._usable(received))
+        self._keep_former_suspects(usable)
+        updated = self.view.merge(usable)
         own = self._member
         for member in updated:
             if member.instance != own.instance:
@@ -105,6 +112,27 @@
                 self._refute(member)
         return updated
 
+    def former_suspects(self, instance: str) -> membership.RecordedSuspects:
+        """Return what the record named before a daemon was restarted."""
+        return self._former_suspects.get(instance, ())
+
+    def _keep_former_suspects(
+        self, received: collections.abc.Iterable[membership.Member]
+    ) -> None:
+        """Keep what the records of restarted daemons named.
+
+        A restarted daemon doesn't know it, and would send the requests that
+        have ended targets to further ones.
+        """
+        for member in received:
+            known = self.view.get(member.instance)
+            if known is None or known.incarnation >= member.incarnation:
+                continue
+            if known.suspects:
+                self._former_suspects[member.instance] = known.suspects
+            else:
+                self._former_suspects.pop(member.instance, None)
+
     def _usable(
         self, received: collections.abc.Iterable[membership.Member]
     ) -> collections.abc.Iterator[membership.Member]:
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -142,10 +142,13 @@
         # Read before the view: the answer must include all records up to
         # this revision.
         as_of = node.as_of
+        former_suspects: membership.RecordedSuspects = ()
         if sync.source == self._source:
             changes = node.view.since(sync.epoch)
         else:
             changes = node.view.since_revision(sync.synced_to)
+            # Whoever knows this daemon's source has received an answer.
+            former_suspects = node.former_suspects(sync.member.instance)
         delta = snapshot = b""
         if current.number > sync.version:
             delta, snapshot = self._config_update(sync.digest)
@@ -167,6 +170,7 @@
             leads="leader" in self._plane.roles(),
             as_of=as_of.number,
             as_of_era=as_of.era,
+            former_suspects=former_suspects,
         )
 
     def _members_for(
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -17,6 +17,7 @@
 from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import logs
+from chiveroad import membership
 from chiveroad import store
 
 HOLD_MS: typing.Final = 1_500
@@ -230,6 +231,8 @@
             request; another answer may have brought a newer one since.
         """
         node = self._node
+        if membership.usable_suspects(answer.former_suspects):
+            node.inherit(answer.former_suspects)
         node.merge(answer.members)
         # The parent leaves out only records up to the revision that this
         # daemon has named, so the view is complete up to the answer's as_of.
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -137,6 +137,7 @@
         self._target_leaves = threading.Event()
         self._guard.on_leave = self._record_leave
         self._entry.quarantine.publish = self._record_suspects
+        self._node.inherit = self._entry.quarantine.inherit
         self._peers_left = threading.Event()
         self._servers = self._make_servers()
         self._status_servers = self._make_status_servers()
@@ -337,9 +338,7 @@
         self._control_plane.record(0.0)
         self._target_leaves.set()
 
-    def _record_suspects(
-        self, suspects: tuple[membership.RecordedSuspect, ...]
-    ) -> None:
+    def _record_suspects(self, suspects: membership.RecordedSuspects) -> None:
         """Let other daemons know of the contents that are suspect here."""
         self._node.set_suspects(suspects)
         self._control_plane.record(0.0)
--- a/src/chiveroad/membership/__init__.py
+++ b/src/chiveroad/membership/__init__.py
@@ -9,7 +9,9 @@
 from chiveroad.membership._member import Member
 from chiveroad.membership._member import newer
 from chiveroad.membership._member import RecordedSuspect
+from chiveroad.membership._member import RecordedSuspects
 from chiveroad.membership._member import State
+from chiveroad.membership._member import usable_suspects
 from chiveroad.membership._tree import children
 from chiveroad.membership._tree import depth
 from chiveroad.membership._tree import FAN_OUT
@@ -26,6 +28,7 @@
     "MAX_SUSPECTS",
     "Member",
     "RecordedSuspect",
+    "RecordedSuspects",
     "State",
     "View",
     "children",
@@ -34,4 +37,5 @@
     "detect_failures",
     "newer",
     "parent",
+    "usable_suspects",
 ]
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -66,6 +66,16 @@
         return (self.content, *self.ends)
 
 
+RecordedSuspects = tuple[RecordedSuspect, ...]
+
+
+def usable_suspects(suspects: RecordedSuspects) -> bool:
+    """Return whether all suspects that a message names can be used."""
+    return len(suspects) <= MAX_SUSPECTS and all(
+        each.valid() for each in suspects
+    )
+
+
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """The self-reported record of one daemon and its target.
 
@@ -99,7 +109,7 @@
     store_distance_ms: int = 0
     capacity_percent: int = 0
     era: int = 0
-    suspects: tuple[RecordedSuspect, ...] = ()
+    suspects: RecordedSuspects = ()
     software_version: str = ""
 
     def defect(self) -> str:
@@ -117,10 +127,8 @@
         names = (self.instance, self.service, self.software_version or "-")
         if not all(_NAME.fullmatch(name) for name in names):
             return "a name is empty, too long or has control characters"
-        if len(self.suspects) > MAX_SUSPECTS:
-            return "there are too many suspects"
-        if not all(each.valid() for each in self.suspects):
-            return "a suspect can't be used"
+        if not usable_suspects(self.suspects):
+            return "a suspect can't be used, or there are too many"
         return ""
 
     def order(self) -> tuple[int, int, int, bool]:
--- a/src/chiveroad/traffic/_quarantine.py
+++ b/src/chiveroad/traffic/_quarantine.py
@@ -33,17 +33,18 @@
 MAX_DESCRIBED: typing.Final = 200
 """How many characters of a request are kept for operators."""
 
-MAX_REPORTED: typing.Final = 1_024
-"""How many ends under attempts of this daemon are remembered; each is needed
-until the record that names it has come back."""
+MAX_KNOWN_ENDS: typing.Final = 1_024
+"""How many ends are remembered, beside those that records name, so that they
+aren't learnt again."""
 
 COUNTER: typing.Final = "chiveroad.entry.quarantine"
 
-Publish = collections.abc.Callable[
-    [tuple[membership.RecordedSuspect, ...]], None
-]
+Publish = collections.abc.Callable[[membership.RecordedSuspects], None]
 """Tells other daemons which contents are suspect, and by which ends."""
 
+_End = tuple[str, str]
+"""A content, and the digest of the incarnation that has ended under it."""
+
 _log = logs.Logger("quarantine")
 
 
@@ -60,14 +61,15 @@
         self._recorder = recorder
         self._suspects = _suspects.Suspects()
         self._epoch = 0
-        self._learnt: set[tuple[str, str]] = set()
-        """The ends in other daemons' records that were learnt before."""
+        self._learnt: dict[_End, None] = {}
+        """The ends in daemons' records that were learnt before.  A daemon that
+        is restarted names them again."""
 
-        self._reported: dict[tuple[str, str], None] = {}
-        """The ends under attempts of this daemon, the oldest first: they come
-        back with its own record, also when they have been cleared."""
+        self._reported: dict[_End, None] = {}
+        """The ends under attempts of this daemon: they come back with its own
+        record, also when they have been cleared."""
 
-        self._published: tuple[membership.RecordedSuspect, ...] = ()
+        self._published: membership.RecordedSuspects = ()
         self._changed = threading.Condition()
         self.publish: Publish = lambda suspects: None
 
@@ -150,9 +152,7 @@
         content = content_of(call)
         end = _digest([incarnation.encode()])
         with self._changed:
-            self._reported[content, end] = None
-            while len(self._reported) > MAX_REPORTED:
-                del self._reported[next(iter(self._reported))]
+            _remember(self._reported, [(content, end)], MAX_KNOWN_ENDS)
             change = self._suspects.target_ended(
                 content,
                 end,
@@ -167,6 +167,34 @@
         self._log_change(content, change)
         self._publish()
 
+    def inherit(self, suspects: membership.RecordedSuspects) -> None:
+        """Take over what an earlier start of this daemon has learnt.
+
+        :param suspects: what the record of the earlier start named.
+        """
+        with self._changed:
+            ends = [
+                (suspect.content, end)
+                for suspect in suspects
+                for end in suspect.ends
+                if (suspect.content, end) not in self._reported
+            ]
+            _remember(self._reported, ends, MAX_KNOWN_ENDS)
+            now_s = time.monotonic()
+            running = self._view.software_versions()
+            changes = [
+                (
+                    content,
+                    self._suspects.target_ended(content, end, now_s, running),
+                )
+                for content, end in ends
+            ]
+            self._changed.notify_all()
+        for content, change in changes:
+            self._log_change(content, change)
+        if ends:
+            self._publish()
+
     def tick(self) -> None:
         """Learn from members, and forget suspects without further ends."""
         if self._view.epoch != self._epoch:
@@ -214,8 +242,8 @@
                 for suspect in member.suspects
                 for end in suspect.ends
             }
-            new = named - self._learnt - self._reported.keys()
-            self._learnt = named
+            new = named - self._learnt.keys() - self._reported.keys()
+            _remember(self._learnt, named, len(named) + MAX_KNOWN_ENDS)
             now_s = time.monotonic()
             running = self._view.software_versions()
             changes = [
@@ -298,6 +326,19 @@
     return ""
 
 
+def _remember(
+    known: dict[_End, None],
+    ends: collections.abc.Iterable[_End],
+    limit: int,
+) -> None:
+    """Add ends to the known ones, and forget the oldest beyond a limit."""
+    for end in ends:
+        known.pop(end, None)
+        known[end] = None
+    while len(known) > limit:
+        del known[next(iter(known))]
+
+
 def _first(ends: collections.abc.Set[str]) -> tuple[str, ...]:
     """Return as many ends as a record may name; fewer decide already."""
     return tuple(sorted(ends)[: membership.MAX_SUSPECTS])
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -761,6 +761,38 @@
         restarted.stop()
 
 
+# Guards against a daemon that forgets its quarantines when it is restarted,
+# also if no other daemon runs that could tell it.
+def test_restarted_daemon_takes_over_the_suspects_of_its_record() -> None:
+    shared = memory_store.MemoryStore()
+    suspects = (membership.RecordedSuspect("0" * 16, ("1" * 16,)),)
+    member = msgspec.structs.replace(
+        fakes.member("a", incarnation=0, sequence=0), suspects=suspects
+    )
+    before = _messages.MemberRecord(member, presence.Phase.READY)
+    shared.put(store.Kind.MEMBERS, "a", before, store.ABSENT)
+    restarted = FollowerDaemon("a", mesh.Ports(), shared)
+    inherited: list[membership.RecordedSuspects] = []
+    restarted.node.inherit = inherited.append
+    restarted.start()
+    try:
+        wait_for(lambda: suspects in inherited)
+    finally:
+        restarted.stop()
+
+
+def test_parent_tells_a_restarted_child_what_its_record_named() -> None:
+    node = control.Node(fakes.member("parent"))
+    suspects = (membership.RecordedSuspect("0" * 16, ("1" * 16,)),)
+    before = msgspec.structs.replace(fakes.member("a"), suspects=suspects)
+    node.merge([before])
+    assert not node.former_suspects("a")
+    node.merge([fakes.member("a", incarnation=2)])
+    assert node.former_suspects("a") == suspects
+    node.merge([fakes.member("a", incarnation=3)])
+    assert not node.former_suspects("a")
+
+
 def _numbers(followers: dict[str, FollowerDaemon]) -> set[int]:
     return {
         follower.node.applied.current.number for follower in followers.values()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -254,6 +254,21 @@
 
         return publish
 
+    def restart(self, name: str) -> None:
+        """Replace a daemon's quarantine by one that inherits its suspects."""
+        (former,) = (
+            member.suspects
+            for member in self._view.all()
+            if member.instance == name
+        )
+        self._publisher(name)(())
+        for quarantine in self.quarantines.values():
+            quarantine.tick()
+        restarted = _quarantine.Quarantine(self._view, metrics.Recorder())
+        restarted.publish = self._publisher(name)
+        self.quarantines[name] = restarted
+        restarted.inherit(former)
+
     def run(self, service: str, version: str) -> None:
         """Let a target of a service run a version of its software."""
         self._sequence += 1
@@ -313,6 +328,18 @@
     assert not daemons.quarantines["a"].all()
 
 
+# Guards against a content that is suspect again, though it was answered.
+def test_restarted_daemon_does_not_bring_back_a_content_elsewhere() -> None:
+    daemons = _Daemons("ab")
+    daemons.end("a", "t1", "t2", "t3")
+    assert daemons.refused("b")
+    daemons.quarantines["b"].answered(test_exchange.call(b"body"))
+    daemons.restart("a")
+    assert not daemons.refused("b")
+    assert daemons.refused("a")
+    assert not daemons.refused("b")
+
+
 # Guards against a daemon whose record is ignored, as it names more ends than
 # a record may.
 def test_record_stays_valid_however_many_targets_end() -> None:
@@ -520,3 +547,27 @@
             or None,
             "an answer",
         )
+
+
+# Guards against a daemon that forgets its quarantines when it is restarted.
+@pytest.mark.parametrize("ended_at", ["the same daemon", "another daemon"])
+def test_restarted_daemon_knows_what_is_in_quarantine(ended_at: str) -> None:
+    with _six_instances(target.Mode(ends_on="deadly")) as running:
+        first, second, *_ = running.instances
+        for _ in range(4):
+            _call(running, first, "deadly")
+        mesh.wait_for(
+            lambda: _ended(running) >= _suspects.MAX_ENDS, "the ends"
+        )
+        restarted = first if ended_at == "the same daemon" else second
+        _wait_for_quarantine(running, second)
+        running.kill(restarted)
+        running.start_daemon(restarted)
+        mesh.wait_for(
+            lambda: _call(running, restarted, "other").status == 200,
+            "the restarted daemon to serve",
+        )
+        for _ in range(4):
+            result = _call(running, restarted, "deadly")
+            assert result.code == errors.Quarantined.code
+        assert _ended(running) == _suspects.MAX_ENDS
