--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -291,6 +291,43 @@
                 assert found == full.match("GET", path, host)
 
 
+@hypothesis.given(
+    st.lists(
+        st.dictionaries(
+            ROUTE_NAMES, st.sampled_from(["one", "two"]), min_size=1
+        ),
+        min_size=2,
+        max_size=5,
+    )
+)
+# Guards against daemons that lead a request to different services under one
+# version, as some have patched it and others have read it whole.
+def test_patched_config_leads_to_the_same_services_as_a_read_one(
+    versions: list[dict[str, str]],
+) -> None:
+    """All routes have the same host and path, and differ by service."""
+    services = [
+        config.Service(
+            name, "t", 1, 1, 1, ("*",), {"k": config.Kind(1, True, 1)}
+        )
+        for name in ("one", "two")
+    ]
+    patched: config.Config | None = None
+    for service_by_route in versions:
+        pairs = [config.service_item(service) for service in services]
+        pairs += [
+            config.route_item(config.Route(name, "t", "/x", ("*",), to, "k"))
+            for name, to in service_by_route.items()
+        ]
+        read = config.Config(dict(sorted(pairs)))
+        items: config.Items = read.items
+        if patched is not None:
+            delta = config.diff(patched.items, items)
+            items = config.patch(patched.items, delta)
+        patched = config.Config(items, previous=patched)
+        assert patched.match("GET", "/x/1") == read.match("GET", "/x/1")
+
+
 def test_unchanged_items_are_reused_from_the_previous_config() -> None:
     service = config.Service("s", "t", 1, 1, 1, ("*",), {})
     routes = [
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import functools
+import random
 import threading
 import time
 
@@ -606,6 +607,56 @@
                 each.stop()
 
 
+# Guards against a daemon that counts an older version as the newest accepted
+# one, as a parent behind the others has confirmed it.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_version_is_confirmed_after_a_newer_one_was_accepted(
+    seed: int,
+) -> None:
+    rng = random.Random(seed)
+    violations: list[str] = []
+    stopped = threading.Event()
+    with fleet("abcde") as (shared, store_links, followers):
+        links = [behind_a_full_link(followers[name]) for name in "bd"]
+        for follower in followers.values():
+            follower.start()
+        wait_for(lambda: all(p.node.applied.ready for p in followers.values()))
+        accepted = [(3, clock.now_s())]
+
+        def check() -> None:
+            while not stopped.wait(0.005):
+                number, accepted_s = accepted[-1]
+                for name, follower in followers.items():
+                    # The version that is read later is no older.
+                    confirmed_s = follower.node.applied.confirmed_s
+                    held = follower.node.applied.current.number
+                    assert confirmed_s is not None
+                    if held < number and confirmed_s > accepted_s:
+                        late_s = confirmed_s - accepted_s
+                        violations.append(f"{name}: {held}, {late_s:.3f} s")
+
+        checker = threading.Thread(target=check)
+        checker.start()
+        try:
+            for number in range(4, 16):
+                for store_link in store_links.values():
+                    store_link.cut = rng.random() < 0.4
+                time.sleep(rng.uniform(0.0, 0.6))
+                accept(shared, number)
+                accepted.append((number, clock.now_s()))
+            for store_link in store_links.values():
+                store_link.cut = False
+            wait_for(
+                lambda: all(p.has_version(15) for p in followers.values())
+            )
+        finally:
+            stopped.set()
+            checker.join()
+            for each in links:
+                each.stop()
+    assert not violations
+
+
 def behind_a_full_link(follower: FollowerDaemon) -> link.Link:
     """Put a link with a delay in front of a daemon's control address."""
     target = follower.ports.take()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -81,6 +81,64 @@
     assert decode_heartbeat(leave, b"") == wire.Leave("i-7")
 
 
+ROUTES = st.dictionaries(
+    st.sampled_from(["r-1", "r-2", "r-3"]),
+    st.tuples(
+        st.sampled_from(["/x/", "/x/y/", "/z/"]),
+        st.sampled_from(["s1", "s2"]),
+        st.sampled_from([0.5, 1.5]),
+        st.booleans(),
+    ),
+)
+
+
+def _specification(
+    number: int, routes: dict[str, tuple[str, str, float, bool]]
+) -> msgspec.Raw:
+    written = []
+    for name, (prefix, service, timeout_s, split) in routes.items():
+        route = {**ROUTE, "name": name, "path_prefix": prefix}
+        route |= {"service": service, "timeout_s": timeout_s}
+        if split:
+            del route["service"]
+            route["traffic_split"] = [
+                {"service": each, "weight": 1 + (each == service)}
+                for each in ("s1", "s2")
+            ]
+        written.append(route)
+    services = [{"name": "s1"}, {"name": "s2"}]
+    body = {"version": f"r{number}", "routes": written, "services": services}
+    return msgspec.Raw(msgspec.json.encode(body))
+
+
+# Guards against a version that is in force, but leads requests as an earlier
+# one does, as its routes were taken from there.
+@hypothesis.given(st.lists(ROUTES, min_size=2, max_size=6))
+def test_series_of_versions_leads_requests_as_each_version_alone(
+    series: list[dict[str, tuple[str, str, float, bool]]],
+) -> None:
+    protocol = platform.Protocol()
+    watching = child = config.Config({})
+    for number, routes in enumerate(series, 1):
+        specification = _specification(number, routes)
+        read = protocol.read_version(specification)
+        alone = config.Config(
+            platform.Protocol().read_version(specification).items
+        )
+        watching = config.Config(read.items, previous=watching)
+        delta = config.unpack_delta(
+            config.pack_delta(config.diff(child.items, read.items))
+        )
+        child = config.Config(config.patch(child.items, delta), previous=child)
+        for path in ("/x/1", "/x/y/1", "/z/", "/"):
+            expected = alone.match("GET", path, "a.example")
+            for compiled in (watching, child):
+                found = compiled.match("GET", path, "a.example")
+                assert found == expected
+                if found is not None:
+                    assert compiled.kind_of(found) == alone.kind_of(found)
+
+
 # Guards against a heartbeat that is refused for a version of no use.
 @pytest.mark.parametrize(
     ("named", "software_version"),
