A restarted leader keeps its quarantines, too

A leader that is restarted has no parent. Its children have kept its old record, but replace it by the new one without a word.

Change: a child tells a parent that was restarted what its record named before, with the next request. What was named is kept for 60 s, also over a second restart that follows at once.

--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -594,7 +594,7 @@
             return
         record = _record.read(own)
         if record is not None:
-            self._node.inherit(record.member.suspects)
+            self._node.inherit_usable(record.member.suspects)
         if record is not None and self._restores_target(record, own.version):
             member = record.member
             self._target.restore(
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -24,7 +24,8 @@
     far as known.  With ``confirmations`` a newer confirmation alone ends the
     long poll.  ``as_of`` and ``as_of_era`` are the store's revision up to
     which the child knows all records of members; both are 0 in deployments
-    that don't record members in the store.
+    that don't record members in the store.  ``former_suspects`` is what the
+    parent's record named before the parent was restarted.
     """
 
     member: membership.Member
@@ -39,6 +40,7 @@
     confirmations: bool = False
     as_of: int = 0
     as_of_era: int = 0
+    former_suspects: membership.RecordedSuspects = ()
 
     @property
     def synced_to(self) -> store.Revision:
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -17,12 +17,22 @@
 
 MAX_BEHIND: typing.Final = 20
 MAX_LOGGED_NAME: typing.Final = 80
+FORMER_SUSPECTS_S: typing.Final = 60.0
+"""For how long what a daemon's record named before its restart is kept for it.
+"""
+
 
 Inherit = collections.abc.Callable[[membership.RecordedSuspects], None]
 
 _log = logs.Logger("membership")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FormerSuspects:
+    suspects: membership.RecordedSuspects
+    until_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Child:
     """A daemon that requests updates from this one.
@@ -63,8 +73,8 @@
         self._member = member
         self.suspects: membership.RecordedSuspects = ()
         self.inherit: Inherit = lambda suspects: None
-        self._former_suspects: dict[str, membership.RecordedSuspects] = {}
-        """What records of daemons that have been restarted since named."""
+        self._former_suspects: dict[str, _FormerSuspects] = {}
+        """What the records of restarted daemons named before, by instance."""
 
         self._pending_updates: dict[str, membership.Member] = {}
         self.view.merge([member])
@@ -112,9 +122,28 @@
                 self._refute(member)
         return updated
 
+    def inherit_usable(self, suspects: membership.RecordedSuspects) -> None:
+        """Take over what this daemon's record named before its restart."""
+        if suspects and membership.usable_suspects(suspects):
+            self.inherit(suspects)
+
     def former_suspects(self, instance: str) -> membership.RecordedSuspects:
-        """Return what the record named before a daemon was restarted."""
-        return self._former_suspects.get(instance, ())
+        """Return what a record named before its daemon was restarted.
+
+        :returns: nothing ``FORMER_SUSPECTS_S`` after the restart.
+        """
+        former = self._former_suspects.get(instance)
+        if former is None or time.monotonic() > former.until_s:
+            return ()
+        return former.suspects
+
+    def former_suspects_at(self, address: str) -> membership.RecordedSuspects:
+        """Return the same for the daemon with a control address."""
+        for instance in list(self._former_suspects):
+            member = self.view.get(instance)
+            if member is not None and member.control == address:
+                return self.former_suspects(instance)
+        return ()
 
     def _keep_former_suspects(
         self, received: collections.abc.Iterable[membership.Member]
@@ -129,9 +158,9 @@
             if known is None or known.incarnation >= member.incarnation:
                 continue
             if known.suspects:
-                self._former_suspects[member.instance] = known.suspects
-            else:
-                self._former_suspects.pop(member.instance, None)
+                self._former_suspects[member.instance] = _FormerSuspects(
+                    known.suspects, time.monotonic() + FORMER_SUSPECTS_S
+                )
 
     def _usable(
         self, received: collections.abc.Iterable[membership.Member]
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -85,6 +85,7 @@
         child.version = sync.version
         child.behind = sync.behind
         self._plane.learn_era(sync.as_of_era)
+        node.inherit_usable(sync.former_suspects)
         node.merge_from_below([sync.member, *sync.members])
         if sync.unconfirmed:
             self._plane.confirm(clock.now_s())
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -171,8 +171,11 @@
         :raises errors.BadMessage: when the answer can't be read.
         """
         node = self._node
-        if address != self._last_address and node.as_of == store.ABSENT:
-            node.requeue_members(region)
+        former_suspects: membership.RecordedSuspects = ()
+        if address != self._last_address:
+            former_suspects = node.former_suspects_at(address)
+            if node.as_of == store.ABSENT:
+                node.requeue_members(region)
         pending_updates = node.pending_updates()
         current = node.applied.current
         request = _messages.SyncRequest(
@@ -188,6 +191,7 @@
             confirmations=self._confirmations,
             as_of=node.as_of.number,
             as_of_era=node.as_of.era,
+            former_suspects=former_suspects,
         )
         sent_s = clock.now_s()
         answer = self._post(address, request, hold_ms)
@@ -231,8 +235,7 @@
             request; another answer may have brought a newer one since.
         """
         node = self._node
-        if membership.usable_suspects(answer.former_suspects):
-            node.inherit(answer.former_suspects)
+        node.inherit_usable(answer.former_suspects)
         node.merge(answer.members)
         # The parent leaves out only records up to the revision that this
         # daemon has named, so the view is complete up to the answer's as_of.
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -23,6 +23,7 @@
 from chiveroad.control import _follower
 from chiveroad.control import _freshness
 from chiveroad.control import _messages
+from chiveroad.control import _node
 from chiveroad.control import _parent_exchanges
 from chiveroad.control import _record
 from chiveroad.control import _source
@@ -832,7 +833,9 @@
         restarted.stop()
 
 
-def test_parent_tells_a_restarted_child_what_its_record_named() -> None:
+def test_daemons_keep_what_the_record_of_a_restarted_one_named(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     node = control.Node(fakes.member("parent"))
     suspects = (membership.RecordedSuspect("0" * 16, ("1" * 16,)),)
     before = msgspec.structs.replace(fakes.member("a"), suspects=suspects)
@@ -840,7 +843,13 @@
     assert not node.former_suspects("a")
     node.merge([fakes.member("a", incarnation=2)])
     assert node.former_suspects("a") == suspects
+    # It is restarted again before it has been told.
     node.merge([fakes.member("a", incarnation=3)])
+    assert node.former_suspects("a") == suspects
+    assert node.former_suspects_at("a:3") == suspects
+    assert not node.former_suspects_at("b:3")
+    later_s = time.monotonic() + _node.FORMER_SUSPECTS_S + 1
+    monkeypatch.setattr(time, "monotonic", lambda: later_s)
     assert not node.former_suspects("a")
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -550,24 +550,26 @@
 
 
 # Guards against a daemon that forgets its quarantines when it is restarted.
-@pytest.mark.parametrize("ended_at", ["the same daemon", "another daemon"])
-def test_restarted_daemon_knows_what_is_in_quarantine(ended_at: str) -> None:
+@pytest.mark.parametrize("restarted", ["the entry", "the leader", "another"])
+def test_restarted_daemon_knows_what_is_in_quarantine(restarted: str) -> None:
     with _six_instances(target.Mode(ends_on="deadly")) as running:
-        first, second, *_ = running.instances
+        leader = running.wait_for_role("leader")
+        first, second, *_ = (n for n in running.instances if n != leader)
+        entry = leader if restarted == "the leader" else first
+        name = second if restarted == "another" else entry
         for _ in range(4):
-            _call(running, first, "deadly")
+            _call(running, entry, "deadly")
         mesh.wait_for(
             lambda: _ended(running) >= _suspects.MAX_ENDS, "the ends"
         )
-        restarted = first if ended_at == "the same daemon" else second
         _wait_for_quarantine(running, second)
-        running.kill(restarted)
-        running.start_daemon(restarted)
+        running.kill(name)
+        running.start_daemon(name)
         mesh.wait_for(
-            lambda: _call(running, restarted, "other").status == 200,
+            lambda: _call(running, name, "other").status == 200,
             "the restarted daemon to serve",
         )
         for _ in range(4):
-            result = _call(running, restarted, "deadly")
+            result = _call(running, name, "deadly")
             assert result.code == errors.Quarantined.code
         assert _ended(running) == _suspects.MAX_ENDS
