Each end of a target counts, also of targets without heartbeats

Cause: an end was named by the incarnation of its target. Without heartbeats a target has neither an id nor a start time, so that each of its ends had the same name and counted once; two targets never came to three ends.

Change: the guard numbers the ends that it notices (`_target_ends`). A request takes the number when it is sent: all that the target was running report the same end, one that is sent after the end was noticed reports another. The status was also read when the request came, and not when it was sent: for one that had waited while its target was replaced, an answer that was only broken off counted as the end of the earlier target.

The soak gets `--ends-targets`: one request that ends its target is repeated beside the faults of daemons and of the store, targets start again after 0.7 s, and a target writes its record into its log before it ends, so that all other checks hold as before. No other request may be refused as E4035.

--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,10 @@
 	$(BIN)/python -m pip install --quiet --requirement requirements-experiments.txt
 	$(BIN)/python -m standins.experiments --plots docs/design/plots
 
+# OPTIONS=--ends-targets repeats a request that ends its targets.
 soak: $(READY)
-	$(BIN)/python -m standins.soak --jobs 2 --seeds "$(SEEDS)" --fresh $(FRESH)
+	$(BIN)/python -m standins.soak --jobs 2 --seeds "$(SEEDS)" --fresh $(FRESH) \
+		$(OPTIONS)
 
 capacity: $(READY)
 	$(BIN)/python -m standins.pages
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -447,16 +447,16 @@
 class TargetEnded(OutcomeUnknown):
     """The target's process ended while it was executing the request.
 
-    ``incarnation`` names the incarnation of the target, if it is known.
+    ``end`` names this end of a target, and is empty if it isn't known.
     """
 
     code = 4034
 
     def __init__(
-        self, message: str, retry_after_ms: int = 0, incarnation: str = ""
+        self, message: str, retry_after_ms: int = 0, end: str = ""
     ) -> None:
         super().__init__(message, retry_after_ms)
-        self.incarnation = incarnation
+        self.end = end
 
 
 class Quarantined(Refusal):
--- a/src/chiveroad/membership/_member.py
+++ b/src/chiveroad/membership/_member.py
@@ -49,7 +49,7 @@
     """A request's content under which targets have ended.
 
     ``content`` and ``ends`` are digests: of the content, and of the names of
-    the targets' incarnations.
+    the ends.
     """
 
     content: str
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -15,6 +15,7 @@
 from chiveroad import serving
 from chiveroad.traffic import _buffers
 from chiveroad.traffic import _failover
+from chiveroad.traffic import _target_ends
 from chiveroad import wire
 
 MAX_BUFFERED_BODY_BYTES: typing.Final = 64 * 1024
@@ -206,7 +207,8 @@
     failure.  ``pending`` holds the open exchanges, the oldest first.
     ``rate_limit_per_s`` is the target's rate limit as far as the entry knows.
     ``buffers`` is what the answers to all requests may take in memory.
-    ``content`` is a digest of what is asked for, once it has been needed.
+    ``content`` is a digest of what is asked for, once it has been needed, and
+    ``recipient`` is the target that this daemon's guard has sent it to.
     """
 
     id: str
@@ -233,6 +235,7 @@
         default_factory=_buffers.BufferBudget
     )
     content: str = ""
+    recipient: _target_ends.Recipient | None = None
 
     @property
     def due_s(self) -> float:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -307,7 +307,7 @@
             self._try_target(attempts)
         except errors.TargetEnded as refusal:
             self.quarantine.target_ended(
-                call, f"{attempts.tried[-1]}/{refusal.incarnation}"
+                call, f"{attempts.tried[-1]}/{refusal.end}"
             )
             raise
         except errors.TargetFailed:
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -14,7 +14,6 @@
 import typing
 
 from chiveroad import clock
-from chiveroad import connection
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import logs
@@ -30,6 +29,7 @@
 from chiveroad.traffic import _objective
 from chiveroad.traffic import _pool
 from chiveroad.traffic import _rate_limit
+from chiveroad.traffic import _target_ends
 from chiveroad import wire
 
 PROBE_PATH: typing.Final = "/guard/v1/probe"
@@ -40,9 +40,6 @@
 SHED_RETRY_AFTER_MS: typing.Final = 200
 UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
 TIMEOUT_FACTOR: typing.Final = 2.0
-END_CHECK_TIMEOUT_S: typing.Final = 0.1
-"""On the same machine a connection is accepted or refused at once."""
-
 STOP_CHECK_S: typing.Final = _exchange.STOP_CHECK_MS / 1000
 
 _FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
@@ -74,7 +71,9 @@
         self._claims = claims
         self._protocol = protocol
         self._target = target
-        self._address = options.target.address
+        self._target_ends = _target_ends.TargetEnds(
+            target, options.target.address
+        )
         self._pool = _pool.Pool(
             options.target.address, echoes_ids=protocol.echoes_ids
         )
@@ -112,7 +111,7 @@
             retry_ms = str(refusal.retry_after_ms)
             extra += [*self._state_headers(), (_call.RETRY_AFTER_MS, retry_ms)]
             if isinstance(refusal, errors.TargetEnded):
-                extra.append((_call.ENDED, refusal.incarnation))
+                extra.append((_call.ENDED, refusal.end))
             request.refuse(refusal, extra)
 
     def serve(
@@ -152,35 +151,19 @@
 
         :raises errors.TargetEnded: when no answer came, as it has ended.
         """
-        before = self._target.status
         try:
             return self._serve(request, call, extra)
         except errors.OutcomeUnknown as refusal:
             broken_off = type(refusal) in _BROKEN_OFF
-            if request.begun or not broken_off or not self._has_ended(before):
+            if request.begun or not broken_off or call.recipient is None:
+                raise
+            end = self._target_ends.name_end(call.recipient)
+            if not end:
                 raise
-            incarnation = _incarnation(before)
             raise errors.TargetEnded(
-                f"the upstream has ended: {refusal.reason}",
-                incarnation=incarnation,
+                f"the upstream has ended: {refusal.reason}", end=end
             ) from refusal
 
-    def _has_ended(self, before: presence.TargetStatus) -> bool:
-        """Return whether a target has ended unplanned since a request.
-
-        A target that only broke off one answer still accepts connections.
-
-        :param before: the target's status when the request came.
-        """
-        status = self._target.status
-        if before.leaves or status.leaves:
-            return False
-        if status.incarnation != before.incarnation:
-            return True
-        return connection.refuses_connections(
-            self._address, END_CHECK_TIMEOUT_S
-        )
-
     def _serve(
         self,
         request: serving.Request,
@@ -386,7 +369,8 @@
     ) -> _exchange.Answer:
         self._recorder.count("chiveroad.guard.requests", "run")
         started_s = time.monotonic()
-        status = self._target.status
+        call.recipient = self._target_ends.recipient()
+        status = call.recipient.status
         target_id = status.target_id
         try:
             answer = _exchange.send_request(
--- a/src/chiveroad/traffic/_quarantine.py
+++ b/src/chiveroad/traffic/_quarantine.py
@@ -43,7 +43,7 @@
 """Tells other daemons which contents are suspect, and by which ends."""
 
 _End = tuple[str, str]
-"""A content, and the digest of the incarnation that has ended under it."""
+"""A content, and the digest of the name of an end under it."""
 
 _log = logs.Logger("quarantine")
 
@@ -144,13 +144,13 @@
             self._log_end(content, suspect, "it was answered")
         self._publish()
 
-    def target_ended(self, call: _call.Call, incarnation: str) -> None:
+    def target_ended(self, call: _call.Call, name: str) -> None:
         """Learn that a target ended under an attempt of this daemon.
 
-        :param incarnation: names the incarnation of the target.
+        :param name: names the end; it counts once.
         """
         content = content_of(call)
-        end = _digest([incarnation.encode()])
+        end = _digest([name.encode()])
         with self._changed:
             _remember(self._reported, [(content, end)], MAX_KNOWN_ENDS)
             change = self._suspects.target_ended(
--- a/src/chiveroad/traffic/_suspects.py
+++ b/src/chiveroad/traffic/_suspects.py
@@ -62,9 +62,9 @@
 class Suspect:
     """A content under which targets have ended.
 
-    ``ends`` names the incarnations of targets that ended since the content
-    was last answered, and ``own_ends`` those that ended under an attempt of
-    this daemon.  ``in_progress`` counts this daemon's attempts.
+    ``ends`` names the ends of targets since the content was last answered,
+    and ``own_ends`` those under attempts of this daemon.  ``in_progress``
+    counts this daemon's attempts.
     ``quarantine_s`` is the length of the last quarantine, or 0 without one;
     it ends at ``until_s``.  Once it has ended, one attempt at a time is
     admitted.  ``versions`` holds which versions the targets of each service
@@ -145,23 +145,23 @@
     def target_ended(
         self,
         content: str,
-        incarnation: str,
+        end: str,
         now_s: float,
         running: Versions,
         own: bool = True,
     ) -> Change:
         """Learn that a target ended while it ran a content.
 
-        :param incarnation: names the incarnation of the target.
+        :param end: names the end; it counts once.
         :param running: the versions that the targets of each service run.
         :param own: whether it ended under an attempt of this daemon.
         """
         suspect = self._suspects.setdefault(content, Suspect())
         if own:
-            suspect.own_ends.add(incarnation)
-        if incarnation in suspect.ends:
+            suspect.own_ends.add(end)
+        if end in suspect.ends:
             return Change.NONE
-        suspect.ends.add(incarnation)
+        suspect.ends.add(end)
         suspect.last_end_s = now_s
         self._drop_oldest()
         if len(suspect.ends) < MAX_ENDS:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -157,6 +157,7 @@
     :param cold_s: for how long targets serve slowly after their start.
     :param target_links: puts a link in front of each target, so that network
         faults can be injected.
+    :param ends_on: a request whose path contains it ends its target.
     """
 
     def __init__(
@@ -166,10 +167,12 @@
         far_link: bool = False,
         cold_s: float = 0.0,
         target_links: bool = False,
+        ends_on: str = "",
     ) -> None:
         self.deployment = deployment
         self._options = options
         self._cold_s = cold_s
+        self._ends_on = ends_on
         self._folder = tempfile.TemporaryDirectory(prefix="chiveroad-")
         self.path = pathlib.Path(self._folder.name)
         self._ports = Ports()
@@ -254,9 +257,25 @@
             "-m",
             "standins.target",
             f"{name}:{port}",
+            f"--ends-on={self._ends_on}",
             *cold,
         )
 
+    def target_has_ended(self, name: str) -> bool:
+        """Return whether a target has ended by itself."""
+        process = self.processes.get(f"upstream {name}")
+        return process is not None and process.poll() is not None
+
+    def restart_ended_target(self, name: str) -> None:
+        """Start a target that a request has ended; keep its run counts."""
+        del self.processes[f"upstream {name}"]
+        log = (self.path / f"upstream {name}.log").read_bytes()
+        _, _, line = log.rpartition(target.LAST_RECORD)
+        record = msgspec.json.decode(line.partition(b"\n")[0])["record"]
+        executions = msgspec.convert(record, dict[str, target.Execution])
+        _add_run_counts(executions, self._killed_target_runs)
+        self.start_target(name)
+
     def start_daemon(self, name: str) -> None:
         """Start the daemon of an instance."""
         path = self.path / f"{name}.toml"
@@ -292,9 +311,8 @@
     def kill(self, name: str) -> None:
         """Kill a process; the run counts of a killed target are kept."""
         if name.startswith("upstream "):
-            self._add_run_counts(
-                name.removeprefix("upstream "), self._killed_target_runs
-            )
+            executions = self.executions(name.removeprefix("upstream "))
+            _add_run_counts(executions, self._killed_target_runs)
         process = self.processes.pop(name)
         process.kill()
         process.wait()
@@ -507,13 +525,9 @@
         counts = dict(self._killed_target_runs)
         for name in self.instances:
             if f"upstream {name}" in self.processes:
-                self._add_run_counts(name, counts)
+                _add_run_counts(self.executions(name), counts)
         return counts
 
-    def _add_run_counts(self, name: str, counts: dict[str, int]) -> None:
-        for request, execution in self.executions(name).items():
-            counts[request] = counts.get(request, 0) + execution.runs
-
     def faults(self, **values: object) -> None:
         """Set the faults of the store; faults that aren't named end."""
         self._post(f"http://{self.store_address}/faults", values)
@@ -553,6 +567,14 @@
         yield started
 
 
+def _add_run_counts(
+    executions: collections.abc.Mapping[str, target.Execution],
+    counts: dict[str, int],
+) -> None:
+    for request, execution in executions.items():
+        counts[request] = counts.get(request, 0) + execution.runs
+
+
 def wait_for(
     condition: collections.abc.Callable[[], _T | None],
     what: str,
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -22,7 +22,9 @@
 
 import urllib3
 
+from chiveroad import errors
 from standins import caller
+from standins import ending
 from standins import judge
 from standins import mesh
 from standins import monitor
@@ -76,6 +78,9 @@
 """All seeds that had a finding, with the cause of it."""
 
 FINDINGS: typing.Final = mesh.ROOT / "build" / "soak"
+MAX_ENDS: typing.Final = 3
+"""How many targets a repeated request may end while nothing else fails."""
+
 PROBE_PATHS: typing.Final = (
     "/sessions",
     "/schools/risk-packs",
@@ -392,11 +397,20 @@
     ]
 
 
-def run_seed(seed: int) -> list[str]:
-    """Make the run of a seed, and return its findings, one line each."""
+def run_seed(seed: int, ends_targets: bool = False) -> list[str]:
+    """Make the run of a seed, and return its findings, one line each.
+
+    :param ends_targets: whether requests that end their targets are repeated
+        during the faults; targets then have no other faults.
+    """
     options = "[traffic]\nleave_after_ms = 500\n"
+    # A link would accept connections for a target that has ended.
     with mesh.Mesh(
-        DEPLOYMENT, options, far_link=True, target_links=True
+        DEPLOYMENT,
+        options,
+        far_link=True,
+        target_links=not ends_targets,
+        ends_on=ending.ENDS_ON if ends_targets else "",
     ) as running_mesh:
         running_mesh.start()
         running_mesh.push_example()
@@ -404,8 +418,13 @@
         running_mesh.wait_serving()
         names = list(running_mesh.instances)
         faults = draw_faults(seed, names)
-        faults += draw_statements(seed, names, faults)
-        findings = _run_with_load(running_mesh, faults)
+        if ends_targets:
+            entry = random.Random(f"ending {seed}").choice(names)
+            faults = [each for each in faults if each.kind not in TARGET_KINDS]
+            findings = _run_with_ending_requests(running_mesh, faults, entry)
+        else:
+            faults += draw_statements(seed, names, faults)
+            findings = _run_with_load(running_mesh, faults)
         if findings:
             folder = FINDINGS / str(seed)
             shutil.rmtree(folder, ignore_errors=True)
@@ -415,8 +434,47 @@
         return findings
 
 
+def _run_with_ending_requests(
+    running_mesh: mesh.Mesh, faults: list[PlannedFault], entry: str
+) -> list[str]:
+    repeated = ending.EndingCaller(running_mesh, entry)
+    findings = _run_with_load(running_mesh, faults, repeated)
+    services = {
+        name: instance.service
+        for name, instance in running_mesh.instances.items()
+    }
+    allowed = most_ends(faults, entry, services)
+    print(f"  {repeated.ended} targets ended, {allowed} may")
+    if repeated.ended > allowed:
+        findings.append(f"{repeated.ended} targets ended, {allowed} may")
+    return findings
+
+
+def most_ends(
+    faults: collections.abc.Iterable[PlannedFault],
+    entry: str,
+    services: collections.abc.Mapping[str, str],
+) -> int:
+    """Return how many targets a repeated request may end in a run.
+
+    An entry that is killed, and a daemon that is stopped or killed beside the
+    target that ends, may not have told others what they knew; each attempt
+    ends two targets at most.
+
+    :param services: the service of each instance.
+    """
+    losing = sum(
+        fault.affected == entry or services.get(fault.affected) == "glade"
+        for fault in faults
+        if fault.kind in DAEMON_KINDS
+    )
+    return MAX_ENDS + 2 * losing
+
+
 def _run_with_load(
-    running_mesh: mesh.Mesh, faults: list[PlannedFault]
+    running_mesh: mesh.Mesh,
+    faults: list[PlannedFault],
+    repeated: ending.EndingCaller | None = None,
 ) -> list[str]:
     entries = [i.entry for i in running_mesh.instances.values()]
     load = caller.LoadGenerator(
@@ -428,8 +486,12 @@
     for task in (load, version_monitor, changes):
         task.start()
     injector = FaultInjector(running_mesh, faults)
+    if repeated is not None:
+        repeated.start()
     try:
         injector.inject_all()
+        if repeated is not None:
+            repeated.stop()
         injector.finish()
         findings = _wait_for_recovery(running_mesh, changes)
     finally:
@@ -508,6 +570,11 @@
             for number, digests in version_monitor.digests.items()
             if len(digests) > 1
         ],
+        "refused for targets that others have ended": [
+            f"{result.id} at {result.entry}"
+            for _, result in results
+            if result.code == errors.Quarantined.code
+        ],
         "didn't end after SIGTERM": injector.hung_daemons,
         "got more than its stated limit": [
             f"{fault.affected}: {finding}"
@@ -540,9 +607,11 @@
     return seeds
 
 
-def _run_seed_or_report(seed: int) -> tuple[int, list[str]]:
+def _run_seed_or_report(
+    seed: int, ends_targets: bool
+) -> tuple[int, list[str]]:
     try:
-        return seed, run_seed(seed)
+        return seed, run_seed(seed, ends_targets)
     except (TimeoutError, OSError, urllib3.exceptions.HTTPError) as exc:
         return seed, [f"the run itself failed: {exc!r}"]
 
@@ -553,12 +622,19 @@
     parser.add_argument("--seeds", default="", help="such as 1-50,77")
     parser.add_argument("--fresh", type=int, default=0, help="new seeds")
     parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument(
+        "--ends-targets",
+        action="store_true",
+        help="repeat a request that ends its targets",
+    )
     options = parser.parse_args()
     seeds = parse_seeds(options.seeds) if options.seeds else []
     seeds += [random.randrange(1_000, 10**9) for _ in range(options.fresh)]
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        for seed, findings in pool.map(_run_seed_or_report, seeds):
+        ends_targets = [options.ends_targets] * len(seeds)
+        runs = pool.map(_run_seed_or_report, seeds, ends_targets)
+        for seed, findings in runs:
             failed += bool(findings)
             print(f"seed {seed}: {'; '.join(findings) or 'clean'}", flush=True)
     print(f"{len(seeds)} seeds played, {failed} with findings.")
--- a/standins/target.py
+++ b/standins/target.py
@@ -17,6 +17,7 @@
 import select
 import socket
 import socketserver
+import sys
 import threading
 import time
 import typing
@@ -28,6 +29,10 @@
 LOAD_REPORT_INTERVAL_S: typing.Final = 2.0
 SLOT_WAIT_S: typing.Final = 0.05
 ENDLESS_TIMEOUT_S: typing.Final = 5.0
+LAST_RECORD: typing.Final = b"last record: "
+"""The start of the line of the log with the record of a process that a request
+has ended."""
+
 """How long a caller of an endless answer may not read before it is ended."""
 
 
@@ -88,10 +93,14 @@
 
 @dataclasses.dataclass
 class Target:
-    """The state of one target."""
+    """The state of one target.
+
+    ``ends_on`` is as in ``Mode``, whatever the mode is.
+    """
 
     name: str
     mode: Mode = dataclasses.field(default_factory=Mode)
+    ends_on: str = ""
     record: dict[str, Execution] = dataclasses.field(default_factory=dict)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     running: int = 0
@@ -250,14 +259,21 @@
         if cancelled:
             self.close_connection = True
             return
-        if mode.ends_on and mode.ends_on in self.path:
-            os._exit(1)
+        ends_on = mode.ends_on or target.ends_on
+        if ends_on and ends_on in self.path:
+            self._end_process()
         # The mode may have changed while the request ran.
         stated = target.mode
         self._answer_run(mode, request, body, _statements(stated))
         arrival.rate_limit, arrival.leaving = stated.rate_limit, stated.leaving
         arrival.answered_s = time.monotonic()
 
+    def _end_process(self) -> typing.NoReturn:
+        line = LAST_RECORD + self._encoded_record() + b"\n"
+        sys.stdout.buffer.write(line)
+        sys.stdout.buffer.flush()
+        os._exit(1)
+
     def _read_body(self) -> bytes:
         if self.headers.get("Transfer-Encoding") == "chunked":
             return self._read_chunks()
@@ -413,9 +429,11 @@
     request_queue_size = 512
 
 
-def serve(name: str, port: int, mode: Mode | None = None) -> Server:
+def serve(
+    name: str, port: int, mode: Mode | None = None, ends_on: str = ""
+) -> Server:
     """Return a target that is bound to its port but not yet running."""
-    target = Target(name, mode or Mode())
+    target = Target(name, mode or Mode(), ends_on)
     handler = type("BoundHandler", (Handler,), {"target": target})
     return Server(("127.0.0.1", port), handler)
 
@@ -427,10 +445,12 @@
         "targets", nargs="+", metavar="NAME:PORT", help="what to serve"
     )
     parser.add_argument("--cold-s", type=float, default=0.0)
+    parser.add_argument("--ends-on", default="")
     arguments = parser.parse_args()
     for name_and_port in arguments.targets:
         name, _, port = name_and_port.partition(":")
-        server = serve(name, int(port), Mode(cold_s=arguments.cold_s))
+        mode = Mode(cold_s=arguments.cold_s)
+        server = serve(name, int(port), mode, arguments.ends_on)
         threading.Thread(target=server.serve_forever, daemon=True).start()
     threading.Event().wait()
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,8 +17,11 @@
 from chiveroad import errors
 from chiveroad import membership
 from chiveroad import metrics
+from chiveroad import presence
 from chiveroad.traffic import _quarantine
 from chiveroad.traffic import _suspects
+from chiveroad.traffic import _target_ends
+from chiveroad import wire
 from standins import caller
 from standins import mesh
 from standins import target
@@ -424,6 +427,37 @@
         assert content != _quarantine.content_of(changed)
 
 
+def test_each_end_of_a_target_without_an_id_has_a_name_of_its_own() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        ends = _target_ends.TargetEnds(presence.LocalTarget(address), address)
+        first, beside = ends.recipient(), ends.recipient()
+        assert not ends.name_end(first)
+    name = ends.name_end(first)
+    assert name
+    assert ends.name_end(beside) == name
+    later = ends.recipient()
+    assert ends.name_end(later) not in ("", name)
+    assert ends.name_end(beside) == name
+
+
+# Guards against a request that waits while its target is replaced, and whose
+# own target then only breaks off the answer.
+def test_target_that_was_replaced_before_a_request_has_not_ended() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        local = presence.LocalTarget(address)
+        ends = _target_ends.TargetEnds(local, address)
+        before = ends.recipient()
+        local.receive(
+            wire.Heartbeat(
+                "i-2", "glade", address, wire.TargetState.READY, 1, 1_000, 12
+            )
+        )
+        assert ends.name_end(before)
+        assert not ends.name_end(ends.recipient())
+
+
 SIX_INSTANCES: typing.Final = mesh.Deployment(
     "six", "r", {"r": ["a"]}, {"glade": 6}
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -97,3 +97,22 @@
 @pytest.mark.parametrize("seed", [1, *soak.REGRESSIONS])
 def test_soak_run_has_no_findings(seed: int) -> None:
     assert soak.run_seed(seed) == []
+
+
+def test_ends_that_are_allowed_follow_from_the_faults_of_daemons() -> None:
+    faults = [
+        soak.PlannedFault(1.0, "kill", "glade-1", 1.0),
+        soak.PlannedFault(2.0, "stop", "hollow-1", 1.0),
+        soak.PlannedFault(2.0, "kill", "bramble-1", 1.0),
+        soak.PlannedFault(3.0, "store-down", "store", 1.0),
+    ]
+    services = {"glade-1": "glade", "hollow-1": "hollow", "bramble-1": "b"}
+    assert soak.most_ends([], "hollow-1", services) == soak.MAX_ENDS
+    assert soak.most_ends(faults, "hollow-1", services) == soak.MAX_ENDS + 4
+
+
+# Guards against targets without an id: each of their ends counted as the same
+# one, and 25 of them ended.
+@pytest.mark.parametrize("seed", [3])
+def test_soak_run_with_requests_that_end_targets(seed: int) -> None:
+    assert soak.run_seed(seed, ends_targets=True) == []
