test_follower: inherited suspects are written again with the first record

The test only showed that they are handed over; it now lets the daemon name them, as the quarantine does, and reads them from the store's record, which the restarted daemon has written at its own address.

--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -824,11 +824,22 @@
     before = _messages.MemberRecord(member, presence.Phase.READY)
     shared.put(store.Kind.MEMBERS, "a", before, store.ABSENT)
     restarted = FollowerDaemon("a", mesh.Ports(), shared)
-    inherited: list[membership.RecordedSuspects] = []
-    restarted.node.inherit = inherited.append
+
+    def inherit(inherited: membership.RecordedSuspects) -> None:
+        restarted.node.set_suspects(inherited)
+        restarted.plane.record(0.0)
+
+    restarted.node.inherit = inherit
     restarted.start()
+
+    def recorded() -> membership.Member:
+        record = _record.read(shared.get(store.Kind.MEMBERS, "a"))
+        assert record is not None
+        return record.member
+
     try:
-        wait_for(lambda: suspects in inherited)
+        wait_for(lambda: recorded().control == restarted.address)
+        assert recorded().suspects == suspects
     finally:
         restarted.stop()
 
