A quarantine that is shortened isn't counted as ended twice

When a service ran other versions, the line and the counter for the end of a quarantine were written, and once more when the content was answered or forgotten. Its shortening has a line of its own now, and isn't counted.

No other behavior is changed since.

--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -18,9 +18,8 @@
 MAX_BEHIND: typing.Final = 20
 MAX_LOGGED_NAME: typing.Final = 80
 FORMER_SUSPECTS_S: typing.Final = 60.0
-"""For how long what a daemon's record named before its restart is kept for it.
-"""
-
+"""For how long this daemon keeps what another one's record named before a
+restart."""
 
 Inherit = collections.abc.Callable[[membership.RecordedSuspects], None]
 
--- a/src/chiveroad/membership/__init__.py
+++ b/src/chiveroad/membership/__init__.py
@@ -17,6 +17,7 @@
 from chiveroad.membership._tree import FAN_OUT
 from chiveroad.membership._tree import parent
 from chiveroad.membership._view import Changes
+from chiveroad.membership._view import SoftwareVersions
 from chiveroad.membership._view import View
 
 __all__ = [
@@ -29,6 +30,7 @@
     "Member",
     "RecordedSuspect",
     "RecordedSuspects",
+    "SoftwareVersions",
     "State",
     "View",
     "children",
--- a/src/chiveroad/membership/_view.py
+++ b/src/chiveroad/membership/_view.py
@@ -11,7 +11,8 @@
 from chiveroad import store
 
 _Members = tuple[_member.Member, ...]
-_Versions = collections.abc.Mapping[str, frozenset[str]]
+SoftwareVersions = collections.abc.Mapping[str, frozenset[str]]
+"""Which versions the targets of each service run; an empty one is unknown."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,7 +37,7 @@
         self._members: dict[str, _member.Member] = {}
         self._changed_at: dict[str, int] = {}
         self._selections: dict[str, _Members] = {}
-        self._versions: _Versions | None = None
+        self._versions: SoftwareVersions | None = None
         self.epoch = 0
 
     def merge(
@@ -103,11 +104,8 @@
             lambda member: member.failure_domain == domain and member.alive,
         )
 
-    def software_versions(self) -> _Versions:
-        """Return which versions the living targets of each service run.
-
-        An empty version stands for targets that haven't named theirs.
-        """
+    def software_versions(self) -> SoftwareVersions:
+        """Return which versions the living targets of each service run."""
         with self._changed:
             if self._versions is None:
                 versions = collections.defaultdict[str, set[str]](set)
--- a/src/chiveroad/presence/_state.py
+++ b/src/chiveroad/presence/_state.py
@@ -56,10 +56,10 @@
 
     ``received_s`` is when its last heartbeat was received, ``left_s`` when
     the target first announced its leave, and ``cold_until_s`` when its slow
-    start ends, all in monotonic seconds.  ``software_version`` is empty if
-    the target doesn't name it.  Once a notice of the target's end
+    start ends, all in monotonic seconds.  Once a notice of the target's end
     was received, all incarnations of its id that started by ``ended_by_ms``,
-    in Unix milliseconds, count as ended.
+    in Unix milliseconds, count as ended.  ``software_version`` is empty if
+    the target doesn't name it.
     """
 
     target_id: str = ""
--- a/src/chiveroad/traffic/_quarantine.py
+++ b/src/chiveroad/traffic/_quarantine.py
@@ -115,13 +115,17 @@
         if decision is not _suspects.Decision.REFUSED:
             return decision
         running = self._view.software_versions()
-        if not self._suspects.end_if_replaced(
+        if not self._suspects.shorten_if_replaced(
             content, service, running, now_s
         ):
             return decision
-        suspect = self._suspects.get(content)
-        assert suspect is not None, "report this: ended unknown"
-        self._log_end(content, suspect, "all targets run another version")
+        _log.info(
+            "Quarantine of content {} is shortened: all targets of service {} "
+            "run another version than at its beginning.",
+            content,
+            service,
+            extra={"content": content},
+        )
         return self._suspects.decide(content, now_s)
 
     def release(self, suspect: _suspects.Suspect) -> None:
--- a/src/chiveroad/traffic/_suspects.py
+++ b/src/chiveroad/traffic/_suspects.py
@@ -16,6 +16,8 @@
 import enum
 import typing
 
+from chiveroad import membership
+
 MAX_ENDS: typing.Final = 3
 """How many targets may end under a content before it is quarantined."""
 
@@ -37,10 +39,6 @@
 dropped first, and of them the one without an end for the longest time."""
 
 
-Versions = collections.abc.Mapping[str, frozenset[str]]
-"""Which versions the targets of each service run; an empty one is unknown."""
-
-
 class Decision(enum.Enum):
     """Whether a content may be sent to a target now."""
 
@@ -64,11 +62,11 @@
 
     ``ends`` names the ends of targets since the content was last answered,
     and ``own_ends`` those under attempts of this daemon.  ``in_progress``
-    counts this daemon's attempts.
-    ``quarantine_s`` is the length of the last quarantine, or 0 without one;
-    it ends at ``until_s``.  Once it has ended, one attempt at a time is
-    admitted.  ``versions`` holds which versions the targets of each service
-    ran when it began.  ``request`` describes the request to operators.
+    counts this daemon's attempts.  ``quarantine_s`` is the length of the last
+    quarantine, or 0 without one; it ends at ``until_s``.  Once it has ended,
+    one attempt at a time is admitted.  ``versions`` holds which versions the
+    targets of each service ran when it began.  ``request`` describes the
+    request to operators.
     """
 
     request: str = ""
@@ -78,7 +76,9 @@
     last_end_s: float = 0.0
     until_s: float = 0.0
     quarantine_s: float = 0.0
-    versions: Versions = dataclasses.field(default_factory=dict)
+    versions: membership.SoftwareVersions = dataclasses.field(
+        default_factory=dict
+    )
 
     def decide(self, now_s: float) -> Decision:
         """Return whether the content may be sent to a target now."""
@@ -94,7 +94,9 @@
         """Return how much later than others this daemon makes an attempt."""
         return 0.0 if self.own_ends else OTHERS_DELAY_S
 
-    def all_replaced(self, service: str, running: Versions) -> bool:
+    def all_replaced(
+        self, service: str, running: membership.SoftwareVersions
+    ) -> bool:
         """Return whether a service runs none of the versions it ran before.
 
         :param running: the versions that the targets of each service run now.
@@ -147,7 +149,7 @@
         content: str,
         end: str,
         now_s: float,
-        running: Versions,
+        running: membership.SoftwareVersions,
         own: bool = True,
     ) -> Change:
         """Learn that a target ended while it ran a content.
@@ -177,14 +179,18 @@
         suspect.versions = running
         return Change.EXTENDED if before_s else Change.BEGUN
 
-    def end_if_replaced(
-        self, content: str, service: str, running: Versions, now_s: float
+    def shorten_if_replaced(
+        self,
+        content: str,
+        service: str,
+        running: membership.SoftwareVersions,
+        now_s: float,
     ) -> bool:
-        """End a quarantine if all targets run another version than before.
+        """End a quarantine sooner if all targets run another version.
 
         :param service: the service that the content is for.
         :param running: the versions that the targets of each service run.
-        :returns: whether it ends earlier by this.
+        :returns: whether it ends sooner by this.
         """
         suspect = self._suspects.get(content)
         if suspect is None or now_s >= suspect.until_s:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -208,13 +208,15 @@
     suspects = _suspects.Suspects()
     for end in range(_suspects.MAX_ENDS):
         suspects.target_ended("c", f"t{end}", 0.0, _versions(*before))
-    ended = suspects.end_if_replaced("c", service, _versions(*now), 1.0)
+    ended = suspects.shorten_if_replaced("c", service, _versions(*now), 1.0)
     assert ended is (decision is ADMITTED)
     assert suspects.decide("c", 1.0) is decision
     if ended:
         change = suspects.target_ended("c", "t9", 2.0, _versions(*now))
         assert change is _suspects.Change.EXTENDED
-        assert not suspects.end_if_replaced("c", service, _versions(*now), 3.0)
+        assert not suspects.shorten_if_replaced(
+            "c", service, _versions(*now), 3.0
+        )
 
 
 # Guards against one attempt of each daemon at the end of a quarantine, each
@@ -223,9 +225,9 @@
     suspects = _suspects.Suspects()
     for end in range(_suspects.MAX_ENDS):
         suspects.target_ended("c", f"t{end}", 0.0, _versions("v1"), own=False)
-    assert suspects.end_if_replaced("c", "glade", _versions("v2"), 1.0)
+    assert suspects.shorten_if_replaced("c", "glade", _versions("v2"), 1.0)
     assert suspects.decide("c", 1.0) is REFUSED
-    assert not suspects.end_if_replaced("c", "glade", _versions("v2"), 2.0)
+    assert not suspects.shorten_if_replaced("c", "glade", _versions("v2"), 2.0)
     later_s = 1.0 + _suspects.OTHERS_DELAY_S
     assert suspects.decide("c", later_s) is ADMITTED
     # The attempt of another daemon has ended a target.
