Corrections from reading the whole change once more

- The comment on the header Chiveroad-Ended still said that it names an incarnation; it names an end since.
- The soak names the service that its repeated request leads to, instead of a literal in the check.

No logic is changed.

--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -47,7 +47,7 @@
 """The incarnation of the guard's target, once that target leaves."""
 
 ENDED: typing.Final = "Chiveroad-Ended"
-"""The incarnation of the guard's target that ended during the request."""
+"""The name of the end of the guard's target during the request."""
 
 RETRY_AFTER_MS: typing.Final = "Chiveroad-Retry-After-Ms"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
--- a/standins/ending.py
+++ b/standins/ending.py
@@ -13,6 +13,9 @@
 """Targets end while they run a request whose path contains this."""
 
 PATH: typing.Final = f"/sessions/{ENDS_ON}"
+SERVICE: typing.Final = "glade"
+"""The service that the path leads to."""
+
 PAUSE_S: typing.Final = 0.05
 RESTART_S: typing.Final = 0.7
 """How soon after its end a target is started again."""
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -464,7 +464,8 @@
     :param services: the service of each instance.
     """
     losing = sum(
-        fault.affected == entry or services.get(fault.affected) == "glade"
+        fault.affected == entry
+        or services.get(fault.affected) == ending.SERVICE
         for fault in faults
         if fault.kind in DAEMON_KINDS
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -111,8 +111,8 @@
     assert soak.most_ends(faults, "hollow-1", services) == soak.MAX_ENDS + 4
 
 
-# Guards against targets without an id: each of their ends counted as the same
-# one, and 25 of them ended.
+# Guards against targets without an id that go on ending, as each of their ends
+# counts as the same one.
 @pytest.mark.parametrize("seed", [3])
 def test_soak_run_with_requests_that_end_targets(seed: int) -> None:
     assert soak.run_seed(seed, ends_targets=True) == []
