--- a/src/chiveroad/config/__init__.py
+++ b/src/chiveroad/config/__init__.py
@@ -18,6 +18,8 @@
 from chiveroad.config._merge import Verdict
 from chiveroad.config._model import ANY_METHOD
 from chiveroad.config._model import Config
+from chiveroad.config._model import Customer
+from chiveroad.config._model import customer_item
 from chiveroad.config._model import Items
 from chiveroad.config._model import Kind
 from chiveroad.config._model import Limits
@@ -31,6 +33,7 @@
 __all__ = [
     "ANY_METHOD",
     "Config",
+    "Customer",
     "Delta",
     "Document",
     "Items",
@@ -44,6 +47,7 @@
     "Source",
     "Verdict",
     "check_name",
+    "customer_item",
     "diff",
     "digest",
     "limits_item",
--- a/src/chiveroad/config/_model.py
+++ b/src/chiveroad/config/_model.py
@@ -67,6 +67,7 @@
     that ends with a slash matches only paths that begin with it.  ``split``,
     unless empty, lists all services that receive a share of the requests,
     ``service`` among them; each of these services must define the kind.
+    ``anonymous`` routes admit callers without a customer's key.
     """
 
     name: str
@@ -77,6 +78,7 @@
     kind: str
     host: str = ""
     split: tuple[Share, ...] = ()
+    anonymous: bool = False
 
     def services(self) -> tuple[str, ...]:
         """Return the names of all services that the route leads to."""
@@ -85,6 +87,23 @@
         return tuple(share.service for share in self.split)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer whose requests are known by a key.
+
+    ``key_digests`` are the digests of its keys, see ``customers.digest_key``.
+    ``weight`` takes the place of the weight of a request's kind, unless it is
+    0.  ``rate_per_s`` and ``burst`` limit its requests at all daemons
+    together; a rate of 0 is no limit.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    weight: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """Limits on the size of a request, and on the time to send its head.
@@ -104,10 +123,12 @@
 
 Items: typing.TypeAlias = collections.abc.Mapping[str, str]
 """A configuration as canonical JSON texts by key: ``service/NAME``,
-``route/NAME`` or ``LIMITS_KEY``.  Deltas and digests are computed on it."""
+``route/NAME``, ``customer/NAME`` or ``LIMITS_KEY``.  Deltas and digests are
+computed on it."""
 
 _service_decoder = msgspec.json.Decoder(Service)
 _route_decoder = msgspec.json.Decoder(Route)
+_customer_decoder = msgspec.json.Decoder(Customer)
 _limits_decoder = msgspec.json.Decoder(Limits)
 _encoder = msgspec.json.Encoder(order="sorted")
 
@@ -131,6 +152,7 @@
         self.items = dict(items)
         self.services: dict[str, Service] = {}
         self.routes: dict[str, Route] = {}
+        self.customers: dict[str, Customer] = {}
         self.limits = Limits()
         for key, text in self.items.items():
             reusable = (
@@ -143,10 +165,18 @@
                 self.services[service.name] = service
             elif key == LIMITS_KEY:
                 self.limits = _limits_decoder.decode(text)
+            elif key.startswith("customer/"):
+                customer = _customer(key, text, reusable)
+                self.customers[customer.name] = customer
             else:
                 route = _route(key, text, reusable)
                 self.routes[route.name] = route
         self._by_host = self._index(previous)
+        self._by_key = {
+            digest: customer
+            for customer in self.customers.values()
+            for digest in customer.key_digests
+        }
 
     def _index(self, previous: Config | None) -> dict[str, _Paths]:
         """Return the routes by host, method and path.
@@ -191,6 +221,10 @@
         """Return the kind that the route leads to."""
         return self.services[route.service].kinds[route.kind]
 
+    def customer_of(self, key_digest: str) -> Customer | None:
+        """Return the customer that holds a key, or None."""
+        return self._by_key.get(key_digest)
+
     def dangling(self) -> list[str]:
         """Return the names of routes whose service or kind is missing."""
         return [
@@ -221,6 +255,15 @@
     return route or _route_decoder.decode(text)
 
 
+def _customer(key: str, text: str, reusable: Config | None) -> Customer:
+    customer = (
+        reusable.customers.get(key.removeprefix("customer/"))
+        if reusable
+        else None
+    )
+    return customer or _customer_decoder.decode(text)
+
+
 def _longest_match(paths: _Paths, method: str, path: str) -> Route | None:
     for prefix in _prefixes(path):
         route = paths.get((method, prefix)) or paths.get((ANY_METHOD, prefix))
@@ -252,8 +295,20 @@
 
 
 def route_item(route: Route) -> tuple[str, str]:
-    """Return the key and canonical text of a route."""
-    return f"route/{route.name}", _encoder.encode(route).decode()
+    """Return the key and canonical text of a route.
+
+    The text names ``anonymous`` only where it is set, so that configurations
+    without customers have the texts, and digests, that they always had.
+    """
+    fields = msgspec.to_builtins(route)
+    if not route.anonymous:
+        del fields["anonymous"]
+    return f"route/{route.name}", _encoder.encode(fields).decode()
+
+
+def customer_item(customer: Customer) -> tuple[str, str]:
+    """Return the key and canonical text of a customer."""
+    return f"customer/{customer.name}", _encoder.encode(customer).decode()
 
 
 def limits_item(limits: Limits) -> tuple[str, str]:
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -380,6 +380,29 @@
     hint = "ask again with the same key when the platform is back"
 
 
+class KeyRefused(Refusal):
+    """The request has no customer's key, and its route demands one."""
+
+    code = 4036
+    hint = "send a key that the configuration gives to a customer"
+    status = 401
+
+
+class KeyUnconfirmed(Refusal):
+    """It can't be confirmed that the request's key is still valid."""
+
+    code = 4037
+    hint = "try again after Retry-After; check the daemon's way to the store"
+
+
+class OverQuota(Refusal):
+    """The customer has used its quota."""
+
+    code = 4038
+    hint = "try again after Retry-After, or have the quota raised"
+    status = 429
+
+
 class CallerDisconnectedEarly(Refusal):
     """The caller disconnected before its request was forwarded."""
 
--- a/src/chiveroad/platform/_configuration.py
+++ b/src/chiveroad/platform/_configuration.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chiveroad import config
+from chiveroad import customers
 from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import wire
@@ -39,6 +40,17 @@
     target_latency_s: float = 0.0
     priority: int = 0
     max_attempts: int = 1
+    allow_anonymous: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    """A customer; ``priority`` is a rank, as in ``_Route``."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -64,23 +76,26 @@
     routes: list[msgspec.Raw]
     services: list[_Service]
     limits: _Limits | None = None
+    tenants: list[msgspec.Raw] = []
 
 
 _Translated = tuple[config.Route, config.Kind, tuple[str, str]]
 
 _decoder = msgspec.json.Decoder(_Configuration)
 _route_decoder = msgspec.json.Decoder(_Route)
+_tenant_decoder = msgspec.json.Decoder(_Tenant)
 
 
 class Reader:
-    """Reads configurations, and caches the translation of routes.
+    """Reads configurations, and caches the translation of their parts.
 
-    Most routes are the same in successive configurations, so the translated
-    routes of the last configuration are cached.
+    Most routes and customers are the same in successive configurations, so
+    the translated ones of the last configuration are cached.
     """
 
     def __init__(self) -> None:
         self._cache: dict[bytes, _Translated] = {}
+        self._customers: dict[bytes, tuple[str, str]] = {}
 
     def read(self, spec: msgspec.Raw) -> wire.AcceptedVersion:
         """Read a configuration.
@@ -91,10 +106,10 @@
             configuration = decoding.decode(_decoder, spec)
             number = int(configuration.version.removeprefix("r"))
             routes = self._routes(configuration.routes)
+            items = self._customer_items(configuration.tenants)
         except (msgspec.DecodeError, ValueError, OverflowError) as exc:
             raise errors.BadMessage(f"unreadable version: {exc}") from exc
         kinds: dict[str, dict[str, config.Kind]] = {}
-        items: list[tuple[str, str]] = []
         for route, kind, item in routes:
             items.append(item)
             for name in route.services():
@@ -129,6 +144,36 @@
             routes.append(translated)
         return routes
 
+    def _customer_items(
+        self, texts: collections.abc.Iterable[msgspec.Raw]
+    ) -> list[tuple[str, str]]:
+        cached, self._customers = self._customers, {}
+        for raw in texts:
+            text = bytes(raw)
+            self._customers[text] = cached.get(text) or config.customer_item(
+                _customer(_tenant_decoder.decode(text))
+            )
+        return list(self._customers.values())
+
+
+def _customer(tenant: _Tenant) -> config.Customer:
+    weight = 0
+    if tenant.priority is not None:
+        weight = _weight(tenant.priority)
+    return config.Customer(
+        name=tenant.name,
+        key_digests=tuple(
+            customers.digest_key(key) for key in sorted(tenant.api_keys)
+        ),
+        weight=weight,
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+    )
+
+
+def _weight(priority: int) -> int:
+    return 1 + MAX_PRIORITY - min(max(0, priority), MAX_PRIORITY)
+
 
 def _limits(limits: _Limits) -> config.Limits:
     return config.Limits(
@@ -143,7 +188,7 @@
     # Downloads may be retried as well; all other kinds may not.
     idempotent = route.kind in ("idempotent", "download")
     kind = config.Kind(
-        weight=1 + MAX_PRIORITY - min(route.priority, MAX_PRIORITY),
+        weight=_weight(route.priority),
         idempotent=idempotent,
         timeout_ms=int(route.timeout_s * 1000),
         objective_ms=int(route.target_latency_s * 1000),
@@ -170,5 +215,6 @@
         kind=name,
         host=route.host,
         split=split,
+        anonymous=route.allow_anonymous,
     )
     return translated, kind
--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chiveroad import customers
 from chiveroad import decoding
 from chiveroad import errors
 from chiveroad.platform import _configuration
@@ -20,6 +21,9 @@
 DEADLINE_MS: typing.Final = "X-Deadline-Ms"
 EXPECTED_ID: typing.Final = "X-Expected-Instance"
 CALLER_SERVICE: typing.Final = "X-Caller-Service"
+AUTHORIZATION: typing.Final = "Authorization"
+KEY_SCHEME: typing.Final = "Token"
+CUSTOMER: typing.Final = "X-Tenant"
 SIGNATURE: typing.Final = "X-Server-Stamp"
 NOT_EXECUTED: typing.Final = "X-Not-Executed"
 LOAD: typing.Final = "X-Server-Load"
@@ -36,6 +40,9 @@
     name.lower()
     for name in (REQUEST_ID, DEADLINE_MS, EXPECTED_ID, CALLER_SERVICE)
 )
+_CREDENTIALS: typing.Final = frozenset(
+    name.lower() for name in (AUTHORIZATION, CUSTOMER)
+)
 _STATEMENTS: typing.Final = frozenset(
     name.lower() for name in (NOT_EXECUTED, LOAD, RATE_LIMIT, LEAVING)
 )
@@ -90,23 +97,33 @@
         return wire.RequestTerms(
             request_id=request.header(REQUEST_ID),
             timeout_ms=_parse_number(request.header(DEADLINE_MS)),
+            key_digest=customers.digest_credential(
+                request.header(AUTHORIZATION), KEY_SCHEME
+            ),
         )
 
     def target_headers(
         self, terms: wire.TargetTerms
     ) -> collections.abc.Iterable[serving.Header]:
         """Return the headers that are added to a request to a target."""
-        return (
+        headers = [
             (REQUEST_ID, terms.request_id),
             (DEADLINE_MS, str(terms.left_ms)),
             (EXPECTED_ID, terms.target_id),
             (CALLER_SERVICE, terms.caller_service),
-        )
+        ]
+        if terms.customer:
+            headers.append((CUSTOMER, terms.customer))
+        return headers
 
     def is_replaced(self, name: str) -> bool:
         """Return whether ``target_headers`` replaces a caller's header."""
         return name in _REPLACED
 
+    def is_credential(self, name: str) -> bool:
+        """Return whether a header holds a key, or claims a customer's name."""
+        return name in _CREDENTIALS
+
     def read_answer(
         self,
         status: int,
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -89,13 +89,16 @@
     """The resources of the instance that the daemon may use.
 
     ``cpu_share`` is a share of a processor that is ``cores`` times as fast
-    as one core, ``link_mbps`` its link in Mbit/s, each way.  Daemons with
-    more capacity are parents of others in the tree, see ``control``.
+    as one core, ``link_mbps`` its link in Mbit/s, each way; ``memory_mb`` and
+    ``file_descriptors`` are 0 where they aren't stated.  Daemons with more
+    capacity are parents of others in the tree, see ``control``.
     ``serving.Uplink`` limits the share of the link for large bodies.
     """
 
     cpu_share: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
     cores: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    memory_mb: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    file_descriptors: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
     link_mbps: typing.Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
 
     @property
@@ -191,6 +194,34 @@
     slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 100.0
 
 
+class Customers(_Table, frozen=True):
+    """The bounds for customers' keys and quotas.
+
+    With ``fail_closed`` a request with a key is refused once the
+    configuration hasn't been confirmed for almost ``revoke_within_s``, so
+    that no request sent later than that after a key was revoked is run.  In
+    any window of ``quota_window_s`` a customer's requests may exceed its
+    rate and burst by ``quota_overage``, a share, and ``quota_slack``
+    requests more.
+    """
+
+    fail_closed: bool = False
+    revoke_within_s: typing.Annotated[float, msgspec.Meta(gt=0, le=600)] = 5.0
+    quota_window_s: typing.Annotated[float, msgspec.Meta(gt=0, le=600)] = 5.0
+    quota_overage: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    quota_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 20.0
+
+
+class Hedging(_Table, frozen=True):
+    """Second attempts for the slowest requests.
+
+    ``share`` bounds them as a share of a service's requests; 0 turns them
+    off.
+    """
+
+    share: typing.Annotated[float, msgspec.Meta(ge=0, le=0.5)] = 0.0
+
+
 class Metrics(_Table, frozen=True):
     """The push of metrics; without an address, metrics are only served."""
 
@@ -212,6 +243,8 @@
     control: Control = Control()
     traffic: Traffic = Traffic()
     retries: Retries = Retries()
+    customers: Customers = Customers()
+    hedging: Hedging = Hedging()
     metrics: Metrics = Metrics()
     capacity: Capacity = Capacity()
 
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -36,6 +36,7 @@
 DEPTH: typing.Final = "Chiveroad-Depth"
 REQUEST: typing.Final = "Chiveroad-Request"
 CALLER: typing.Final = "Chiveroad-Caller"
+CUSTOMER: typing.Final = "Chiveroad-Customer"
 OBJECTIVE_MS: typing.Final = "Chiveroad-Objective-Ms"
 INNER: typing.Final = "Chiveroad-Inner"
 LOAD: typing.Final = "Chiveroad-Load"
@@ -200,7 +201,8 @@
     ``depth`` counts the ancestors of this request in its chain of calls.
     ``key`` is the caller's idempotency key or empty.  ``caller_service`` is
     the service of the local target of the daemon whose entry received the
-    request.  ``objective_s`` is when its answer begins to count as late, in
+    request, and ``customer`` the name of the customer whose key it carried, or
+    empty.  ``objective_s`` is when its answer begins to count as late, in
     monotonic seconds, and ``inner`` says that a running request of a target
     waits for this one.  ``failover`` decides whether a target's failure is
     replaced by another target's answer, and ``failure_answer`` is such a
@@ -224,6 +226,7 @@
     headers: list[serving.Header]
     body: Body
     caller_service: str = ""
+    customer: str = ""
     objective_s: float = clock.NEVER_S
     inner: bool = False
     failover: _failover.Failover | None = None
@@ -260,6 +263,7 @@
                 depth=self.depth + 1,
                 target_id=target_id,
                 caller_service=self.caller_service,
+                customer=self.customer,
             )
         )
 
@@ -274,6 +278,8 @@
         yield KIND, write_kind(self.kind_name, self.kind)
         yield TEAM, self.team
         yield CALLER, self.caller_service
+        if self.customer:
+            yield CUSTOMER, self.customer
         if self.objective_s != clock.NEVER_S:
             left_s = self.objective_s - time.monotonic()
             yield OBJECTIVE_MS, str(int(left_s * 1000))
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -18,6 +18,7 @@
 from chiveroad import clock
 from chiveroad import config
 from chiveroad import control
+from chiveroad import customers
 from chiveroad import errors
 from chiveroad import logs
 from chiveroad import membership
@@ -262,7 +263,13 @@
         request.set_body_deadline(deadline_s)
         if terms.depth > _call.MAX_DEPTH:
             raise errors.BadRequest(f"over {_call.MAX_DEPTH} calls deep")
-        inner = terms.depth > 0 or self._is_inner(request)
+        from_target = self._is_inner(request)
+        inner = terms.depth > 0 or from_target
+        customer = self._identify(route, terms.key_digest, from_target)
+        team = route.team
+        if customer is not None:
+            team = customer.name
+            kind = customers.prioritize(kind, customer)
         first_sent_s = request.received_s
         if not inner:
             elapsed_ms = self._caller_timeouts.elapsed_ms(
@@ -277,15 +284,16 @@
             service=self._splitter.choose(route),
             kind_name=route.kind,
             kind=kind,
-            team=route.team,
+            team=team,
             deadline_s=deadline_s,
             depth=terms.depth,
             key=request.header(_call.IDEMPOTENCY_KEY),
             method=request.method,
             uri=request.uri,
-            headers=_call.end_to_end(request.headers()),
+            headers=self._forwarded_headers(request),
             body=_call.Body(request, limit),
             caller_service=self._options.service,
+            customer=customer.name if customer else "",
             objective_s=objective_s,
             inner=inner,
             limit=self._limit,
@@ -293,6 +301,37 @@
         )
         return call, route
 
+    def _identify(
+        self, route: config.Route, key_digest: str, from_target: bool
+    ) -> config.Customer | None:
+        """Return the customer that sent a request, None without customers.
+
+        :raises errors.KeyRefused: when the key isn't a customer's.
+        :raises errors.KeyUnconfirmed: when the key may have been revoked.
+        """
+        current = self._applied.config
+        if not current.customers:
+            return None
+        if not key_digest and (from_target or route.anonymous):
+            return None
+        customers.check_confirmed(
+            self._options.customers, self._applied.confirmed_s, clock.now_s()
+        )
+        return customers.identify(current, key_digest)
+
+    def _forwarded_headers(
+        self, request: serving.Request
+    ) -> list[serving.Header]:
+        """Return the caller's headers that are forwarded to the target."""
+        headers = _call.end_to_end(request.headers())
+        if not self._applied.config.customers:
+            return headers
+        return [
+            header
+            for header in headers
+            if not self._protocol.is_credential(header[0].lower())
+        ]
+
     def _is_inner(self, request: serving.Request) -> bool:
         """Tell whether the daemon's local target sent the request."""
         return request.peer_host == self._own_host
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -276,6 +276,7 @@
             headers=_call.end_to_end(request.headers()),
             body=_call.Body(request),
             caller_service=request.header(_call.CALLER),
+            customer=request.header(_call.CUSTOMER),
             objective_s=_objective_s(request),
             inner=bool(request.header(_call.INNER)),
             limit=self._limit,
--- a/src/chiveroad/wire/_native.py
+++ b/src/chiveroad/wire/_native.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from chiveroad import customers
 from chiveroad import decoding
 from chiveroad import errors
 from chiveroad import serving
@@ -18,6 +19,9 @@
 DEPTH_HEADER: typing.Final = "Chiveroad-Depth"
 TARGET_HEADER: typing.Final = "Chiveroad-Upstream"
 CALLER_HEADER: typing.Final = "Chiveroad-Caller"
+CUSTOMER_HEADER: typing.Final = "Chiveroad-Customer"
+AUTHORIZATION_HEADER: typing.Final = "Authorization"
+KEY_SCHEME: typing.Final = "Bearer"
 RATE_LIMIT_HEADER: typing.Final = "Chiveroad-Rate-Limit"
 LEAVING_HEADER: typing.Final = "Chiveroad-Leaving"
 HEARTBEAT_PATH: typing.Final = "/upstream/v1/heartbeat"
@@ -69,6 +73,9 @@
             request_id="",
             timeout_ms=parse_number(request.header(TIMEOUT_MS_HEADER)),
             depth=parse_number(request.header(DEPTH_HEADER)),
+            key_digest=customers.digest_credential(
+                request.header(AUTHORIZATION_HEADER), KEY_SCHEME
+            ),
         )
 
     def target_headers(
@@ -84,12 +91,18 @@
             headers.append((TARGET_HEADER, terms.target_id))
         if terms.caller_service:
             headers.append((CALLER_HEADER, terms.caller_service))
+        if terms.customer:
+            headers.append((CUSTOMER_HEADER, terms.customer))
         return headers
 
     def is_replaced(self, name: str) -> bool:
         """Return whether to drop a caller's header: all of chiveroad's are."""
         return name.startswith("chiveroad-")
 
+    def is_credential(self, name: str) -> bool:
+        """Return whether a header holds a customer's key."""
+        return name == AUTHORIZATION_HEADER.lower()
+
     def read_answer(
         self,
         status: int,
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -38,12 +38,15 @@
     """The properties of a request that its caller states.
 
     ``request_id`` is empty and ``timeout_ms`` is 0 if the caller states none;
-    ``depth`` is the number of calls that led to this one.
+    ``depth`` is the number of calls that led to this one.  ``key_digest`` is
+    the digest of the customer's key that the caller presents: empty without
+    a key, see ``customers.digest_credential``.
     """
 
     request_id: str
     timeout_ms: int = 0
     depth: int = 0
+    key_digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +55,8 @@
 
     ``target_id`` names the only target that may execute the request, or is
     empty; ``caller_service`` is the service of the daemon that received the
-    request from its caller.
+    request from its caller; ``customer`` is the name of the customer whose
+    key the caller presented, or empty.
     """
 
     request_id: str
@@ -60,6 +64,7 @@
     depth: int = 0
     target_id: str = ""
     caller_service: str = ""
+    customer: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,6 +172,15 @@
         :param name: the header's name in lower case.
         """
 
+    @abc.abstractmethod
+    def is_credential(self, name: str) -> bool:
+        """Return whether a header holds a key, or claims a customer's name.
+
+        Where there are customers, such a header of a caller isn't forwarded.
+
+        :param name: the header's name in lower case.
+        """
+
     @abc.abstractmethod
     def read_answer(
         self,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -359,6 +359,13 @@
         "limits.cpu_share": "0.43",
         "limits.cores": "1",
         "limits.link_mbps": "7.0",
+        "limits.memory_mb": "200",
+        "limits.file_descriptors": "4100",
+        "bounds.revoke_s": "4",
+        "bounds.revoke_fail_closed": "true",
+        "bounds.quota_window_s": "6",
+        "bounds.quota_overage": "0.2",
+        "bounds.quota_slack": "30",
     }
     for port, name in enumerate(("inbound", "outbound", "ready", "control")):
         values[f"listen_addresses.{name}"] = f"10.0.0.1:{port + 1}"
@@ -377,12 +384,16 @@
     assert found.control.apply_within_s == 3.0
     assert found.capacity.percent == 35
     optional = re.findall(r"{{#([a-z0-9_.]+)}}", text)
-    assert len(optional) == 5
+    assert len(optional) == 12
+    assert found.customers == settings.Customers(True, 4.0, 6.0, 0.2, 30.0)
+    assert found.capacity.memory_mb == 200
+    assert found.capacity.file_descriptors == 4100
     for name in optional:
         del values[name]
     without_optional = settings.parse(_fill_template(text, values))
     assert without_optional.control == settings.Control(source="accepted")
     assert without_optional.capacity == settings.Capacity()
+    assert without_optional.customers == settings.Customers()
     assert without_optional.traffic.kill_after_s is None
     assert found.retries.ratio == 0.2
 
