--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -10,6 +10,7 @@
 import dataclasses
 import functools
 import itertools
+import random
 import time
 import typing
 import urllib.parse
@@ -20,6 +21,7 @@
 from chiveroad import control
 from chiveroad import customers
 from chiveroad import errors
+from chiveroad import inner_calls
 from chiveroad import logs
 from chiveroad import membership
 from chiveroad import metrics
@@ -57,6 +59,19 @@
     errors.DeadlineTooShort,
     errors.Quarantined,
 )
+_CALLER_LEFT: typing.Final = (
+    errors.CallerDisconnected,
+    errors.CallerDisconnectedEarly,
+)
+_FINAL_FOR_INNER: typing.Final = (
+    *_CALLER_LEFT,
+    errors.DeadlineTooShort,
+    errors.DeadlineExceeded,
+    errors.Quarantined,
+)
+"""The refusals after which an inner call isn't tried again: neither a free
+slot nor another target would help it."""
+
 _log = logs.Logger("entry")
 
 
@@ -180,7 +195,10 @@
         size = call.body.length or 0
         self._recorder.count("chiveroad.entry.bytes", "in", size)
         attempts = _Attempts(request, call, route)
-        if self._try_targets(attempts):
+        served = self._try_targets(attempts)
+        if call.inner and not isinstance(attempts.worst, _CALLER_LEFT):
+            self._guard.outlook.record(not served, time.monotonic())
+        if served:
             self._log_served(attempts)
             return
         worst = attempts.worst
@@ -206,7 +224,9 @@
             except errors.Refusal as refusal:
                 attempts.record_refusal(refusal)
                 if not self._should_retry(attempts, refusal):
-                    return False
+                    if not self._retry_inner_call(attempts, refusal):
+                        return False
+                    continue
                 _log.info(
                     "Request {} is retried at another target: {}.",
                     attempts.call.id,
@@ -214,6 +234,33 @@
                     extra=self._log_fields(attempts),
                 )
 
+    def _retry_inner_call(
+        self, attempts: _Attempts, refusal: errors.Refusal
+    ) -> bool:
+        """Wait until an inner call may be tried at all targets again.
+
+        :returns: False if it isn't to be tried again.
+        """
+        call = attempts.call
+        if not call.inner or attempts.request.begun or attempts.sent:
+            return False
+        if not call.body.replayable or isinstance(refusal, _FINAL_FOR_INNER):
+            return False
+        attempts.rounds += 1
+        pause_s = inner_calls.retry_pause_s(
+            attempts.rounds,
+            refusal.ran,
+            refusal.reached,
+            call.left_ms(),
+            random.random(),
+        )
+        if pause_s is None:
+            return False
+        self._recorder.count("chiveroad.entry.inner_retries")
+        time.sleep(pause_s)
+        attempts.tried.clear()
+        return True
+
     def _log_served(self, attempts: _Attempts) -> None:
         if not self._sampler.allow():
             return
@@ -530,8 +577,9 @@
     ``tried`` names the targets that were picked.  ``completed`` counts the
     attempts that have ended at a target that received the request, and
     ``in_progress`` the targets that may still be running it while a hedged
-    request is sent.  ``worst`` is the refusal that the caller receives if no
-    target serves the request.
+    request is sent.  ``rounds`` counts how often an inner call was refused by
+    all targets that were tried.  ``worst`` is the refusal that the caller
+    receives if no target serves the request.
     """
 
     request: serving.Request
@@ -540,6 +588,7 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     completed: int = 0
     in_progress: int = 0
+    rounds: int = 0
     worst: errors.Refusal | None = None
     served_by: str = ""
 
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -16,6 +16,7 @@
 from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
+from chiveroad import inner_calls
 from chiveroad import logs
 from chiveroad import metrics
 from chiveroad import presence
@@ -89,6 +90,9 @@
         self._buffers = _buffers.BufferBudget()
         self._sampler = logs.Sampler()
         self._incarnation: tuple[int, str] = (0, "")
+        self.outlook = inner_calls.Outlook()
+        """How the inner calls of the target fare, as the entry records it."""
+
         self.draining = False
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
         """Called when the first request begins to wait for a slot."""
@@ -171,6 +175,7 @@
         extra: collections.abc.Sequence[serving.Header],
     ) -> int:
         self._check_target(call)
+        self._check_outlook(call)
         ticket = self._admit(call)
         try:
             # The target may have begun to drain while the request waited.
@@ -197,6 +202,18 @@
         if self.draining or not self._target.accepts_work(time.monotonic()):
             raise errors.Draining("the upstream leaves", DRAIN_RETRY_AFTER_MS)
 
+    def _check_outlook(self, call: _call.Call) -> None:
+        """Refuse outer work whose inner calls would find no capacity.
+
+        :raises errors.Overloaded: when most of the last ones failed.
+        """
+        if call.inner or self.outlook.admits(time.monotonic()):
+            return
+        raise errors.Overloaded(
+            "calls of the upstream find no capacity elsewhere",
+            inner_calls.RETRY_AFTER_MS,
+        )
+
     def load(self, kind_name: str = "") -> serving.Header:
         """Return the header that reports the load and speed to an entry.
 
