Quotas of customers hold for the sum of all daemons

A customer's rate and burst were known but not enforced. A few daemons are quota servers, each with a token bucket for some customers. Entries report their use every 0.25 s and need tokens once a customer is close to its limit. The tests of traffic, exchange and product pass.

--- a/src/chiveroad/control/__init__.py
+++ b/src/chiveroad/control/__init__.py
@@ -17,6 +17,7 @@
 from chiveroad.control._messages import DomainMembers
 from chiveroad.control._messages import DomainStatus
 from chiveroad.control._node import Node
+from chiveroad.control._peer import Peers
 from chiveroad.control._server import ControlHandler
 from chiveroad.control._server import STATUS_PATH
 
@@ -35,6 +36,7 @@
     "FolderStatus",
     "Follower",
     "Node",
+    "Peers",
     "STATUS_PATH",
     "read_base",
     "read_current",
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -20,6 +20,7 @@
 from chiveroad import metrics
 from chiveroad import platform
 from chiveroad import presence
+from chiveroad import quotas
 from chiveroad import readiness
 from chiveroad import serving
 from chiveroad import settings
@@ -105,6 +106,13 @@
             self._protocol,
             self._target,
         )
+        self._quotas = quotas.Quotas(
+            options,
+            self._node.applied,
+            self._node.view,
+            self._recorder,
+            control.Peers(1, quotas.EXCHANGE_TIMEOUT_S),
+        )
         self._entry = traffic.Entry(
             options,
             self._node.applied,
@@ -113,6 +121,7 @@
             self._recorder,
             self._protocol,
             self._uplink,
+            self._quotas,
         )
         self._exporter = metrics.Exporter(
             self._recorder,
@@ -132,6 +141,9 @@
             functools.partial(traffic.lift_page, self._entry),
             "POST",
         )
+        self._control.add_page(
+            quotas.USAGE_PATH, self._quotas.usage_page, "POST"
+        )
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
         self._target_leaves = threading.Event()
@@ -428,6 +440,7 @@
         self._control_plane.stopped = True
         self._control.stopped = True
         self._peers_left.set()
+        self._quotas.stop()
         _log.info("Stopped.")
         serving.stop_all((*self._status_servers, *reversed(self._servers)))
 
--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -25,6 +25,9 @@
     "chiveroad.entry.retries": "Tries after the first.",
     "chiveroad.entry.picks": "Upstreams picked, by distance.",
     "chiveroad.guard.requests": "Requests at the guard, by outcome.",
+    "chiveroad.quota.alone": "Requests decided on without a quota server.",
+    "chiveroad.quota.reports": "Reports to quota servers, by outcome.",
+    "chiveroad.quota.waits": "Requests that waited for a token.",
     "chiveroad.store.calls": "Calls to the store, by kind and outcome.",
 }
 LATENCY = "chiveroad.latency"
--- /dev/null
+++ b/src/chiveroad/quotas/_account.py
@@ -0,0 +1,318 @@
+"""One customer's token bucket at its quota server.
+
+An entry states cumulative counts, and the server charges the difference to
+what it has charged before.  A granted token is charged at once and credited
+when the entry states that it no longer holds it, so a report that is lost,
+repeated or late changes nothing in the end.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import typing
+
+from chiveroad.quotas import _limits
+from chiveroad.quotas import _messages
+
+RECENT_SLOT_S: typing.Final = 0.5
+LEARNING_S: typing.Final = 1.5
+"""Every entry with requests of the customer has reported by then, even one
+that found the previous server not to answer."""
+
+DEMAND_TAU_S: typing.Final = 2.0
+"""Time constant of the demand by which tokens are shared out."""
+
+MAX_BACKLOG_S: typing.Final = 1.0
+"""How much the requests that were refused may add to Retry-After."""
+
+MAX_RETRY_MS: typing.Final = 5_000
+
+
+@dataclasses.dataclass(slots=True)
+class _EntryUse:
+    """What is known of one entry.
+
+    ``used`` and ``charged`` are cumulative; the difference are tokens that
+    the entry may still use.  ``claim`` is its share of the customer's demand
+    as the previous server told it.
+    """
+
+    incarnation: int
+    used: int
+    charged: int
+    seen_s: float
+    demand: float = 0.0
+    claim: float = 0.0
+
+
+class Account:
+    """The bucket of one customer."""
+
+    def __init__(
+        self, limit: _limits.Limit, terms: _limits.Terms, now_s: float
+    ) -> None:
+        self.limit = limit
+        self.close = False
+        self.refused = 0
+        self._terms = terms
+        self._created_s = now_s
+        self._updated_s = now_s
+        self._first_choice_s = -math.inf
+        self._scale = 0.0
+        self._level = 0.0
+        self._held = 0
+        self._backlog = 0.0
+        self._demand = 0.0
+        self._demand_s = now_s
+        self._entries: dict[str, _EntryUse] = {}
+        self._slots: collections.deque[list[float]] = collections.deque()
+
+    @property
+    def entries(self) -> int:
+        """Return the number of entries known to send requests."""
+        return len(self._entries)
+
+    def change(self, limit: _limits.Limit, now_s: float) -> None:
+        """Apply a changed limit; a lower burst takes effect at once."""
+        if limit == self.limit:
+            return
+        self._refill(now_s)
+        if limit.burst > self.limit.burst:
+            self._level += self._scale * (limit.burst - self.limit.burst)
+        self.limit = limit
+        self._cap()
+        self._decide_state()
+
+    def level(self, now_s: float) -> float:
+        """Return the tokens that are left."""
+        self._refill(now_s)
+        self._decide_state()
+        return self._level
+
+    def used_per_s(self, now_s: float) -> float:
+        """Return the mean rate of what was counted in the last window."""
+        from_s = now_s - self._terms.window_s
+        used = sum(count for at_s, count in self._slots if at_s >= from_s)
+        return used / self._terms.window_s
+
+    def expire(self, now_s: float) -> bool:
+        """Forget entries that are silent; True if the account isn't needed.
+
+        What a forgotten entry held can't have been used in the last window.
+        """
+        limit_s = now_s - self._terms.window_s - 2 * _limits.GRANT_S
+        for name, known in list(self._entries.items()):
+            if known.seen_s < limit_s:
+                self._held -= known.charged - known.used
+                del self._entries[name]
+        if self._entries:
+            return False
+        return self.level(now_s) >= self._scale * self.limit.burst
+
+    def report(
+        self,
+        report: _messages.Report,
+        use: _messages.Use,
+        daemons: int,
+        now_s: float,
+    ) -> _messages.Allowance:
+        """Count an entry's use, and return what it may admit next."""
+        self._refill(now_s)
+        known = self._entries.get(report.entry)
+        if known is None or known.incarnation != report.incarnation:
+            if use.recent is None:
+                return _messages.Allowance(
+                    use.customer, use.used, use.close, unknown=True
+                )
+            known = self._add(report, use, now_s)
+        self._rescale(known, use, daemons, now_s)
+        self._count(known, use, now_s)
+        self._decide_state()
+        share = known.demand / self._demand if self._demand else 0.0
+        allowance = _messages.Allowance(
+            use.customer,
+            use.used,
+            close=self.close,
+            share=round(share, 4),
+        )
+        if not self.close:
+            allowance.count = self._unasked(share, daemons)
+            return allowance
+        granted = self._grant(known, use, share)
+        allowance.count = use.held + granted
+        allowance.retry_ms = self._retry_ms()
+        return allowance
+
+    def _add(
+        self, report: _messages.Report, use: _messages.Use, now_s: float
+    ) -> _EntryUse:
+        """Add an entry whose recent use hasn't been counted."""
+        previous = self._entries.get(report.entry)
+        if previous is not None:
+            self._held -= previous.charged - previous.used
+        before = use.used - sum(use.recent or ())
+        known = _EntryUse(report.incarnation, before, before, now_s)
+        self._entries[report.entry] = known
+        return known
+
+    def _rescale(
+        self,
+        known: _EntryUse,
+        use: _messages.Use,
+        daemons: int,
+        now_s: float,
+    ) -> None:
+        """Set the part of the limit that this server may grant.
+
+        It is the whole limit where an entry takes this server for the first
+        in the order.  Otherwise another server may be serving other entries,
+        and this one grants the shares of those that report to it.
+        """
+        known.claim = 0.0
+        if use.rank:
+            known.claim = max(use.share, 1 / max(1, daemons))
+        else:
+            self._first_choice_s = now_s
+        scale = 1.0
+        if now_s - self._first_choice_s > LEARNING_S:
+            claims = sum(each.claim for each in self._entries.values())
+            scale = min(1.0, claims)
+        learning = now_s - self._created_s < LEARNING_S
+        if use.close and use.recent is not None and learning:
+            # Other entries' use isn't known yet, but it is near the limit.
+            if not self.close:
+                self._level = min(0.0, self._level)
+            self.close = True
+        elif scale > self._scale and not self.close:
+            self._level += (scale - self._scale) * self.limit.burst
+        self._scale = scale
+        self._cap()
+
+    def _count(
+        self, known: _EntryUse, use: _messages.Use, now_s: float
+    ) -> None:
+        """Charge what is new in a report, and credit what isn't held."""
+        held_before = known.charged - known.used
+        charged = use.used + use.held
+        new = charged - known.charged
+        if use.recent is not None and new > 0:
+            new = self._charge_recent(use.recent, new - use.held, now_s)
+            new += use.held
+        self._charge(new, now_s)
+        self._held += use.held - held_before
+        known.used = use.used
+        known.charged = charged
+        decay = math.exp((known.seen_s - now_s) / DEMAND_TAU_S)
+        known.demand = known.demand * decay + use.demand
+        decay = math.exp((self._demand_s - now_s) / DEMAND_TAU_S)
+        self._demand = self._demand * decay + use.demand
+        self._demand_s = known.seen_s = now_s
+        self.refused += use.refused
+        self._backlog += use.refused
+        self._cap()
+
+    def _charge(self, count: float, now_s: float) -> None:
+        if not count:
+            return
+        self._level -= count
+        self._slot(now_s)[1] += count
+
+    def _charge_recent(self, recent: list[int], new: int, now_s: float) -> int:
+        """Charge use that a server before this one may have counted.
+
+        Use that is older than a slot is entered where it belongs in time:
+        the bucket has been refilled since.
+
+        :returns: what is to be charged as of now.
+        """
+        latest = 0
+        for age, count in enumerate(recent):
+            count = min(count, new)
+            new -= count
+            if age <= 1:
+                latest += count
+            elif count:
+                self._slot(now_s - age * RECENT_SLOT_S)[1] += count
+        self._level = min(self._level, self._level_by_window(now_s))
+        return latest
+
+    def _slot(self, at_s: float) -> list[float]:
+        """Return the slot of a time; the slots are in order of time."""
+        start_s = math.floor(at_s / RECENT_SLOT_S) * RECENT_SLOT_S
+        slots = self._slots
+        index = len(slots)
+        while index and slots[index - 1][0] > start_s:
+            index -= 1
+        if index and slots[index - 1][0] == start_s:
+            return slots[index - 1]
+        slot = [start_s, 0.0]
+        slots.insert(index, slot)
+        oldest_s = slots[-1][0] - self._terms.window_s - RECENT_SLOT_S
+        while slots[0][0] < oldest_s and slots[0] is not slot:
+            slots.popleft()
+        return slot
+
+    def _level_by_window(self, now_s: float) -> float:
+        """Return the level that follows from the use in the window."""
+        level, used = self._level, 0.0
+        for start_s, count in reversed(self._slots):
+            used += count
+            refilled = self.limit.rate_per_s * max(0.0, now_s - start_s)
+            full = self._scale * (self.limit.burst + refilled)
+            level = min(level, full - used)
+        return level
+
+    def _grant(
+        self, known: _EntryUse, use: _messages.Use, share: float
+    ) -> int:
+        """Grant tokens, as far as there are any, by the share of demand."""
+        available = int(self._level)
+        expected_per_s = known.demand / DEMAND_TAU_S
+        expected = int(expected_per_s * _limits.REPORT_INTERVAL_S)
+        needed = use.waiting + expected - use.held
+        if available < 1 or needed < 1:
+            return 0
+        soon = self.limit.rate_per_s * _limits.REPORT_INTERVAL_S
+        fair = math.ceil(share * (self._level + self._scale * soon))
+        granted = min(available, needed, max(1, fair))
+        known.charged += granted
+        self._held += granted
+        self._charge(granted, known.seen_s)
+        return granted
+
+    def _unasked(self, share: float, daemons: int) -> int:
+        """Return what an entry may admit before its next report."""
+        spare = max(0.0, self.limit.unasked * self._scale - daemons)
+        return 1 + int(share * spare)
+
+    def _retry_ms(self) -> int:
+        """Return the time until a token is there, 0 if there is one."""
+        if self._level >= 1 and self._backlog < 1:
+            return 0
+        rate_per_s = max(1e-3, self.limit.rate_per_s * self._scale)
+        token_s = max(0.0, 1 - self._level) / rate_per_s
+        backlog_s = min(MAX_BACKLOG_S, self._backlog / rate_per_s)
+        return min(MAX_RETRY_MS, 1 + int((token_s + backlog_s) * 1000))
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._updated_s = max(self._updated_s, now_s)
+        tokens = elapsed_s * self.limit.rate_per_s * self._scale
+        self._level += tokens
+        self._backlog = max(0.0, self._backlog - tokens)
+        self._cap()
+
+    def _cap(self) -> None:
+        """Limit the level; tokens that entries hold belong to the burst."""
+        cap = self.limit.burst * self._scale - self._held
+        self._level = min(self._level, cap)
+
+    def _decide_state(self) -> None:
+        if self.close:
+            clear_at = self.limit.clear_at * self._scale
+            learning = self._updated_s - self._created_s < LEARNING_S
+            self.close = learning or self._level < clear_at
+        else:
+            self.close = self._level < self.limit.close_at * self._scale
--- /dev/null
+++ b/src/chiveroad/quotas/_local.py
@@ -0,0 +1,218 @@
+"""One entry's part in the quotas, without threads, network or clock."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+import msgspec
+
+from chiveroad import config
+from chiveroad import membership
+from chiveroad.quotas import _limits
+from chiveroad.quotas import _links
+from chiveroad.quotas import _messages
+from chiveroad.quotas import _meter
+
+IDLE_INTERVAL_S: typing.Final = 10.0
+"""How often meters that are no longer needed are searched for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """A report that is being sent."""
+
+    link: _links.Link
+    report: _messages.Report
+    uses: dict[str, _messages.Use]
+    sent_s: float
+
+
+class LocalQuotas:
+    """The meters of one entry, and its reports to the quota servers.
+
+    :param instance: the name of the entry's daemon.
+    :param incarnation: a number that grows with each start of the daemon.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        view: membership.View,
+        terms: _limits.Terms,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._view = view
+        self._terms = terms
+        self._links = _links.Links(view)
+        self._sequence = 0
+        self._meters: dict[str, _meter.Meter] = {}
+        self._limits: dict[tuple[float, float], _limits.Limit] = {}
+        self._unreported: set[str] = set()
+        self._idle_due_s = 0.0
+
+    @property
+    def daemons(self) -> int:
+        """Return how many daemons there are."""
+        return max(1, len(self._view.all()))
+
+    def meter_of(
+        self, customer: config.Customer, now_s: float
+    ) -> _meter.Meter:
+        """Return a customer's meter, with the limit in force."""
+        stated = (customer.rate_per_s, customer.burst)
+        limit = self._limits.get(stated)
+        if limit is None:
+            limit = self._limits[stated] = _limits.limit(*stated, self._terms)
+        meter = self._meters.get(customer.name)
+        if meter is None:
+            link, _ = self._links.owner(customer.name, now_s)
+            meter = self._meters[customer.name] = _meter.Meter(
+                limit, self._terms, customer.name in link.close
+            )
+        meter.limit = limit
+        return meter
+
+    def decide(
+        self, name: str, meter: _meter.Meter, now_s: float
+    ) -> _meter.Verdict:
+        """Decide on a request, and count it if it is admitted."""
+        link, _ = self._links.owner(name, now_s)
+        situation = _meter.Situation(link.fresh(now_s), self.daemons)
+        return meter.decide(situation, now_s)
+
+    def give_back(self, name: str, now_s: float) -> bool:
+        """Return a token; True if a report is due sooner than before."""
+        meter = self._meters.get(name)
+        if meter is None:
+            return False
+        meter.give_back(now_s)
+        return self.schedule(name, meter, now_s)
+
+    def schedule(self, name: str, meter: _meter.Meter, now_s: float) -> bool:
+        """Schedule the report on a customer, if there is anything to report.
+
+        :returns: whether a report is due sooner than before.
+        """
+        if not meter.unreported:
+            return False
+        self._unreported.add(name)
+        link, _ = self._links.owner(name, now_s)
+        return link.want_report(meter.urgent, now_s) and not link.busy
+
+    def due_s(self) -> float:
+        """Return when the next report is due."""
+        return min(
+            (link.due_s for link in self._links.all() if not link.busy),
+            default=math.inf,
+        )
+
+    def next_report(self, now_s: float) -> Batch | None:
+        """Return a report that is due, or None."""
+        due = [
+            link
+            for link in self._links.all()
+            if not link.busy and link.due_s <= now_s
+        ]
+        for link in sorted(due, key=lambda each: each.due_s):
+            batch = self._collect(link, now_s)
+            if batch is not None:
+                return batch
+        return None
+
+    def apply(
+        self, batch: Batch, answer: _messages.Answer, now_s: float
+    ) -> None:
+        """Apply a quota server's answer."""
+        link = batch.link
+        link.busy = False
+        link.answered_s = now_s
+        self._learn_states(link, answer, now_s)
+        for allowance in answer.allowances:
+            use = batch.uses.get(allowance.customer)
+            meter = self._meters.get(allowance.customer)
+            if use is None or meter is None:
+                continue
+            meter.server = link.member.instance
+            meter.answer(use, allowance, batch.sent_s, now_s)
+            if allowance.unknown:
+                self._unreported.add(allowance.customer)
+                link.want_report(True, now_s)
+        link.server, link.epoch = answer.server, answer.epoch
+        for name in batch.uses:
+            self.schedule(name, self._meters[name], now_s)
+        self._forget_idle(now_s)
+
+    def fail(self, batch: Batch, now_s: float) -> None:
+        """Pass over a quota server that hasn't answered for a while."""
+        batch.link.busy = False
+        batch.link.failed_until_s = now_s + _links.RETRY_FAILED_S
+        for name, use in batch.uses.items():
+            meter = self._meters[name]
+            meter.restore(use)
+            self._unreported.add(name)
+            owner, _ = self._links.owner(name, now_s)
+            owner.want_report(True, now_s)
+
+    def _collect(self, link: _links.Link, now_s: float) -> Batch | None:
+        """Collect the report to one quota server; None if it is empty."""
+        link.due_s = math.inf
+        uses: dict[str, _messages.Use] = {}
+        continuous = link.fresh(now_s)
+        for name in list(self._unreported):
+            owner, rank = self._links.owner(name, now_s)
+            if owner is not link:
+                owner.want_report(False, now_s)
+                continue
+            meter = self._meters[name]
+            self._unreported.discard(name)
+            if not meter.reportable:
+                continue
+            moved = meter.server != link.member.instance
+            use = meter.use(continuous and not moved, now_s)
+            uses[name] = msgspec.structs.replace(use, customer=name, rank=rank)
+        if not uses:
+            return None
+        self._sequence += 1
+        link.busy = True
+        link.sent_s = now_s
+        report = _messages.Report(
+            self._instance,
+            self._incarnation,
+            self._sequence,
+            link.server,
+            link.epoch,
+            list(uses.values()),
+        )
+        return Batch(link, report, uses, now_s)
+
+    def _learn_states(
+        self, link: _links.Link, answer: _messages.Answer, now_s: float
+    ) -> None:
+        """Apply which customers are close to their limits."""
+        if link.server != answer.server:
+            # A server that has just started knows of no customer that it is
+            # close to its limit; the entry's own knowledge is newer.
+            link.close.clear()
+        changed = [(name, True) for name in answer.close]
+        changed += [(name, False) for name in answer.clear]
+        for name, close in changed:
+            (link.close.add if close else link.close.discard)(name)
+            meter = self._meters.get(name)
+            if meter is None:
+                continue
+            owner, _ = self._links.owner(name, now_s)
+            if owner is link:
+                meter.learn_state(close)
+
+    def _forget_idle(self, now_s: float) -> None:
+        """Drop meters that haven't been needed for long."""
+        if now_s < self._idle_due_s:
+            return
+        self._idle_due_s = now_s + IDLE_INTERVAL_S
+        for name, meter in list(self._meters.items()):
+            if meter.idle(now_s) and name not in self._unreported:
+                del self._meters[name]
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -23,6 +23,7 @@
 from chiveroad import logs
 from chiveroad import membership
 from chiveroad import metrics
+from chiveroad import quotas
 from chiveroad import serving
 from chiveroad import settings
 from chiveroad.traffic import _balancer
@@ -65,6 +66,7 @@
 
     :param guard: the guard in this process, called without a network hop.
     :param uplink: the uplink shared by large requests to other instances.
+    :param quota: the customers' quotas; without it they aren't enforced.
     """
 
     def __init__(
@@ -76,8 +78,10 @@
         recorder: metrics.Recorder,
         protocol: wire.Protocol,
         uplink: serving.Uplink | None = None,
+        quota: quotas.Quotas | None = None,
     ) -> None:
         self._recorder = recorder
+        self._quotas = quota
         self._options = options
         self._applied = applied
         self._guard = guard
@@ -176,6 +180,7 @@
 
     def _process(self, request: serving.Request) -> None:
         call, route = self._read_call(request)
+        counted = self._admit(request, call)
         self._budget.count(call.service)
         size = call.body.length or 0
         self._recorder.count("chiveroad.entry.bytes", "in", size)
@@ -185,6 +190,8 @@
             return
         worst = attempts.worst
         assert worst is not None, "report this: failed without a refusal"
+        if counted and self._quotas and not attempts.may_have_run:
+            self._quotas.give_back(call.customer)
         _log.warning(
             "Request {} failed: {}; targets of {} that were tried: {}.",
             call.id,
@@ -195,6 +202,20 @@
         )
         _answer_failure(request, call, worst)
 
+    def _admit(self, request: serving.Request, call: _call.Call) -> bool:
+        """Count a request against its customer's quota.
+
+        Calls that the local target makes for a customer aren't counted.
+
+        :returns: whether it was counted.
+        :raises errors.OverQuota: when the customer has used its quota.
+        """
+        if self._quotas is None or not call.customer:
+            return False
+        if call.depth and self._is_inner(request):
+            return False
+        return self._quotas.admit(call.customer, call.due_s)
+
     def _try_targets(self, attempts: _Attempts) -> bool:
         """Try targets one after the other; False if all attempts fail."""
         while True:
@@ -548,6 +569,11 @@
         """Return how many targets have, or may have, received the request."""
         return self.completed + self.in_progress
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a target may have run the request, which failed."""
+        return self.sent > 0 or self.worst is None or self.worst.ran != "no"
+
     def record_refusal(self, refusal: errors.Refusal) -> None:
         """Record why a target gave no answer."""
         self.worst = _worse(self.worst, refusal)
