--- /dev/null
+++ b/tests/test_quota_mesh.py
@@ -0,0 +1,122 @@
+"""Quotas in a mesh of real processes."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import concurrent.futures
+import contextlib
+import time
+import typing
+
+import msgspec
+import pytest
+
+from chiveroad import config
+from chiveroad import customers
+from chiveroad import store
+from standins import mesh
+
+KEY: typing.Final = "6f1c-glade-key"
+DEPLOYMENT: typing.Final = mesh.Deployment(
+    "quota", "r", {"r": ["d1", "d2"]}, {"glade": 3}
+)
+OPTIONS: typing.Final = '[control]\nsource = "accepted"\n'
+LOAD_S: typing.Final = 6.0
+WINDOW_S: typing.Final = 5.0
+
+
+def put_version(
+    running: mesh.Mesh, number: int, rate_per_s: float, burst: float
+) -> None:
+    """Have the store hold a configuration with one customer."""
+    kind = config.Kind(3, True, 2_000)
+    service = config.Service("glade", "t", 8, 40, 64, (), {"read": kind})
+    route = config.Route("r", "t", "/", ("*",), "glade", "read")
+    customer = config.Customer(
+        "warren", (customers.digest_key(KEY),), 0, rate_per_s, burst
+    )
+    items = dict(
+        [
+            config.service_item(service),
+            config.route_item(route),
+            config.customer_item(customer),
+        ]
+    )
+    store.overwrite(
+        running.store,
+        store.Kind.ACCEPTED,
+        "main",
+        {"number": number, "items": items},
+    )
+    running.wait_in_force(number)
+
+
+@contextlib.contextmanager
+def running_mesh(
+    rate_per_s: float,
+) -> collections.abc.Iterator[mesh.Mesh]:
+    """Run three daemons whose members know each other."""
+    with mesh.Mesh(DEPLOYMENT, OPTIONS) as running:
+        running.start()
+        put_version(running, 1, rate_per_s, rate_per_s)
+
+        def all_known() -> bool:
+            statuses = [running.status(name) for name in running.daemons()]
+            return all(s is not None and s.members >= 3 for s in statuses)
+
+        mesh.wait_for(all_known, "all members to be known")
+        for name in running.daemons():
+            mesh.wait_for(
+                lambda name=name: send(running, name) == 200,
+                f"{name} to serve",
+            )
+        yield running
+
+
+def send(running: mesh.Mesh, name: str) -> int:
+    """Send one request with the key, and return the status."""
+    result = running.caller(name).call(
+        "GET", "/a", headers={"Authorization": f"Bearer {KEY}"}
+    )
+    return result.status
+
+
+def load(
+    running: mesh.Mesh, per_s: float, load_s: float, names: list[str]
+) -> list[tuple[float, int]]:
+    """Send requests to entries in turn; return times and statuses."""
+    start_s = time.monotonic()
+
+    def send_at(number: int) -> tuple[float, int]:
+        at_s = start_s + number / per_s
+        time.sleep(max(0.0, at_s - time.monotonic()))
+        status = send(running, names[number % len(names)])
+        return time.monotonic(), status
+
+    with concurrent.futures.ThreadPoolExecutor(24) as pool:
+        return list(pool.map(send_at, range(int(per_s * load_s))))
+
+
+def most_in_window(results: list[tuple[float, int]]) -> int:
+    """Return the most requests that were served in any window."""
+    times = sorted(at_s for at_s, status in results if status == 200)
+    return max(
+        sum(1 for other in times if 0 <= other - at_s <= WINDOW_S)
+        for at_s in times
+    )
+
+
+def bound(rate_per_s: float) -> float:
+    """Return the most that may be served in a window."""
+    return (rate_per_s * WINDOW_S + rate_per_s) * 1.1 + 20
+
+
+# Guards against limits that each entry applies by itself.
+def test_limit_holds_for_the_sum_of_three_entries() -> None:
+    with running_mesh(20) as running:
+        results = load(running, 90, LOAD_S, running.daemons())
+    statuses = collections.Counter(status for _, status in results)
+    assert set(statuses) == {200, 429}
+    assert most_in_window(results) <= bound(20)
+    assert statuses[200] >= 20 * LOAD_S * 0.8
