Hedged requests for late answers, off by default

A request that may be repeated and whose answer is late for its kind gets a second attempt at another target. The delay is a high quantile of the recent latencies of its kind and distance. Each hedge is taken from the limit [hedging] share and from the retry budget. Without the setting nothing is recorded and no hedge is sent.

A guard checks every 50 ms whether the caller of a waiting request has left and then drops it; before, it noticed only once the request got a slot.

--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -23,6 +23,8 @@
     "chiveroad.entry.bytes": "Bytes of bodies, in from callers and out.",
     "chiveroad.entry.requests": "Requests taken by the entry, by outcome.",
     "chiveroad.entry.retries": "Tries after the first.",
+    "chiveroad.entry.hedges": "Hedged requests for late answers, by outcome.",
+    "chiveroad.entry.hedges.wasted": "Milliseconds of withdrawn attempts.",
     "chiveroad.entry.picks": "Upstreams picked, by distance.",
     "chiveroad.guard.requests": "Requests at the guard, by outcome.",
     "chiveroad.store.calls": "Calls to the store, by kind and outcome.",
@@ -38,6 +40,7 @@
     "chiveroad.guard.waiting": "Requests waiting for a slot.",
     "chiveroad.guard.rate_limit": "Requests a second that the upstream takes.",
     "chiveroad.guard.slots": "Requests that the upstream takes at once.",
+    "chiveroad.hedges.left": "Hedges left now, by service.",
     "chiveroad.retries.left": "Retries left in this window, by service.",
 }
 
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -34,6 +34,7 @@
 from chiveroad.traffic import _failover
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _guard_answer
+from chiveroad.traffic import _hedges
 from chiveroad.traffic import _quarantine
 from chiveroad.traffic import _reachability
 from chiveroad.traffic import _retry
@@ -86,6 +87,9 @@
         self._budget = _retry_budget.RetryBudget(
             _terms(options.retries), lambda: len(view.all())
         )
+        self._hedges = _hedges.Hedges(
+            options, self._targets, self._budget, recorder
+        )
         self.quarantine = _quarantine.Quarantine(view, recorder)
         self._splitter = _split.Splitter()
         self._caller_timeouts = _caller_timeouts.CallerTimeouts()
@@ -154,6 +158,10 @@
         services = list(self._applied.config.services)
         return {name: self._budget.left(name) for name in services}
 
+    def hedges_left(self) -> dict[str, float]:
+        """Return how many hedges each service may have now."""
+        return self._hedges.left(self._applied.config.services)
+
     def tick(self) -> None:
         """Close idle connections and drop the state of departed targets."""
         self._targets.tick()
@@ -177,6 +185,7 @@
     def _process(self, request: serving.Request) -> None:
         call, route = self._read_call(request)
         self._budget.count(call.service)
+        self._hedges.count(call.service)
         size = call.body.length or 0
         self._recorder.count("chiveroad.entry.bytes", "in", size)
         attempts = _Attempts(request, call, route)
@@ -360,8 +369,9 @@
     def _try_target(self, attempts: _Attempts) -> None:
         call, tried = attempts.call, attempts.tried
         self._check_time_left(call)
+        hedge_target, attempts.hedge_target = attempts.hedge_target, ""
         chosen, member = self._targets.pick(
-            call.service, self._targets.profile(call), tried
+            call.service, self._targets.profile(call), tried, hedge_target
         )
         tried.append(chosen.instance)
         if len(tried) > 1:
@@ -425,7 +435,11 @@
                 _targets.learn_local_load(stats, load, call.kind_name)
                 stats.rate_limit_per_s = self._guard.rate_limit_per_s
             return
-        with self._targets.awaiting_answer(member.guard):
+        sender = self._late_sender(attempts)
+        with (
+            self._hedges.watch(call, member, sender) as watch,
+            self._targets.awaiting_answer(member.guard),
+        ):
             answer = _exchange.send_request(
                 self._targets.pool(member.guard),
                 call,
@@ -433,7 +447,10 @@
                 request.socket,
                 _guard_answer.read_terms,
                 self._hedge(attempts, member, stats),
+                watch,
             )
+        if watch is not None:
+            watch.answered(answer)
         self._targets.learn_state(member, stats, answer, call.kind_name)
         code = answer.header(serving.CODE_HEADER)
         if code:
@@ -490,6 +507,43 @@
 
         return lambda: attempts.hedge(try_another)
 
+    def _late_sender(self, attempts: _Attempts) -> _hedges.Sender | None:
+        """Return what sends a hedge if the answer is late, or None.
+
+        Only the outermost entry hedges, as only it retries after an unknown
+        outcome; and a hedge isn't hedged itself.
+        """
+        call = attempts.call
+        if call.failover is None or call.inner or attempts.in_progress:
+            return None
+        if not self._hedges.enabled or call.body.buffered is None:
+            return None
+        late = errors.AnswerTimeout("late")
+        return _hedges.Sender(
+            lambda: self._retry_allowed(attempts, late),
+            functools.partial(self._send_late_hedge, attempts),
+            attempts.request.socket,
+            attempts.tried,
+        )
+
+    def _send_late_hedge(self, attempts: _Attempts, instance: str) -> bool:
+        """Send a hedge to one target; it isn't retried at others."""
+
+        def try_once() -> bool:
+            attempts.hedge_target = instance
+            try:
+                self._try_once(attempts)
+            except _exchange.HedgeAnswered:
+                return True
+            except errors.Refusal as refusal:
+                attempts.record_refusal(refusal)
+                return False
+            finally:
+                attempts.hedge_target = ""
+            return True
+
+        return attempts.hedge(try_once)
+
     def _retry_allowed(
         self, attempts: _Attempts, refusal: errors.Refusal
     ) -> bool:
@@ -531,7 +585,8 @@
     attempts that have ended at a target that received the request, and
     ``in_progress`` the targets that may still be running it while a hedged
     request is sent.  ``worst`` is the refusal that the caller receives if no
-    target serves the request.
+    target serves the request.  ``hedge_target`` is the instance that the next
+    attempt is sent to, if it is a hedge for a late answer.
     """
 
     request: serving.Request
@@ -542,6 +597,7 @@
     in_progress: int = 0
     worst: errors.Refusal | None = None
     served_by: str = ""
+    hedge_target: str = ""
 
     @property
     def sent(self) -> int:
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import abc
 import collections.abc
 import contextlib
 import http
@@ -19,6 +20,7 @@
 
 import urllib3.exceptions
 
+from chiveroad import clock
 from chiveroad import errors
 from chiveroad import serving
 from chiveroad.traffic import _answer
@@ -79,6 +81,23 @@
 may be running the request, so its exchange stays open."""
 
 
+class LateHedge(abc.ABC):
+    """A hedged request to another peer because an answer is late.
+
+    ``due_s`` is when ``send`` is called, in monotonic seconds.
+    """
+
+    due_s: float
+
+    @abc.abstractmethod
+    def send(self) -> bool:
+        """Send it, or set another ``due_s``; see ``Hedge``."""
+
+    def due_in_ms(self) -> float:
+        """Return the time until it is due, never negative."""
+        return max(0.0, (self.due_s - time.monotonic()) * 1000)
+
+
 class Answer:
     """A peer's answer whose head has been read and whose body is pending.
 
@@ -362,6 +381,7 @@
     caller: socket.socket,
     read_terms: ReadTerms,
     hedge: Hedge | None = None,
+    late: LateHedge | None = None,
 ) -> Answer:
     """Send a request and wait for the head of the answer.
 
@@ -369,6 +389,7 @@
     that can be forwarded to the caller ends the other exchanges.
 
     :param hedge: called periodically while the request is pending.
+    :param late: called when it is due while the request is pending.
     :raises errors.TargetRefused: when no connection could be opened, so
         that nothing was sent.
     :raises errors.OutcomeUnknown: when the request was sent and no answer
@@ -397,7 +418,7 @@
         _poll_earlier(exchange, call)
         exchange.send(headers)
         while not exchange.ended:
-            _await_answer(exchange, caller, call, hedge)
+            _await_answer(exchange, caller, call, hedge, late)
         if exchange.failure is not None:
             raise exchange.failure
         assert exchange.answer is not None, "report this: no answer"
@@ -638,6 +659,7 @@
     caller: socket.socket,
     call: _call.Call,
     hedge: Hedge | None = None,
+    late: LateHedge | None = None,
 ) -> None:
     """Wait until the peer answers, the caller disconnects, or time is up.
 
@@ -652,11 +674,14 @@
     poll.register(caller, select.POLLIN | select.POLLRDHUP)
     for number in (exchange.fileno(), *earlier):
         poll.register(number, select.POLLIN)
-    check_ms = FIRST_HEDGE_CHECK_MS
+    check_ms: float = FIRST_HEDGE_CHECK_MS
     while not exchange.ended:
         left_ms = call.left_ms()
         wait_ms = min(left_ms, check_ms if hedge else STOP_CHECK_MS)
-        check_ms = HEDGE_CHECK_MS
+        late_ms = clock.NEVER_S if late is None else late.due_in_ms()
+        is_late = late_ms < wait_ms
+        check_ms = check_ms - late_ms if is_late else HEDGE_CHECK_MS
+        wait_ms = min(wait_ms, late_ms)
         buffered = exchange.connection.has_data()
         ready = dict(poll.poll(0 if buffered else max(0, wait_ms)))
         if buffered or exchange.fileno() in ready:
@@ -668,7 +693,10 @@
             earlier[number].advance(EARLIER_STALL_S)
         if not ready and call.left_ms() <= 0:
             raise errors.AnswerTimeout("no answer before the deadline")
-        if not ready and hedge and hedge():
+        if late is not None and is_late:
+            if not ready and not late.due_in_ms() and late.send():
+                raise HedgeAnswered
+        elif not ready and hedge and hedge():
             raise HedgeAnswered
         for number in [n for n, each in earlier.items() if each.ended]:
             poll.unregister(number)
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -40,7 +40,10 @@
 SHED_RETRY_AFTER_MS: typing.Final = 200
 UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
 TIMEOUT_FACTOR: typing.Final = 2.0
-STOP_CHECK_S: typing.Final = _exchange.STOP_CHECK_MS / 1000
+QUEUE_CHECK_S: typing.Final = 0.05
+"""How often a waiting request checks whether its caller has left, or a planned
+stop has set an earlier deadline.  A check takes two system calls, and a queue
+holds a few dozen requests."""
 
 _FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
 _NO_LIMITS: typing.Final = _admission.Limits(slots=10_000, queue_length=0)
@@ -171,7 +174,7 @@
         extra: collections.abc.Sequence[serving.Header],
     ) -> int:
         self._check_target(call)
-        ticket = self._admit(call)
+        ticket = self._admit(call, request)
         try:
             # The target may have begun to drain while the request waited.
             self._check_target(call)
@@ -295,7 +298,9 @@
         slots = min(declared, service.connections)
         return _admission.Limits(slots, service.queue_length)
 
-    def _admit(self, call: _call.Call) -> _admission.Ticket:
+    def _admit(
+        self, call: _call.Call, request: serving.Request
+    ) -> _admission.Ticket:
         now_s = time.monotonic()
         ticket = _admission.Ticket(
             team=call.team,
@@ -316,7 +321,7 @@
         if not ticket.decided.is_set():
             if first:
                 self.on_queue()
-            self._wait(ticket, call)
+            self._wait(ticket, call, request)
             self._recorder.record_latency("queue", time.monotonic() - now_s)
         if ticket.refusal is not None:
             reason = ticket.refusal.reason
@@ -351,18 +356,32 @@
             "left_ms": int(call.left_ms()),
         }
 
-    def _wait(self, ticket: _admission.Ticket, call: _call.Call) -> None:
+    def _wait(
+        self,
+        ticket: _admission.Ticket,
+        call: _call.Call,
+        request: serving.Request,
+    ) -> None:
+        """Wait until a request is admitted or refused.
+
+        :raises errors.CallerDisconnectedEarly: when the caller leaves first,
+            such as an entry that withdraws a hedged request.
+        """
         left_s = call.left_ms() / 1000
-        while left_s > 0 and not ticket.decided.wait(
-            min(STOP_CHECK_S, left_s)
+        caller_left = False
+        while not (left_s <= 0 or caller_left) and not ticket.decided.wait(
+            min(QUEUE_CHECK_S, left_s)
         ):
             left_s = call.left_ms() / 1000
+            caller_left = serving.is_disconnected(request.socket)
         with self._lock:
             if not self._admission.withdraw(ticket):
                 return
             retry_ms = int(
                 self._admission.wait_ms(len(self._admission.waiting))
             )
+        if caller_left:
+            raise errors.CallerDisconnectedEarly("the caller left the queue")
         raise errors.DeadlineExceeded("waited for a slot too long", retry_ms)
 
     def _forward(
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -47,6 +47,17 @@
 
 _log = logs.Logger("entry")
 
+
+class Seen(typing.NamedTuple):
+    """A target of a service as this entry sees it."""
+
+    member: membership.Member
+    distance: _balancer.Distance
+    stats: _balancer.TargetStats
+    state: _reachability.State
+    leaving: bool
+
+
 _MembersByDistance = dict[_balancer.Distance, list[membership.Member]]
 _CachedDistances = tuple[tuple[membership.Member, ...], _MembersByDistance]
 
@@ -101,12 +112,19 @@
         service: str,
         profile: _balancer.RequestProfile,
         tried: collections.abc.Container[str],
+        only: str = "",
     ) -> tuple[_balancer.Candidate, membership.Member]:
         """Choose a target of a service that is not in ``tried``.
 
+        :param only: the instance of the target to choose, if it is given.
         :raises errors.NoTarget: when no untried target is reachable.
         """
         remaining = self._without_leaving(self._by_distance(service))
+        if only:
+            remaining = {
+                distance: [each for each in members if each.instance == only]
+                for distance, members in remaining.items()
+            }
         by_distance = self._reachable(remaining, tried)
         candidates = self._candidates(by_distance, profile)
         untried = [
@@ -125,6 +143,18 @@
             self._check_rate_limits(service, untried)
         return chosen, member
 
+    def survey(self, service: str) -> collections.abc.Iterator[Seen]:
+        """Yield all targets of a service, including those not picked now."""
+        for distance, members in self._by_distance(service).items():
+            for member in members:
+                yield Seen(
+                    member,
+                    distance,
+                    self.stats(member),
+                    self._reachability_state(member),
+                    _target_key(member) in self._leaving,
+                )
+
     def _check_rate_limits(
         self, service: str, candidates: list[_balancer.Candidate]
     ) -> None:
@@ -507,11 +537,12 @@
             return cached[1]
         by_distance: _MembersByDistance = {}
         for member in members:
-            by_distance.setdefault(self._distance(member), []).append(member)
+            by_distance.setdefault(self.distance(member), []).append(member)
         self._distance_cache[service] = (members, by_distance)
         return by_distance
 
-    def _distance(self, member: membership.Member) -> _balancer.Distance:
+    def distance(self, member: membership.Member) -> _balancer.Distance:
+        """Return how far a member is from this entry."""
         if member.failure_domain == self._options.failure_domain:
             return _balancer.Distance.DOMAIN
         if member.region == self._options.region:
