--- a/src/chiveroad/gauges.py
+++ b/src/chiveroad/gauges.py
@@ -35,7 +35,7 @@
         ),
         "chiveroad.members.missing": lambda: {"": entry.missing},
         "chiveroad.retries.left": entry.retries_left,
-        "chiveroad.hedges.left": entry.hedges_left,
+        "chiveroad.hedges.left": lambda: entry.hedges_left(),
         "chiveroad.guard.running": lambda: {"": guard.running},
         "chiveroad.guard.waiting": lambda: {"": guard.waiting},
         "chiveroad.guard.rate_limit": rate_limit,
