Keys: names stripped at guards too, last customer's removal revokes, strict confirmations

Cause: the review of the core found these faults. The entry read the configuration before its confirmation, so that a newer version could confirm an older one's keys. A guard behind an entry without customers passed forged names and keys on. The removal of the last customer opened all routes. Two customers with one idempotency key shared an answer. A null field of a customer refused the whole configuration. An empty answer of a watch that came early, an answer from an earlier state of the store, and another version of the same number confirmed the version in force.

Change: each is mended; a confirmation expires 0.65 s before the bound, as a watch may state a moment up to 0.6 s after the store's reading. A daemon that neither the store nor its parents confirm asks random peers.

--- a/src/chiveroad/config/_model.py
+++ b/src/chiveroad/config/_model.py
@@ -139,6 +139,10 @@
     ``match`` selects the route with the longest matching path prefix.  A
     prefix ends at a path separator.
 
+    ``demands_keys`` says that there are, or were in an earlier version,
+    customers: the version that removes the last customer revokes its keys,
+    and doesn't open the routes to everyone.
+
     :param items: the canonical texts by key.
     :param previous: an earlier version of the configuration; items that
         haven't changed since are reused instead of being decoded again.
@@ -177,6 +181,8 @@
             for customer in self.customers.values()
             for digest in customer.key_digests
         }
+        former = previous is not None and previous.demands_keys
+        self.demands_keys: bool = bool(self.customers) or former
 
     def _index(self, previous: Config | None) -> dict[str, _Paths]:
         """Return the routes by host, method and path.
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -25,6 +25,7 @@
 from chiveroad.control import _node
 from chiveroad.control import _parent_exchanges
 from chiveroad.control import _parent_selector
+from chiveroad.control import _peer_confirmations
 from chiveroad.control import _record
 from chiveroad.control import _recorded_members
 from chiveroad.control import _source
@@ -54,6 +55,11 @@
 """Wait of the watch while the version is suspect: the daemon's descendants
 wait for its confirmation, and would read the store themselves."""
 
+STALE_ANSWER: typing.Final = "the answer is older than the version in force"
+WAIT_ROUNDING_S: typing.Final = 0.005
+"""How much shorter than asked for a wait of the store may seem here: both
+sides round to milliseconds."""
+
 HOLD_MS: typing.Final = 700
 """Longest wait of a long poll.  It is longer than the interval between
 confirmations.  Together with ``HEDGE_DELAY_S`` it lets a daemon detect an
@@ -138,6 +144,10 @@
         self._last_answer_s = 0.0
         self._bootstrapper = _bootstrap.Bootstrapper(node)
         self._sweeper = _sweeper.Sweeper(platform, node)
+        self._fail_closed = options.customers.fail_closed
+        self._peer_confirmations = _peer_confirmations.PeerConfirmations(
+            node, options.customers.revoke_within_s
+        )
         self._bounds = _freshness.FreshnessBounds(
             options.control.apply_within_s
         )
@@ -172,6 +182,9 @@
         _threads.start("following a parent", self._follow_parent)
         _threads.start("bootstrapping others", self._bootstrap_others)
         _threads.start("sweeping", self._sweep)
+        if self._fail_closed:
+            for _ in range(_peer_confirmations.THREADS):
+                _threads.start("confirming", self._confirm_with_peers)
         self._recorder.start()
 
     def ancestors(self) -> list[str]:
@@ -372,6 +385,15 @@
             time.sleep(_sweeper.SWEEP_INTERVAL_S)
             self._sweeper.tick()
 
+    def _confirm_with_peers(self) -> None:
+        backoff = _peer_confirmations.new_backoff()
+        while not self.stopped:
+            if self._peer_confirmations.tick(clock.now_s()):
+                backoff.reset()
+                time.sleep(_peer_confirmations.IDLE_S)
+            else:
+                backoff.wait()
+
     def _evaluate_answer(
         self, parent: membership.Member, answer: _messages.SyncAnswer
     ) -> None:
@@ -508,7 +530,8 @@
     def _read_version(self) -> store.Revision:
         sent_s = clock.now_s()
         stored = self._store.get(store.Kind.ACCEPTED, ACCEPTED)
-        self._apply(stored)
+        if not self._apply(stored):
+            raise errors.StoreUnavailable(STALE_ANSWER)
         self._node.applied.confirm(sent_s)
         return stored.version
 
@@ -516,21 +539,26 @@
         sent_s = clock.now_s()
         wait_s = self._watch_s()
         newest: store.StoredObject | None = None
+        answered = store.ABSENT
         for event in self._store.watch(store.Kind.ACCEPTED, revision, wait_s):
-            revision = max(revision, event.version)
+            answered = max(answered, event.version)
             if event.object is not None and event.object.name == ACCEPTED:
                 newest = event.object
-        changed = newest is not None
+        demands_keys = self._node.applied.config.demands_keys
+        stale = demands_keys and store.ABSENT < answered < revision
         if newest is not None:
-            self._apply(newest)
+            stale = not self._apply(newest) or stale
+        if stale:
+            raise errors.StoreUnavailable(STALE_ANSWER)
         # The store gives an empty answer at the end of the wait, and so
-        # confirms the version as of then; a change confirms it only as of
-        # the request.
-        self._last_watch_changed = changed
-        waited_s = 0.0 if changed else wait_s
+        # confirms the version as of then; a change, or an answer that came
+        # early, confirms it only as of the request.
+        self._last_watch_changed = newest is not None
         now_s = clock.now_s()
-        self._node.applied.confirm(min(now_s, sent_s + waited_s))
-        return revision
+        waited = newest is None and now_s - sent_s >= wait_s - WAIT_ROUNDING_S
+        confirmed_s = min(now_s, sent_s + wait_s) if waited else sent_s
+        self._node.applied.confirm(confirmed_s)
+        return max(revision, answered)
 
     def _watch_s(self) -> float:
         """Return the wait of the next watch for a change."""
@@ -540,7 +568,15 @@
             CONFIRM_CHANGE_S if self._last_watch_changed else WATCH_VERSIONS_S
         )
 
-    def _apply(self, stored: store.StoredObject) -> None:
+    def _apply(self, stored: store.StoredObject) -> bool:
+        """Put a version in force if it is newer.
+
+        :returns: whether the version in force counts as the newest.  While
+            keys are revoked by versions, an answer that the store gives from
+            an earlier state doesn't show that, nor does another version of
+            the same number.  An older version in a later state does: the
+            store went back to a copy, and the greater number stays in force.
+        """
         version = self._protocol.read_version(stored.spec)
         digest = config.digest(version.items)
         applied = self._node.applied
@@ -557,6 +593,11 @@
                 version.number,
                 applied.current.number,
             )
+        if not applied.config.demands_keys:
+            return True
+        if order is _applied.VersionOrder.OLDER:
+            return stored.version >= applied.current.revision
+        return order is not _applied.VersionOrder.CONTRADICTS
 
     # The members.
 
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -94,12 +94,47 @@
         return store.Revision(self.as_of_era, self.as_of)
 
 
-class SnapshotOffer(msgspec.Struct, frozen=True):
-    """A version that a child sends to a parent that has an older one."""
+class ConfirmationRequest(msgspec.Struct, frozen=True):
+    """A request to confirm a version, from any daemon to any other."""
+
+    version: int
+    digest: str
+
+
+class ConfirmationAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The answer to it; the fields are those of ``SyncAnswer``."""
+
+    version: int
+    digest: str
+    confirmed_ago_ms: float = -1.0
+    held_ms: int = 0
+    delta: bytes = b""
+    snapshot: bytes = b""
+    revision: int = 0
+    revision_era: int = 0
+
+    @property
+    def version_revision(self) -> store.Revision:
+        """Return the store's revision of the version."""
+        return store.Revision(self.revision_era, self.revision)
+
+
+class SnapshotOffer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A version that a child sends to a parent that has an older one.
+
+    ``revision`` and ``revision_era`` are the store's revision of the version.
+    """
 
     version: int
     digest: str
     snapshot: bytes
+    revision: int = 0
+    revision_era: int = 0
+
+    @property
+    def version_revision(self) -> store.Revision:
+        """Return the store's revision of the version."""
+        return store.Revision(self.revision_era, self.revision)
 
 
 class Hello(msgspec.Struct, frozen=True):
--- a/src/chiveroad/control/_peer.py
+++ b/src/chiveroad/control/_peer.py
@@ -48,5 +48,8 @@
     """Return the message that sends the version in force to a peer."""
     current = node.applied.current
     packed = config.pack(current.config.items)
-    offer = _messages.SnapshotOffer(current.number, current.digest, packed)
+    revision = current.revision
+    offer = _messages.SnapshotOffer(
+        current.number, current.digest, packed, revision.number, revision.era
+    )
     return msgspec.json.encode(offer)
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -35,6 +35,7 @@
 _MAX_PACKS: typing.Final = 16
 _JSON: typing.Final = (("Content-Type", "application/json"),)
 _request_decoder = msgspec.json.Decoder(_messages.SyncRequest)
+_confirmation_decoder = msgspec.json.Decoder(_messages.ConfirmationRequest)
 _hello_decoder = msgspec.json.Decoder(_messages.Hello)
 _offer_decoder = msgspec.json.Decoder(_messages.SnapshotOffer)
 
@@ -59,6 +60,7 @@
             ("POST", _source.SYNC_PATH): self._sync,
             ("POST", _source.SNAPSHOT_PATH): self._snapshot,
             ("POST", _source.HELLO_PATH): self._hello,
+            ("POST", _source.CONFIRMATION_PATH): self._confirmation,
             ("GET", STATUS_PATH): self._status,
         }
 
@@ -135,10 +137,9 @@
         self, sync: _messages.SyncRequest, held_ms: int
     ) -> _messages.SyncAnswer:
         node = self._node
-        confirmed_s = node.applied.confirmed_s
-        ago_ms = -1.0
-        if confirmed_s is not None:
-            ago_ms = (clock.now_s() - confirmed_s) * 1000
+        # Read before the version: the version in force is no older than the
+        # confirmed one.
+        ago_ms = self._confirmed_ago_ms()
         current = node.applied.current
         # Read before the view: the answer must include all records up to
         # this revision.
@@ -174,6 +175,31 @@
             former_suspects=former_suspects,
         )
 
+    def _confirmed_ago_ms(self) -> float:
+        confirmed_s = self._node.applied.confirmed_s
+        if confirmed_s is None:
+            return -1.0
+        return (clock.now_s() - confirmed_s) * 1000
+
+    def _confirmation(self, request: serving.Request) -> None:
+        """Answer a daemon that neither the store nor a parent confirms."""
+        asked = self._read(request, _confirmation_decoder)
+        ago_ms = self._confirmed_ago_ms()
+        current = self._node.applied.current
+        delta = snapshot = b""
+        if current.number > asked.version:
+            delta, snapshot = self._config_update(asked.digest)
+        answer = _messages.ConfirmationAnswer(
+            version=current.number,
+            digest=current.digest,
+            confirmed_ago_ms=ago_ms,
+            delta=delta,
+            snapshot=snapshot,
+            revision=current.revision.number,
+            revision_era=current.revision.era,
+        )
+        request.answer(http.HTTPStatus.OK, _JSON, msgspec.json.encode(answer))
+
     def _members_for(
         self,
         child: membership.Member,
@@ -219,7 +245,11 @@
         try:
             items = config.unpack(offer.snapshot, offer.digest)
             self._node.applied.offer(
-                offer.version, offer.digest, items, checked=True
+                offer.version,
+                offer.digest,
+                items,
+                offer.version_revision,
+                checked=True,
             )
         except errors.DigestMismatch as exc:
             raise errors.BadRequest(str(exc)) from exc
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -11,6 +11,7 @@
 from chiveroad import clock
 from chiveroad import config
 from chiveroad.control import _accept
+from chiveroad.control import _applied
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _peer
@@ -27,6 +28,7 @@
 SYNC_PATH: typing.Final = "/control/v1/sync"
 SNAPSHOT_PATH: typing.Final = "/control/v1/snapshot"
 HELLO_PATH: typing.Final = "/control/v1/hello"
+CONFIRMATION_PATH: typing.Final = "/control/v1/confirmation"
 
 _answer_decoder = msgspec.json.Decoder(_messages.SyncAnswer)
 _log = logs.Logger("control")
@@ -71,9 +73,22 @@
         sent_s = clock.now_s()
         current = _accept.read_current(self._store)
         self.apply(current.accepted)
-        self._node.applied.confirm(sent_s)
+        if self._is_in_force(current.accepted):
+            self._node.applied.confirm(sent_s)
         return current.store_version
 
+    def _is_in_force(self, accepted: _accept.Accepted) -> bool:
+        """Return whether an answer of the store confirms a version.
+
+        While keys are revoked by versions, neither an older version nor
+        another one of the same number confirms the one in force.
+        """
+        current = self._node.applied.current
+        if not current.config.demands_keys:
+            return True
+        stated = (accepted.version, accepted.digest)
+        return stated == (current.number, current.digest)
+
     def apply(self, accepted: _accept.Accepted) -> None:
         """Put an accepted version in force, by its delta if possible.
 
@@ -243,45 +258,7 @@
         self._source = answer.source
         self._epoch = answer.epoch
         self.answer = answer
-        items = self._new_items(answer, base_items)
-        if items is not None:
-            node.applied.offer(
-                answer.version,
-                answer.digest,
-                items,
-                answer.version_revision,
-                checked=True,
-            )
-        current_number = node.applied.current.number
-        if answer.confirmed_ago_ms >= 0 and current_number >= answer.version:
-            # The parent states the age of its confirmation as of its answer,
-            # which it sent after the wait of the long poll.
-            age_ms = answer.confirmed_ago_ms - answer.held_ms
-            node.applied.confirm(sent_s - age_ms / 1000)
-
-    def _new_items(
-        self, answer: _messages.SyncAnswer, base_items: config.Items
-    ) -> config.Items | None:
-        if answer.version <= self._node.applied.current.number:
-            return None
-        if answer.snapshot:
-            return config.unpack(answer.snapshot, answer.digest)
-        if not answer.delta:
-            return None
-        try:
-            delta = config.unpack_delta(answer.delta)
-            if delta.digest != answer.digest:
-                raise errors.DigestMismatch(
-                    f"the delta leads to {delta.digest}, expected "
-                    f"{answer.digest}"
-                )
-            return config.patch(base_items, delta)
-        except errors.DigestMismatch as exc:
-            # The next request names another digest, and so gets a snapshot.
-            _log.warning(
-                "Delta to version {} dropped: {}.", answer.version, exc
-            )
-            return None
+        adopt(node.applied, answer, sent_s, base_items)
 
     def _send_snapshot(self, address: str) -> None:
         body = _peer.snapshot_offer(self._node)
@@ -304,3 +281,70 @@
         answer = self._peers.post(address, path, body, timeout_s)
         self._node.control_bytes += len(body) + len(answer)
         return answer
+
+
+def adopt(
+    applied: _applied.Applied,
+    answer: _messages.SyncAnswer | _messages.ConfirmationAnswer,
+    sent_s: float,
+    base_items: config.Items,
+) -> None:
+    """Put another daemon's version in force, and take its confirmation over.
+
+    :param sent_s: when the request was sent, by ``clock``.
+    :param base_items: the items of the version that the request named.
+    """
+    items = _new_items(applied, answer, base_items)
+    if items is not None:
+        applied.offer(
+            answer.version,
+            answer.digest,
+            items,
+            answer.version_revision,
+            checked=True,
+        )
+    if answer.confirmed_ago_ms >= 0 and _confirms(applied.current, answer):
+        # The other daemon states the age of its confirmation as of its
+        # answer, which it sent after the wait of the long poll.
+        age_ms = answer.confirmed_ago_ms - answer.held_ms
+        applied.confirm(sent_s - age_ms / 1000)
+
+
+def _confirms(
+    current: _applied.Version,
+    answer: _messages.SyncAnswer | _messages.ConfirmationAnswer,
+) -> bool:
+    """Return whether a confirmation applies to the version in force.
+
+    One of an earlier version does: a newer one than that was accepted later.
+    While keys are revoked by versions, one of another version with the same
+    number doesn't.
+    """
+    if current.number != answer.version or not current.config.demands_keys:
+        return current.number >= answer.version
+    return current.digest == answer.digest
+
+
+def _new_items(
+    applied: _applied.Applied,
+    answer: _messages.SyncAnswer | _messages.ConfirmationAnswer,
+    base_items: config.Items,
+) -> config.Items | None:
+    if answer.version <= applied.current.number:
+        return None
+    if answer.snapshot:
+        return config.unpack(answer.snapshot, answer.digest)
+    if not answer.delta:
+        return None
+    try:
+        delta = config.unpack_delta(answer.delta)
+        if delta.digest != answer.digest:
+            raise errors.DigestMismatch(
+                f"the delta leads to {delta.digest}, expected "
+                f"{answer.digest}"
+            )
+        return config.patch(base_items, delta)
+    except errors.DigestMismatch as exc:
+        # The next request names another digest, and so gets a snapshot.
+        _log.warning("Delta to version {} dropped: {}.", answer.version, exc)
+        return None
--- a/src/chiveroad/customers/_identity.py
+++ b/src/chiveroad/customers/_identity.py
@@ -15,10 +15,11 @@
 from chiveroad import errors
 from chiveroad import settings
 
-CONFIRMATION_MARGIN_S: typing.Final = 0.25
+CONFIRMATION_MARGIN_S: typing.Final = 0.65
 """How much earlier than the bound a confirmation expires.  A watch that ends
-without a change confirms the version as of its end, which the store may have
-sent some time before."""
+without a change confirms the version as of the end of its wait, 0.6 s after
+its request.  A store that ends waits early may have read the version at any
+time since the request, and clocks are rounded to milliseconds."""
 
 UNCONFIRMED_RETRY_MS: typing.Final = 500
 
--- a/src/chiveroad/platform/_configuration.py
+++ b/src/chiveroad/platform/_configuration.py
@@ -47,10 +47,10 @@
     """A customer; ``priority`` is a rank, as in ``_Route``."""
 
     name: str
-    api_keys: list[str] = []
+    api_keys: list[str] | None = None
     priority: int | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: float | None = None
+    burst: float | None = None
 
 
 class _Service(msgspec.Struct):
@@ -76,7 +76,7 @@
     routes: list[msgspec.Raw]
     services: list[_Service]
     limits: _Limits | None = None
-    tenants: list[msgspec.Raw] = []
+    tenants: list[msgspec.Raw] | None = None
 
 
 _Translated = tuple[config.Route, config.Kind, tuple[str, str]]
@@ -106,7 +106,7 @@
             configuration = decoding.decode(_decoder, spec)
             number = int(configuration.version.removeprefix("r"))
             routes = self._routes(configuration.routes)
-            items = self._customer_items(configuration.tenants)
+            items = self._customer_items(configuration.tenants or ())
         except (msgspec.DecodeError, ValueError, OverflowError) as exc:
             raise errors.BadMessage(f"unreadable version: {exc}") from exc
         kinds: dict[str, dict[str, config.Kind]] = {}
@@ -163,11 +163,11 @@
     return config.Customer(
         name=tenant.name,
         key_digests=tuple(
-            customers.digest_key(key) for key in sorted(tenant.api_keys)
+            customers.digest_key(key) for key in sorted(tenant.api_keys or ())
         ),
         weight=weight,
-        rate_per_s=tenant.rate_per_s,
-        burst=tenant.burst,
+        rate_per_s=tenant.rate_per_s or 0.0,
+        burst=tenant.burst or 0.0,
     )
 
 
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -342,6 +342,18 @@
     return [header for header in found if header[0].lower() not in named]
 
 
+def without_credentials(
+    headers: collections.abc.Iterable[serving.Header],
+    protocol: wire.Protocol,
+) -> list[serving.Header]:
+    """Return the headers that hold no key and claim no customer's name."""
+    return [
+        header
+        for header in headers
+        if not protocol.is_credential(header[0].lower())
+    ]
+
+
 def number(text: str, default: int) -> int:
     """Parse a header's decimal number; the default if it isn't one."""
     return int(text) if text.isascii() and text.isdigit() else default
--- a/src/chiveroad/traffic/_claims.py
+++ b/src/chiveroad/traffic/_claims.py
@@ -71,9 +71,14 @@
 _decoder = msgspec.json.Decoder(Claim)
 
 
-def claim_name(service: str, key: str) -> str:
-    """Return the name of the claim object for a service's key."""
-    return hashlib.sha256(f"{service}\0{key}".encode()).hexdigest()[:40]
+def claim_name(service: str, key: str, customer: str = "") -> str:
+    """Return the name of the claim object for a service's key.
+
+    Customers choose their idempotency keys independently, and one must not
+    get the answer that is kept for another.
+    """
+    text = f"{service}\0{key}" + (f"\0{customer}" if customer else "")
+    return hashlib.sha256(text.encode()).hexdigest()[:40]
 
 
 def fingerprint(call: _call.Call) -> str:
@@ -126,7 +131,7 @@
             now_ms,
             now_ms + max(1, int(call.left_ms())),
         )
-        name = claim_name(call.service, call.key)
+        name = claim_name(call.service, call.key, call.customer)
         try:
             return self._create(name, own)
         except errors.StoreConflict:
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -309,13 +309,16 @@
         :raises errors.KeyRefused: when the key isn't a customer's.
         :raises errors.KeyUnconfirmed: when the key may have been revoked.
         """
+        # Read before the configuration: a confirmation of a newer version
+        # must not make the keys of an older one valid.
+        confirmed_s = self._applied.confirmed_s
         current = self._applied.config
-        if not current.customers:
+        if not current.demands_keys:
             return None
         if not key_digest and (from_target or route.anonymous):
             return None
         customers.check_confirmed(
-            self._options.customers, self._applied.confirmed_s, clock.now_s()
+            self._options.customers, confirmed_s, clock.now_s()
         )
         return customers.identify(current, key_digest)
 
@@ -324,13 +327,9 @@
     ) -> list[serving.Header]:
         """Return the caller's headers that are forwarded to the target."""
         headers = _call.end_to_end(request.headers())
-        if not self._applied.config.customers:
+        if not self._applied.config.demands_keys:
             return headers
-        return [
-            header
-            for header in headers
-            if not self._protocol.is_credential(header[0].lower())
-        ]
+        return _call.without_credentials(headers, self._protocol)
 
     def _is_inner(self, request: serving.Request) -> bool:
         """Tell whether the daemon's local target sent the request."""
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -273,7 +273,7 @@
             key=request.header(_call.IDEMPOTENCY_KEY),
             method=request.method,
             uri=request.uri,
-            headers=_call.end_to_end(request.headers()),
+            headers=self._forwarded_headers(request),
             body=_call.Body(request),
             caller_service=request.header(_call.CALLER),
             customer=request.header(_call.CUSTOMER),
@@ -284,6 +284,20 @@
             rate_limit_per_s=_known_rate_limit(request),
         )
 
+    def _forwarded_headers(
+        self, request: serving.Request
+    ) -> list[serving.Header]:
+        """Return the headers that are forwarded to the target.
+
+        An entry whose configuration has no customers yet passes keys and
+        forged names of customers on.
+        """
+        headers = _call.end_to_end(request.headers())
+        named = bool(request.header(_call.CUSTOMER))
+        if not (named or self._applied.config.demands_keys):
+            return headers
+        return _call.without_credentials(headers, self._protocol)
+
     def _limits(self) -> _admission.Limits:
         if not self._limited:
             return _NO_LIMITS
