Requests move on from busy targets; pace; loads fade to the mean

Cause: targets hold queues while others are idle, as an entry's knowledge of one target is seconds old, and machines that turn slow for 0.6 s show this in measured service times only afterwards.

Change: an entry states with Chiveroad-Patience-Ms how long a request may wait at a guard; a guard that expects a longer wait refuses it unrun and reports its load, and the entry tries the next target. The last try waits without a bound. No impatient tries are sent while all targets heard of in the last second are full. The fourth figure of a target's load statement scales the expected times of its guard and of entries and ages out within 0.6 s. Reports fade to the mean load of the service instead of zero, two random candidates among those of nearly equal cost are compared, and a request's body counts as bytes. A load statement with a non-ASCII digit or over 4,300 digits raised an exception in the reader; it is now ignored.

--- a/src/chiveroad/gauges.py
+++ b/src/chiveroad/gauges.py
@@ -38,5 +38,6 @@
         "chiveroad.guard.running": lambda: {"": guard.running},
         "chiveroad.guard.waiting": lambda: {"": guard.waiting},
         "chiveroad.guard.rate_limit": rate_limit,
+        "chiveroad.guard.pace": lambda: {"": guard.pace_factor},
         "chiveroad.guard.slots": lambda: {"": guard.slots},
     }
--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -24,6 +24,8 @@
     "chiveroad.entry.requests": "Requests taken by the entry, by outcome.",
     "chiveroad.entry.retries": "Tries after the first.",
     "chiveroad.entry.picks": "Upstreams picked, by distance.",
+    "chiveroad.entry.moved": "Requests moved on from a busy upstream.",
+    "chiveroad.guard.impatient": "Requests that were not to wait here.",
     "chiveroad.guard.requests": "Requests at the guard, by outcome.",
     "chiveroad.store.calls": "Calls to the store, by kind and outcome.",
 }
@@ -36,6 +38,7 @@
     "chiveroad.members.missing": "Daemons that can't be reached.",
     "chiveroad.guard.running": "Requests running at the upstream.",
     "chiveroad.guard.waiting": "Requests waiting for a slot.",
+    "chiveroad.guard.pace": "Factor by which work takes longer than usual.",
     "chiveroad.guard.rate_limit": "Requests a second that the upstream takes.",
     "chiveroad.guard.slots": "Requests that the upstream takes at once.",
     "chiveroad.retries.left": "Retries left in this window, by service.",
--- a/src/chiveroad/platform/_protocol.py
+++ b/src/chiveroad/platform/_protocol.py
@@ -32,6 +32,11 @@
 
 LEAVING: typing.Final = "Server-Leaving"
 
+MIN_PACE: typing.Final = 1
+MAX_PACE: typing.Final = 10_000
+"""A target that is a hundred times slower than usual answers nothing within a
+deadline, so a larger figure is a fault."""
+
 MAX_HEARTBEAT_BYTES: typing.Final = 16 * 1024
 
 _HEARTBEAT: typing.Final = "instances.heartbeat"
@@ -46,6 +51,11 @@
 _STATEMENTS: typing.Final = frozenset(
     name.lower() for name in (NOT_EXECUTED, LOAD, RATE_LIMIT, LEAVING)
 )
+_LOAD: typing.Final = re.compile(
+    r"\s*[0-9]{1,9}(\s*,\s*[0-9]{1,9}){2,3}\s*", re.ASCII
+)
+"""Figures have at most nine digits, as ``int`` fails on over 4,300."""
+
 _IDLE_TIMEOUT: typing.Final = re.compile(r"timeout=(\d+)")
 _JSON_CONTENT_TYPE: typing.Final = ("Content-Type", "application/json")
 
@@ -194,11 +204,22 @@
 
 
 def _parse_load(text: str) -> wire.Load | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    """Parse ``running,waiting,slots`` or ``running,waiting,slots,pace``.
+
+    A statement with any figure out of range is ignored as a whole.
+
+    >>> _parse_load("2,0,6,250")
+    Load(running=2, waiting=0, slots=6, pace=250)
+    """
+    if not _LOAD.fullmatch(text):
+        return None
+    running, waiting, slots, *others = (int(part) for part in text.split(","))
+    if not others:
+        return wire.Load(running, waiting, slots)
+    [pace] = others
+    if not MIN_PACE <= pace <= MAX_PACE:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return wire.Load(running, waiting, slots)
+    return wire.Load(running, waiting, slots, pace)
 
 
 def _parse_number(text: str) -> int:
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -145,6 +145,8 @@
     or ``weight`` for the baseline.  ``limits = false`` disables the guard's
     slots and queue, for a baseline only.  ``threads`` is how many requests
     the entry and the guard may each process concurrently.
+    With ``move_waiting`` a request that would have to wait at a busy target
+    goes to another one that has capacity.
     ``idle_timeout_ms`` is how long a caller's connection may be idle.
     ``kill_after_s`` is when the platform kills a process that was asked to
     stop; the limit of a planned stop follows from it.  Where it isn't set,
@@ -158,6 +160,7 @@
     ] = "least-wait"
     admission: typing.Literal["weight", "objective"] = "objective"
     limits: bool = True
+    move_waiting: bool = True
     threads: typing.Annotated[int, msgspec.Meta(ge=4, le=512)] = 48
     idle_timeout_ms: Milliseconds = 10_000
     drain_limit_ms: Milliseconds = 30_000
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -14,6 +14,7 @@
 import typing
 
 from chiveroad import clock
+from chiveroad import load
 from chiveroad.traffic import _rate_limit
 
 DEFAULT_SERVICE_MS: typing.Final = 20.0
@@ -27,6 +28,8 @@
 """How many finished requests per slot the mean service time must be based on
 before it is compared with the age of running requests."""
 
+IMPATIENT_REASON: typing.Final = "the request may not wait that long here"
+
 MAX_AGE_RATIO: typing.Final = 1.5
 """The ratio of the running requests' mean age to the mean service time above
 which the target counts as slower.  The spread of service times alone leads to
@@ -47,6 +50,7 @@
 
     ``objective_s`` is the time after which its answer counts as late.
     ``inner`` is set when a running request of another target waits for it.
+    ``leave_s`` is until when it may wait; then it goes to another target.
     """
 
     team: str
@@ -56,6 +60,7 @@
     arrived_s: float
     objective_s: float = clock.NEVER_S
     inner: bool = False
+    leave_s: float = clock.NEVER_S
     decided: threading.Event = dataclasses.field(
         default_factory=threading.Event
     )
@@ -69,12 +74,14 @@
     """Why a request was refused, and after what time to retry it.
 
     ``rate_limited`` is set when the target's rate limit, rather than its
-    slots, determines that time.
+    slots, determines that time.  ``impatient`` is set when the request would
+    have been queued if its entry had let it wait.
     """
 
     reason: str
     retry_after_ms: int
     rate_limited: bool = False
+    impatient: bool = False
 
 
 class Policy(abc.ABC):
@@ -110,11 +117,16 @@
     has no clock and no thread of its own; the caller must hold a lock.
 
     :param policy: defaults to ``WeightFirst``.
+
+    ``pace`` is what the target states about its speed.  Mean service times
+    are those at the usual pace.
     """
 
     def __init__(self, limits: Limits, policy: Policy | None = None) -> None:
         self.limits = limits
         self.rate_limit = _rate_limit.RateLimit()
+        self.pace = load.Pace()
+        self.pace_factor = 1.0
         self.waiting: list[Ticket] = []
         self.running_by_team: dict[str, int] = {}
         self.running = 0
@@ -140,6 +152,9 @@
             # time: nothing else shows that it has become fast again.
             self._admit(ticket, now_s)
             return
+        if self._expects_to_leave(ticket, now_s):
+            self.refuse(ticket, IMPATIENT_REASON, impatient=True)
+            return
         reason = self._policy.refusal_reason(self, ticket, now_s)
         if reason:
             self.refuse(ticket, reason)
@@ -166,6 +181,15 @@
             reason = self._policy.drop_reason(self, ticket, now_s)
             if reason:
                 self.drop(ticket, reason)
+        self._fill_slots(now_s)
+        for ticket in list(self.waiting):
+            if ticket.leave_s <= now_s:
+                self.waiting.remove(ticket)
+                self.refuse(ticket, IMPATIENT_REASON, impatient=True)
+        if not self.waiting:
+            self.queued_since_s = clock.NEVER_S
+
+    def _fill_slots(self, now_s: float) -> None:
         while self.waiting and self.has_room(now_s):
             chosen = min(
                 self.waiting,
@@ -173,8 +197,15 @@
             )
             self.waiting.remove(chosen)
             self._admit(chosen, now_s)
-        if not self.waiting:
-            self.queued_since_s = clock.NEVER_S
+
+    def _expects_to_leave(self, ticket: Ticket, now_s: float) -> bool:
+        """Tell whether a ticket would wait for longer than it may."""
+        if ticket.leave_s == clock.NEVER_S:
+            return False
+        if self.has_room(now_s) and not self.waiting:
+            return False
+        wait_ms = self.wait_ms(self.ahead(ticket, now_s))
+        return now_s + wait_ms / 1000 > ticket.leave_s
 
     def has_room(self, now_s: float) -> bool:
         """Tell whether a slot is free and the rate limit allows a request."""
@@ -189,7 +220,10 @@
         return True
 
     def record_service_time(self, kind: str, duration_ms: float) -> None:
-        """Update the mean service times with a finished request."""
+        """Update the mean service times with a finished request.
+
+        :param duration_ms: how long it would have taken at the usual pace.
+        """
         mean_ms = self._service_ms.get(kind, duration_ms)
         self._service_ms[kind] = mean_ms + SMOOTHING * (duration_ms - mean_ms)
         mean_ms = self._mean_ms if self._samples else duration_ms
@@ -198,7 +232,8 @@
 
     def service_ms(self, kind: str) -> float:
         """Return the expected service time of a request of a kind."""
-        return self._service_ms.get(kind, DEFAULT_SERVICE_MS) * self._slowdown
+        usual_ms = self._service_ms.get(kind, DEFAULT_SERVICE_MS)
+        return usual_ms * self._slowdown * self.pace_factor
 
     def update_slowdown(self, now_s: float) -> None:
         """Detect from the age of running requests that the target is slower.
@@ -206,8 +241,10 @@
         While service times are stable, the mean age of running requests is
         about the mean service time.  When they are older, the target has
         become slower; their own service times would show that too late.
+        The pace that the target states accounts for a part of their age.
         """
         self._slowdown = 1.0
+        self.pace_factor = self.pace.factor(now_s)
         if len(self._running) < MIN_RUNNING_OBSERVED:
             return
         if self._samples < MIN_SAMPLES_PER_SLOT * self.limits.slots:
@@ -217,7 +254,10 @@
         total_s = sum(now_s - ticket.begun_s for ticket in self._running)
         age_ms = 1000 * total_s / len(self._running)
         self._slowdown = max(
-            1.0, age_ms / max(1.0, self._mean_ms) / MAX_AGE_RATIO
+            1.0,
+            age_ms
+            / max(1.0, self._mean_ms * self.pace_factor)
+            / MAX_AGE_RATIO,
         )
 
     def wait_ms(self, ahead: int) -> float:
@@ -226,7 +266,7 @@
         return max(self._slot_wait_ms(ahead), rate_wait_ms)
 
     def _slot_wait_ms(self, ahead: int) -> float:
-        mean_ms = self._mean_ms * self._slowdown
+        mean_ms = self._mean_ms * self._slowdown * self.pace_factor
         return (ahead + 1) * mean_ms / max(1, self.limits.slots)
 
     def meets_deadline(self, ticket: Ticket, now_s: float) -> bool:
@@ -242,7 +282,9 @@
             for other in self.waiting
         )
 
-    def refuse(self, ticket: Ticket, reason: str) -> None:
+    def refuse(
+        self, ticket: Ticket, reason: str, impatient: bool = False
+    ) -> None:
         """Refuse a ticket, with the expected wait as its retry delay."""
         ahead = len(self.waiting)
         retry_ms = int(self.wait_ms(ahead))
@@ -250,6 +292,7 @@
             reason,
             max(MIN_RETRY_MS, retry_ms),
             self.rate_limit.wait_ms(ahead) > self._slot_wait_ms(ahead),
+            impatient,
         )
         ticket.decided.set()
 
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -1,11 +1,12 @@
 """Load balancing: choosing a target for a request.
 
 The load of a target is the load that its guard reported with its last answer,
-fading towards the number of requests that this entry itself has in flight
-there.  The balancer picks a target that is expected to answer within the
-latency objective, based on its load and on the service time that its guard
-reports.  A target in another failure domain or region is picked only if that
-saves more than the longer network path costs.
+fading towards the mean load of the service, or the number of requests that
+this entry itself has in flight there.  The balancer picks a target that is
+expected to answer within the latency objective, based on its load, and on the
+service time and the pace that its guard reports.  A target in another failure
+domain or region is picked only if that saves more than the longer network path
+costs.
 
 Failing targets are ejected for a while, new targets get a slow start, and
 targets that have just refused a request are blocked for a short time.
@@ -21,6 +22,7 @@
 import random
 import typing
 
+from chiveroad import load
 from chiveroad.traffic import _reachability
 from chiveroad import wire
 
@@ -82,6 +84,7 @@
     rate_limited_until_s: float = 0.0
     rate_limit_per_s: float = wire.UNLIMITED
     service_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    pace: load.Pace = dataclasses.field(default_factory=load.Pace)
 
     def record_load(
         self,
@@ -90,15 +93,22 @@
         now_s: float,
         kind: str = "",
         service_ms: float = 0.0,
+        pace: float = load.USUAL_PACE,
     ) -> None:
-        """Record the load and the service time that the guard reported."""
+        """Record the load and the speed that the guard reported.
+
+        :param service_ms: the service time at the usual pace.
+        """
+        self.pace.learn(pace, now_s)
         self.reported = running
         self.slots = max(1, slots)
         self.reported_s = now_s
         if kind and service_ms:
             self.service_ms[kind] = service_ms
 
-    def completion_ms(self, kind: str, outstanding: int) -> float:
+    def completion_ms(
+        self, kind: str, outstanding: float, pace_factor: float = 1.0
+    ) -> float:
         """Return the expected completion time of a request at this target.
 
         It is the service time of a single request, plus the time for the
@@ -107,6 +117,7 @@
         fast, so that it is tried.
         """
         service_ms = self.service_ms.get(kind, DEFAULT_SERVICE_MS)
+        service_ms *= pace_factor
         rounds = (outstanding + 1) / self.slots
         queued_ms = max(
             service_ms * (rounds - 1.0),
@@ -115,11 +126,17 @@
         )
         return service_ms * (1.0 + rounds * CROWDING_SLOWDOWN) + queued_ms
 
-    def outstanding(self, now_s: float) -> int:
-        """Return the estimated number of running and queued requests."""
+    def outstanding(self, now_s: float, mean_load: float = 0.0) -> float:
+        """Return the estimated number of running and queued requests.
+
+        :param mean_load: the load per slot of the service's targets, to which
+            a report fades: one that is old says little about its target.
+        """
         age_s = now_s - self.reported_s
         freshness = max(0.0, 1.0 - age_s / FADE_S)
-        return max(self.in_flight, round(self.reported * freshness))
+        usual = (1.0 - freshness) * mean_load
+        usual *= self._usable_slots(self._mean_service_ms())
+        return max(self.in_flight, self.reported * freshness + usual)
 
     def record_answer(self, status: int, now_s: float) -> None:
         """Record the target's answer; a status of 500 or more is a failure."""
@@ -147,16 +164,18 @@
         """Record that the guard refuses new requests for ``for_s`` seconds."""
         self.blocked_until_s = max(self.blocked_until_s, now_s + for_s)
 
-    def load(self, outstanding: int, now_s: float) -> float:
+    def load(self, outstanding: float, now_s: float) -> float:
         """Return the load; 1 means that all slots are taken."""
-        mean_ms = DEFAULT_SERVICE_MS
-        if self.service_ms:
-            mean_ms = sum(self.service_ms.values()) / len(self.service_ms)
-        slots = self._usable_slots(mean_ms)
+        slots = self._usable_slots(self._mean_service_ms())
         capacity = slots * self._slow_start_share(now_s)
         return (outstanding + 1) / capacity - 1 / slots
 
-    def _rate_wait_ms(self, service_ms: float, outstanding: int) -> float:
+    def _mean_service_ms(self) -> float:
+        if not self.service_ms:
+            return DEFAULT_SERVICE_MS
+        return sum(self.service_ms.values()) / len(self.service_ms)
+
+    def _rate_wait_ms(self, service_ms: float, outstanding: float) -> float:
         """Return how long the requests beyond the rate limit take to start."""
         if self.rate_limit_per_s == wire.UNLIMITED:
             return 0.0
@@ -189,7 +208,7 @@
     reported: int = 0
     completion_ms: float = 0.0
     objective_ms: int = 0
-    answer_bytes: float = 0.0
+    transfer_bytes: float = 0.0
     reachability: _reachability.State = _reachability.State.REACHABLE
 
 
@@ -197,12 +216,14 @@
 class RequestProfile:
     """The properties of a request that decide where it should run.
 
-    ``answer_bytes`` is the mean size of answers to its kind.
+    ``answer_bytes`` is the mean size of answers to its kind, and
+    ``body_bytes`` the size of its own body.
     """
 
     kind: str = ""
     objective_ms: int = 0
     answer_bytes: float = 0.0
+    body_bytes: float = 0.0
 
 
 def candidate(
@@ -212,9 +233,10 @@
     now_s: float,
     profile: RequestProfile = RequestProfile(),
     reachability: _reachability.State = _reachability.State.REACHABLE,
+    mean_load: float = 0.0,
 ) -> Candidate:
     """Return a candidate with the current state from its statistics."""
-    outstanding = stats.outstanding(now_s)
+    outstanding = stats.outstanding(now_s, mean_load)
     return Candidate(
         instance,
         distance,
@@ -222,9 +244,11 @@
         stats.ejected_until_s > now_s,
         stats.blocked_until_s > now_s,
         stats.reported,
-        stats.completion_ms(profile.kind, outstanding),
+        stats.completion_ms(
+            profile.kind, outstanding, stats.pace.factor(now_s)
+        ),
         profile.objective_ms,
-        profile.answer_bytes,
+        profile.answer_bytes + profile.body_bytes,
         reachability,
     )
 
@@ -349,6 +373,10 @@
 """The cost of transferring a kilobyte, as a share of the value of an answer:
 the users' prices for traffic between failure domains and between regions."""
 
+EQUAL_COST: typing.Final = 0.005
+"""Costs that differ by less count as equal: an estimate of the load that is a
+second old is no more exact.  It is less than any longer path costs."""
+
 HEADERS_KB: typing.Final = 1.0
 """The size of the headers of a request and its answer."""
 
@@ -366,19 +394,30 @@
     def pick(
         self, candidates: collections.abc.Sequence[Candidate]
     ) -> Candidate | None:
-        """Choose by cost, among the candidates that are not blocked."""
+        """Choose by cost, among the candidates that are not blocked.
+
+        Of those that cost nearly the least, two random ones are compared, so
+        that many entries with similar knowledge don't choose the same target.
+        """
         healthy = _healthy(candidates)
         unblocked = [
             candidate for candidate in healthy if not candidate.blocked
         ]
-        return min(unblocked or healthy, key=self._cost, default=None)
+        costs = [(self._cost(each), each) for each in unblocked or healthy]
+        if not costs:
+            return None
+        limit = min(cost for cost, _ in costs) + EQUAL_COST
+        near = [pair for pair in costs if pair[0] <= limit]
+        if len(near) > 2:
+            near = self._rng.sample(near, 2)
+        return min(near, key=lambda pair: pair[0])[1]
 
     def _cost(self, candidate: Candidate) -> float:
         jitter = 1.0 + JITTER * self._rng.random()
         objective_ms = candidate.objective_ms or DEFAULT_OBJECTIVE_MS
         objective_share = candidate.completion_ms * jitter / objective_ms
         late_share = LATE_SHARE_AT_OBJECTIVE * objective_share**LATE_EXPONENT
-        kilobytes = HEADERS_KB + candidate.answer_bytes / 1000
+        kilobytes = HEADERS_KB + candidate.transfer_bytes / 1000
         path_cost = PATH_COST[candidate.distance]
         return (
             late_share
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -40,6 +40,10 @@
 OBJECTIVE_MS: typing.Final = "Chiveroad-Objective-Ms"
 INNER: typing.Final = "Chiveroad-Inner"
 LOAD: typing.Final = "Chiveroad-Load"
+PATIENCE_MS: typing.Final = "Chiveroad-Patience-Ms"
+"""How long a request may wait for a slot at this guard; without a bound if
+the header is absent."""
+
 RATE_LIMIT: typing.Final = "Chiveroad-Rate-Limit"
 """The target's rate limit, from the guard with each answer; from the entry,
 which may know it while a guard that was restarted doesn't."""
@@ -208,6 +212,7 @@
     replaced by another target's answer, and ``failure_answer`` is such a
     failure.  ``pending`` holds the open exchanges, the oldest first.
     ``rate_limit_per_s`` is the target's rate limit as far as the entry knows.
+    ``patience_ms`` is how long it may wait for a slot in the current attempt.
     ``buffers`` is what the answers to all requests may take in memory.
     ``content`` is a digest of what is asked for, once it has been needed, and
     ``recipient`` is the target that this daemon's guard has sent it to.
@@ -234,6 +239,7 @@
     pending: list[Pending] = dataclasses.field(default_factory=list)
     limit: Limit = dataclasses.field(default_factory=Limit)
     rate_limit_per_s: float = wire.UNLIMITED
+    patience_ms: float = clock.NEVER_S
     buffers: _buffers.BufferBudget = dataclasses.field(
         default_factory=_buffers.BufferBudget
     )
@@ -285,6 +291,8 @@
             yield OBJECTIVE_MS, str(int(left_s * 1000))
         if self.inner:
             yield INNER, "1"
+        if self.patience_ms != clock.NEVER_S:
+            yield PATIENCE_MS, str(int(self.patience_ms))
         if self.rate_limit_per_s != wire.UNLIMITED:
             yield RATE_LIMIT, f"{self.rate_limit_per_s:.3f}"
 
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -34,6 +34,7 @@
 from chiveroad.traffic import _failover
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _guard_answer
+from chiveroad.traffic import _moving
 from chiveroad.traffic import _quarantine
 from chiveroad.traffic import _reachability
 from chiveroad.traffic import _retry
@@ -207,6 +208,8 @@
                 attempts.record_refusal(refusal)
                 if not self._should_retry(attempts, refusal):
                     return False
+                if attempts.moved and not self._sampler.allow():
+                    continue
                 _log.info(
                     "Request {} is retried at another target: {}.",
                     attempts.call.id,
@@ -232,6 +235,7 @@
             "service": attempts.call.service,
             "version": self._applied.current.number,
             "tried": attempts.tried,
+            "moved": len(attempts.busy),
             "left_ms": int(attempts.call.left_ms()),
             "unlogged": self._sampler.suppressed,
         }
@@ -360,11 +364,12 @@
     def _try_target(self, attempts: _Attempts) -> None:
         call, tried = attempts.call, attempts.tried
         self._check_time_left(call)
-        chosen, member = self._targets.pick(
-            call.service, self._targets.profile(call), tried
+        moves = self._options.traffic.move_waiting
+        chosen, member = _moving.pick(
+            self._targets, call, tried, attempts.busy, moves
         )
         tried.append(chosen.instance)
-        if len(tried) > 1:
+        if len(tried) > 1 + len(attempts.busy):
             self._recorder.count("chiveroad.entry.retries")
         distance = chosen.distance.name.lower()
         self._recorder.count("chiveroad.entry.picks", distance)
@@ -375,7 +380,12 @@
         try:
             self._serve(attempts, member, stats)
         except errors.Refusal as refusal:
-            _targets.learn_refusal(stats, refusal)
+            if _moving.was_moved(call, refusal):
+                self._recorder.count("chiveroad.entry.moved")
+                attempts.busy.add(chosen.instance)
+            else:
+                _targets.learn_refusal(stats, refusal)
+                attempts.busy.discard(chosen.instance)
             raise
         except _exchange.Superseded:
             attempts.completed += 1
@@ -421,8 +431,8 @@
                 status = self._guard.serve(request, call)
                 stats.record_answer(status, time.monotonic())
             finally:
-                load = self._guard.load(call.kind_name)
-                _targets.learn_local_load(stats, load, call.kind_name)
+                _, load = self._guard.load(call.kind_name)
+                self._targets.learn_load(member, stats, load, call.kind_name)
                 stats.rate_limit_per_s = self._guard.rate_limit_per_s
             return
         with self._targets.awaiting_answer(member.guard):
@@ -527,7 +537,8 @@
 class _Attempts:
     """The attempts to serve one request so far.
 
-    ``tried`` names the targets that were picked.  ``completed`` counts the
+    ``tried`` names the targets that were picked, and ``busy`` those that the
+    request was moved on from.  ``completed`` counts the
     attempts that have ended at a target that received the request, and
     ``in_progress`` the targets that may still be running it while a hedged
     request is sent.  ``worst`` is the refusal that the caller receives if no
@@ -538,11 +549,17 @@
     call: _call.Call
     route: config.Route
     tried: list[str] = dataclasses.field(default_factory=list)
+    busy: set[str] = dataclasses.field(default_factory=set)
     completed: int = 0
     in_progress: int = 0
     worst: errors.Refusal | None = None
     served_by: str = ""
 
+    @property
+    def moved(self) -> bool:
+        """Tell whether the last try ended as the target was busy."""
+        return bool(self.tried) and self.tried[-1] in self.busy
+
     @property
     def sent(self) -> int:
         """Return how many targets have, or may have, received the request."""
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -16,6 +16,7 @@
 from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
+from chiveroad import load
 from chiveroad import logs
 from chiveroad import metrics
 from chiveroad import presence
@@ -202,12 +203,21 @@
 
         Its value holds the number of running and waiting requests, the
         number of slots, and the milliseconds that a request of the kind
-        takes.
+        takes at the usual pace; then the pace, unless it is the usual one.
         """
         admission = self._admission
-        service_ms = int(admission.service_ms(kind_name))
+        service_ms = admission.service_ms(kind_name) / admission.pace_factor
         slots = admission.limits.slots
-        return (_call.LOAD, f"{admission.load} {slots} {service_ms}")
+        value = f"{admission.load} {slots} {int(service_ms)}"
+        pace = round(load.USUAL_PACE * self.pace_factor)
+        if pace != load.USUAL_PACE:
+            value += f" {pace}"
+        return (_call.LOAD, value)
+
+    @property
+    def pace_factor(self) -> float:
+        """Return how much longer than usual work takes at the target."""
+        return self._admission.pace.factor(time.monotonic())
 
     def _state_headers(self, kind_name: str = "") -> list[serving.Header]:
         """Return the headers that report the state of the target."""
@@ -282,6 +292,7 @@
             limit=self._limit,
             buffers=self._buffers,
             rate_limit_per_s=_known_rate_limit(request),
+            patience_ms=_patience_ms(request),
         )
 
     def _limits(self) -> _admission.Limits:
@@ -305,6 +316,7 @@
             arrived_s=now_s,
             objective_s=call.objective_s,
             inner=call.inner,
+            leave_s=now_s + call.patience_ms / 1000,
         )
         with self._lock:
             self._admission.limits = self._limits()
@@ -320,6 +332,9 @@
             self._recorder.record_latency("queue", time.monotonic() - now_s)
         if ticket.refusal is not None:
             reason = ticket.refusal.reason
+            if ticket.refusal.impatient:
+                self._recorder.count("chiveroad.guard.impatient")
+                raise errors.Overloaded(reason, ticket.refusal.retry_after_ms)
             _log.warning(
                 "Request {} was rejected under load: {}; retry after {} ms.",
                 call.id,
@@ -353,9 +368,13 @@
 
     def _wait(self, ticket: _admission.Ticket, call: _call.Call) -> None:
         left_s = call.left_ms() / 1000
-        while left_s > 0 and not ticket.decided.wait(
-            min(STOP_CHECK_S, left_s)
-        ):
+        while left_s > 0:
+            patience_s = max(0.0, ticket.leave_s - time.monotonic())
+            if ticket.decided.wait(min(STOP_CHECK_S, left_s, patience_s)):
+                break
+            if time.monotonic() >= ticket.leave_s:
+                with self._lock:
+                    self._admission.advance(time.monotonic())
             left_s = call.left_ms() / 1000
         with self._lock:
             if not self._admission.withdraw(ticket):
@@ -370,6 +389,7 @@
     ) -> _exchange.Answer:
         self._recorder.count("chiveroad.guard.requests", "run")
         started_s = time.monotonic()
+        pace_factor = self.pace_factor
         call.recipient = self._target_ends.recipient()
         status = call.recipient.status
         target_id = status.target_id
@@ -393,7 +413,10 @@
         answer.remove_headers(self._protocol.is_statement)
         if answer.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
             # The duration of a failure says nothing about that of a success.
-            self._record_duration(call, time.monotonic() - started_s)
+            # The pace may have changed while the target ran the request.
+            pace_factor = (pace_factor + self.pace_factor) / 2
+            took_s = time.monotonic() - started_s
+            self._record_duration(call, took_s, 1 / pace_factor)
         return answer
 
     def _learn(
@@ -418,6 +441,8 @@
             if status.incarnation != self._incarnation:
                 return
             before_per_s = rate_limit.per_s
+            if terms.load is not None and terms.load.pace is not None:
+                self._admission.pace.learn(terms.load.pace, time.monotonic())
             # A refusal may come from a part of the target that states none.
             if terms.ran or terms.rate_limit_per_s != wire.UNLIMITED:
                 rate_limit.learn(
@@ -448,6 +473,7 @@
         if known and status.incarnation != self._incarnation:
             self._incarnation = status.incarnation
             self._admission.rate_limit = _rate_limit.RateLimit()
+            self._admission.pace = load.Pace()
         return self._admission.rate_limit
 
     def _check_answer(self, answer: _exchange.Answer, target_id: str) -> None:
@@ -471,7 +497,8 @@
     ) -> None:
         """Update the estimate of how long a kind of request takes.
 
-        :param factor: scales a duration that a timeout has cut short.
+        :param factor: scales a duration that a timeout has cut short, or that
+            was measured at another pace than the usual one.
         """
         self._recorder.record_latency("upstream", took_s)
         with self._lock:
@@ -580,6 +607,12 @@
     return request.received_s + int(text) / 1000
 
 
+def _patience_ms(request: serving.Request) -> float:
+    """Return how long a request may wait for a slot."""
+    text = request.header(_call.PATIENCE_MS)
+    return float(_call.number(text, 0)) if text else clock.NEVER_S
+
+
 def _known_rate_limit(request: serving.Request) -> float:
     """Return the target's rate limit as far as the entry knows it."""
     limit_per_s = wire.parse_rate_limit(request.header(_call.RATE_LIMIT))
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -17,6 +17,7 @@
 from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
+from chiveroad import load
 from chiveroad import logs
 from chiveroad import membership
 from chiveroad import serving
@@ -84,6 +85,7 @@
         self._missing: dict[str, _reachability.Reachability] = {}
         self._prober = _reachability.Prober(_guard.PROBE_PATH)
         self._answer_bytes: dict[str, float] = {}
+        self._loads: dict[str, load.ServiceLoad] = {}
         self._lock = threading.Lock()
         self._rng = random.Random()
         self._distance_cache: dict[str, _CachedDistances] = {}
@@ -93,8 +95,24 @@
 
     def candidates(self, service: str) -> list[_balancer.Candidate]:
         """Return the service's targets with this entry's statistics."""
-        by_distance = self._by_distance(service)
-        return self._candidates(by_distance, _balancer.RequestProfile())
+        return self._candidates(
+            self._by_distance(service),
+            _balancer.RequestProfile(),
+            self.load_of(service).mean(time.monotonic()),
+        )
+
+    def load_of(self, service: str) -> load.ServiceLoad:
+        """Return what this entry has learnt lately from all targets."""
+        found = self._loads.get(service)
+        if found is None:
+            found = self._loads.setdefault(service, load.ServiceLoad())
+        return found
+
+    def untried(
+        self, service: str, tried: collections.abc.Collection[str]
+    ) -> int:
+        """Return about how many targets a request can still be sent to."""
+        return len(self._view.of_service(service)) - len(tried)
 
     def pick(
         self,
@@ -108,7 +126,8 @@
         """
         remaining = self._without_leaving(self._by_distance(service))
         by_distance = self._reachable(remaining, tried)
-        candidates = self._candidates(by_distance, profile)
+        mean_load = self.load_of(service).mean(time.monotonic())
+        candidates = self._candidates(by_distance, profile, mean_load)
         untried = [
             candidate
             for candidate in candidates
@@ -368,6 +387,7 @@
         self,
         by_distance: _MembersByDistance,
         profile: _balancer.RequestProfile,
+        mean_load: float,
     ) -> list[_balancer.Candidate]:
         now_s = time.monotonic()
         return [
@@ -378,6 +398,7 @@
                 now_s,
                 profile,
                 self._reachability_state(member),
+                mean_load,
             )
             for distance, members in by_distance.items()
             for member in _balancer.sample(members, self._rng)
@@ -416,11 +437,14 @@
         kind: str,
     ) -> None:
         """Record the state of a target that its guard's answer reports."""
-        load = answer.header(_call.LOAD)
-        if not load:
+        text = answer.header(_call.LOAD)
+        if not text:
             # The guard had no free worker, so its server refused the request.
             return
-        _learn_from_header(stats, load, kind)
+        # The guard counts the answered request as running until its answer
+        # has been forwarded.
+        ended = not answer.header(serving.CODE_HEADER)
+        self.learn_load(member, stats, text, kind, int(ended))
         leaving = answer.header(_call.LEAVING)
         if leaving:
             self._leaving[f"{member.instance}/{leaving}"] = time.monotonic()
@@ -439,6 +463,34 @@
             call.kind_name,
             call.kind.objective_ms,
             self._answer_bytes.get(call.kind_name, 0.0),
+            float(call.body.length or 0),
+        )
+
+    def learn_load(
+        self,
+        member: membership.Member,
+        stats: _balancer.TargetStats,
+        text: str,
+        kind: str,
+        ended: int = 0,
+    ) -> None:
+        """Record the load and speed that a guard's load header states.
+
+        :param ended: how many of the requests that it counts have ended.
+        """
+        parts = text.split()
+        if len(parts) not in (3, 4) or not all(map(str.isdecimal, parts)):
+            return
+        running, slots, service_ms, *others = (int(part) for part in parts)
+        pace = others[0] if others else load.USUAL_PACE
+        running = max(0, running - ended)
+        now_s = time.monotonic()
+        stats.record_load(running, slots, now_s, kind, service_ms, pace)
+        self.load_of(member.service).record(
+            member.instance,
+            running / stats.slots,
+            running >= stats.slots,
+            now_s,
         )
 
     def learn_size(self, kind: str, size_bytes: int) -> None:
@@ -519,23 +571,6 @@
         return _balancer.Distance.REMOTE
 
 
-def learn_local_load(
-    stats: _balancer.TargetStats, load: serving.Header, kind: str
-) -> None:
-    """Record the load and speed of the guard in this process."""
-    _learn_from_header(stats, load[1], kind)
-
-
-def _learn_from_header(
-    stats: _balancer.TargetStats, text: str, kind: str
-) -> None:
-    parts = text.split()
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
-        return
-    running, slots, service_ms = (int(part) for part in parts)
-    stats.record_load(running, slots, time.monotonic(), kind, service_ms)
-
-
 def learn_refusal(
     stats: _balancer.TargetStats, refusal: errors.Refusal
 ) -> None:
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -69,11 +69,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """The load that a target reports in an answer."""
+    """The load that a target reports in an answer.
+
+    ``pace`` says how long work currently takes on its machine, where 100 is
+    usual; None if the target doesn't state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,277 @@
+"""Where work goes: stated pace, patience, and moving on from busy targets."""
+
+from __future__ import annotations
+
+import threading
+import time
+import typing
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from chiveroad import clock
+from chiveroad import config
+from chiveroad import control
+from chiveroad import errors
+from chiveroad import load
+from chiveroad import membership
+from chiveroad import platform
+from chiveroad.traffic import _admission
+from chiveroad.traffic import _balancer
+from chiveroad.traffic import _call
+from chiveroad.traffic import _moving
+from chiveroad.traffic import _objective
+from chiveroad.traffic import _targets
+from chiveroad import wire
+from tests import fakes
+
+KIND = config.Kind(1, False, 2_000, 600, 2)
+
+
+# Guards against a statement out of range that scales times, or ends a request
+# with an exception of ``int``.
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("2,0,6", wire.Load(2, 0, 6)),
+        ("2, 0, 6, 100", wire.Load(2, 0, 6, 100)),
+        ("2,0,6,250", wire.Load(2, 0, 6, 250)),
+        ("2,0,6,10000", wire.Load(2, 0, 6, 10_000)),
+        *(
+            (f"2,0,6,{pace}", None)
+            for pace in ("0", "-5", "10001", "9" * 5_000, "nan", "", "1e3")
+        ),
+        *((text, None) for text in ("", "2,0", "2,0,6,100,1", "2,\xb2,6")),
+    ],
+)
+def test_load_statement_has_three_or_four_figures(
+    text: str, expected: wire.Load | None
+) -> None:
+    def header(name: str, default: str) -> str:
+        return text if name == "X-Server-Load" else default
+
+    assert platform.Protocol().read_answer(200, header).load == expected
+
+
+# Guards against a slow phase that outlasts its statement, or a jump of the
+# expected times as it ends.
+@hypothesis.given(
+    st.integers(1, 10_000), st.floats(0, 1), st.floats(0.001, 0.1)
+)
+def test_pace_fades_to_the_usual_within_its_age(
+    stated: int, age_s: float, step_s: float
+) -> None:
+    pace = load.Pace()
+    assert pace.factor(5.0) == 1.0
+    pace.learn(stated, 10.0)
+    earlier, later = pace.factor(10 + age_s), pace.factor(10 + age_s + step_s)
+    assert abs(later - 1) <= abs(earlier - 1) <= abs(stated / 100 - 1) + 1e-9
+    assert pace.factor(10.61) == 1.0
+
+
+def busy_guard(slots: int = 2, mean_ms: float = 100.0) -> _admission.Admission:
+    """Return an admission with a known service time and no free slot."""
+    state = _admission.Admission(
+        _admission.Limits(slots, 10), _objective.ObjectiveFirst()
+    )
+    for _ in range(40):
+        state.record_service_time("k", mean_ms)
+    for _ in range(slots):
+        state.offer(ticket(0.0), 0.0)
+    return state
+
+
+def ticket(
+    now_s: float, patience_s: float = clock.NEVER_S
+) -> _admission.Ticket:
+    """Return a ticket that arrives now."""
+    return _admission.Ticket(
+        "t",
+        "k",
+        1,
+        now_s + 2.0,
+        now_s,
+        now_s + 0.6,
+        leave_s=now_s + patience_s,
+    )
+
+
+# Guards against a request that waits at a busy target against its terms, and
+# against one that is refused although it may wait or a slot is free.
+@pytest.mark.parametrize(
+    ("patience_s", "pace", "waits"),
+    [
+        (clock.NEVER_S, 100, True),
+        (0.0, 100, False),
+        (0.04, 100, False),
+        (0.06, 100, True),
+        # At a slow pace the wait of 50 ms takes 125 ms.
+        (0.06, 250, False),
+        (0.13, 250, True),
+    ],
+)
+def test_guard_refuses_at_once_what_may_not_wait_that_long(
+    patience_s: float, pace: int, waits: bool
+) -> None:
+    state = busy_guard()
+    state.pace.learn(pace, 0.0)
+    offered = ticket(0.0, patience_s)
+    state.offer(offered, 0.0)
+    assert (offered in state.waiting) == waits
+    if not waits:
+        assert offered.refusal is not None and offered.refusal.impatient
+    free = busy_guard()
+    free.limits = _admission.Limits(3, 10)
+    admitted = ticket(0.0, 0.0)
+    free.offer(admitted, 0.0)
+    assert admitted.admitted
+
+
+# Guards against a request that stays in a queue after its patience has ended.
+def test_waiting_request_leaves_when_its_patience_ends() -> None:
+    state = busy_guard()
+    offered, patient = ticket(0.0, 0.06), ticket(0.0)
+    state.offer(offered, 0.0)
+    state.offer(patient, 0.0)
+    state.advance(0.059)
+    assert not offered.decided.is_set()
+    state.advance(0.06)
+    assert offered.refusal is not None and offered.refusal.impatient
+    assert state.waiting == [patient]
+
+
+# Guards against times that are measured at a slow pace and count twice.
+def test_pace_scales_expected_times() -> None:
+    state = busy_guard(slots=2, mean_ms=100.0)
+    state.pace.learn(200, 1.0)
+    state.advance(1.0)
+    assert state.pace_factor == 2.0
+    running = busy_guard(slots=8, mean_ms=100.0)
+    running.advance(0.25)
+    slowed_ms = running.service_ms("k")
+    running.pace.learn(250, 0.25)
+    running.advance(0.25)
+    # Their age of 250 ms is what the pace explains.
+    assert running.service_ms("k") == pytest.approx(250)
+    assert 100 < slowed_ms < 250
+
+
+# Guards against moving requests around a service that has no capacity.
+@hypothesis.given(st.integers(0, 40), st.integers(0, 40), st.integers(1, 8))
+def test_number_of_impatient_tries(learnt: int, full: int, limit: int) -> None:
+    full = min(full, learnt)
+    tries = load.impatient_tries(learnt, full, limit)
+    assert 0 <= tries < max(2, limit)
+    if learnt >= 3:
+        assert (tries == 0) == (full == learnt or limit == 1 and tries == 0)
+        fewer_full = max(0, full - 1)
+        assert tries <= load.impatient_tries(learnt, fewer_full, limit)
+
+
+def test_old_report_fades_to_the_mean_load_of_the_service() -> None:
+    stats = _balancer.TargetStats(since_s=-60.0)
+    stats.record_load(6, 6, 10.0)
+    assert stats.outstanding(10.0, 0.5) == 6
+    assert stats.outstanding(10.0 + _balancer.FADE_S, 0.5) == 3
+    stats.record_load(0, 6, 20.0)
+    assert stats.outstanding(20.0, 0.5) == 0
+    assert stats.outstanding(20.0 + _balancer.FADE_S, 0.5) == 3
+
+
+# Guards against an upload that crosses to another domain for a small gain.
+@pytest.mark.parametrize(
+    ("body_bytes", "expected"), [(0, "other"), (60_000, "near")]
+)
+def test_bytes_of_a_body_keep_a_request_near(
+    body_bytes: int, expected: str
+) -> None:
+    profile = _balancer.RequestProfile("k", 600, 1_000, body_bytes)
+    candidates = []
+    for name, distance, running in (
+        ("near", _balancer.Distance.DOMAIN, 25),
+        ("other", _balancer.Distance.REGION, 3),
+    ):
+        stats = _balancer.TargetStats(-100.0, running, slots=10)
+        stats.service_ms["k"] = 200.0
+        candidates.append(
+            _balancer.candidate(name, distance, stats, 0.0, profile)
+        )
+    picked = _balancer.LeastWait().pick(candidates)
+    assert picked is not None and picked.instance == expected
+
+
+class _Body:
+    length = 10
+    buffered: bytes | None = b"0123456789"
+
+
+class _Entry:
+    """An entry's view of some targets of one service."""
+
+    def __init__(self, count: int) -> None:
+        changed = threading.Condition()
+        applied = control.Applied(changed, confirmed_only=False)
+        service = config.Service("glade", "t", 0, 10, 10, ("*",), {})
+        items = dict([config.service_item(service)])
+        applied.offer(1, config.digest(items), items)
+        view = membership.View(changed)
+        self.targets = _targets.Targets(fakes.options("e"), applied, view)
+        self.members = [fakes.member(name) for name in "abcdefgh"[:count]]
+        view.merge(self.members)
+        self.call = typing.cast(typing.Any, object.__new__(_call.Call))
+        self.call.service, self.call.kind_name = "glade", "k"
+        self.call.kind, self.call.body = KIND, _Body()
+
+    def learn(self, index: int, text: str) -> None:
+        """Learn from a load header."""
+        member = self.members[index]
+        stats = self.targets.stats(member)
+        self.targets.learn_load(member, stats, text, "k")
+
+    def pick(self, *busy: str, enabled: bool = True) -> tuple[str, bool]:
+        """Return the picked target, and whether the request may wait."""
+        chosen, _ = _moving.pick(
+            self.targets, self.call, busy, set(busy), enabled
+        )
+        return chosen.instance, self.call.patience_ms == clock.NEVER_S
+
+
+def test_tries_move_on_and_the_last_waits_where_capacity_comes_first() -> None:
+    entry = _Entry(4)
+    assert not entry.pick()[1]
+    assert entry.pick(enabled=False)[1]
+    for index, queued in enumerate((20, 12, 30, 25)):
+        entry.learn(index, f"{queued} 10 100")
+    # All are full, so none is asked to refuse.
+    assert {entry.pick() for _ in range(20)} == {("b", True)}
+    assert entry.pick("b", "a")[0] == "b"
+    entry.learn(3, "2 10 100")
+    assert {entry.pick("b") for _ in range(20)} == {("d", False)}
+    # The last of all targets isn't asked to refuse.
+    entry.learn(3, "31 10 100")
+    assert entry.pick("a", "b", "c") == ("b", True)
+    entry.call.body.buffered = None
+    assert entry.pick()[1]
+
+
+def test_load_header_of_older_guards_is_read() -> None:
+    entry = _Entry(1)
+    stats = entry.targets.stats(entry.members[0])
+    entry.learn(0, "3 10 100 250")
+    now_s = time.monotonic()
+    assert (stats.reported, stats.service_ms["k"]) == (3, 100)
+    assert stats.pace.factor(now_s) == 2.5
+    entry.learn(0, "4 10 120")
+    assert stats.pace.factor(now_s) == 1.0
+    entry.learn(0, "4 10 120 x")
+    assert (stats.reported, stats.slots) == (4, 10)
+
+
+def test_only_an_impatient_overload_counts_as_moved() -> None:
+    call = _Entry(1).call
+    call.patience_ms = 20.0
+    assert _moving.was_moved(call, errors.Overloaded("busy"))
+    assert not _moving.was_moved(call, errors.Draining("leaves"))
+    call.patience_ms = clock.NEVER_S
+    assert not _moving.was_moved(call, errors.Overloaded("busy"))
