--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -38,6 +38,7 @@
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _guard_answer
 from chiveroad.traffic import _hedges
+from chiveroad.traffic import _moving
 from chiveroad.traffic import _quarantine
 from chiveroad.traffic import _reachability
 from chiveroad.traffic import _retry
@@ -257,6 +258,8 @@
                     if not self._retry_inner_call(attempts, refusal):
                         return False
                     continue
+                if attempts.moved and not self._sampler.allow():
+                    continue
                 _log.info(
                     "Request {} is retried at another target: {}.",
                     attempts.call.id,
@@ -289,6 +292,7 @@
         self._recorder.count("chiveroad.entry.inner_retries")
         time.sleep(pause_s)
         attempts.tried.clear()
+        attempts.busy.clear()
         return True
 
     def _log_served(self, attempts: _Attempts) -> None:
@@ -309,6 +313,7 @@
             "service": attempts.call.service,
             "version": self._applied.current.number,
             "tried": attempts.tried,
+            "moved": len(attempts.busy),
             "left_ms": int(attempts.call.left_ms()),
             "unlogged": self._sampler.suppressed,
         }
@@ -437,11 +442,12 @@
         call, tried = attempts.call, attempts.tried
         self._check_time_left(call)
         hedge_target, attempts.hedge_target = attempts.hedge_target, ""
-        chosen, member = self._targets.pick(
-            call.service, self._targets.profile(call), tried, hedge_target
+        moves = self._options.traffic.move_waiting
+        chosen, member = _moving.pick(
+            self._targets, call, tried, attempts.busy, moves, hedge_target
         )
         tried.append(chosen.instance)
-        if len(tried) > 1:
+        if len(tried) > 1 + len(attempts.busy):
             self._recorder.count("chiveroad.entry.retries")
         distance = chosen.distance.name.lower()
         self._recorder.count("chiveroad.entry.picks", distance)
@@ -452,7 +458,12 @@
         try:
             self._serve(attempts, member, stats)
         except errors.Refusal as refusal:
-            _targets.learn_refusal(stats, refusal)
+            if _moving.was_moved(call, refusal):
+                self._recorder.count("chiveroad.entry.moved")
+                attempts.busy.add(chosen.instance)
+            else:
+                _targets.learn_refusal(stats, refusal)
+                attempts.busy.discard(chosen.instance)
             raise
         except _exchange.Superseded:
             attempts.completed += 1
@@ -498,8 +509,8 @@
                 status = self._guard.serve(request, call)
                 stats.record_answer(status, time.monotonic())
             finally:
-                load = self._guard.load(call.kind_name)
-                _targets.learn_local_load(stats, load, call.kind_name)
+                _, load = self._guard.load(call.kind_name)
+                self._targets.learn_load(member, stats, load, call.kind_name)
                 stats.rate_limit_per_s = self._guard.rate_limit_per_s
             return
         sender = self._late_sender(attempts)
@@ -648,10 +659,10 @@
 class _Attempts:
     """The attempts to serve one request so far.
 
-    ``tried`` names the targets that were picked.  ``completed`` counts the
-    attempts that have ended at a target that received the request, and
-    ``in_progress`` the targets that may still be running it while a hedged
-    request is sent.  ``rounds`` counts how often an inner call was refused by
+    ``tried`` names the targets that were picked, and ``busy`` those that the
+    request was moved on from.  ``completed`` counts the attempts that have
+    ended at a target that received the request, and ``in_progress`` the
+    targets that may still be running it while a hedged request is sent.  ``rounds`` counts how often an inner call was refused by
     all targets that were tried.  ``worst`` is the refusal that the caller
     receives if no target serves the request.  ``hedge_target`` is the instance
     that the next attempt is sent to, if it is a hedge for a late answer.
@@ -661,6 +672,7 @@
     call: _call.Call
     route: config.Route
     tried: list[str] = dataclasses.field(default_factory=list)
+    busy: set[str] = dataclasses.field(default_factory=set)
     completed: int = 0
     in_progress: int = 0
     rounds: int = 0
@@ -668,6 +680,11 @@
     served_by: str = ""
     hedge_target: str = ""
 
+    @property
+    def moved(self) -> bool:
+        """Tell whether the last try ended as the target was busy."""
+        return bool(self.tried) and self.tried[-1] in self.busy
+
     @property
     def sent(self) -> int:
         """Return how many targets have, or may have, received the request."""
