Tests of keys in real processes: no output has a key; turned away daemons serve

Cause: nothing showed that a key stays out of logs, pages and records, nor that daemons that the store turns away serve and revoke as the others do.

Change: four daemons, each behind a gate to the store's stand-in that passes, answers 503 or 429, resets or is silent.

--- /dev/null
+++ b/tests/test_key_processes.py
@@ -0,0 +1,231 @@
+"""Customers' keys in real processes, with the store of the platform."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import dataclasses
+import os
+import pathlib
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+import msgspec
+import pytest
+
+from chiveroad import store
+from standins import mesh
+from standins import object_api
+from standins import platform_store
+from tests import gate
+from tests import keyed
+
+NAMES: typing.Final = "abcd"
+BOUND_S: typing.Final = 5.0
+TOKEN: typing.Final = f"Authorization: Token {keyed.KEY}"
+PAGES: typing.Final = (
+    "/control/v1/status",
+    "/metrics",
+    "/control/v1/upstreams",
+    "/control/v1/quarantine",
+)
+
+
+@dataclasses.dataclass
+class Fleet:
+    """Daemons as processes, each behind a gate to the store."""
+
+    api: object_api.ObjectApi
+    gates: dict[str, gate.Gate]
+    targets: dict[str, keyed.Target]
+    entries: dict[str, str]
+    controls: dict[str, str]
+    folder: pathlib.Path
+
+    def accept(self, spec: bytes) -> None:
+        """Accept a version as the platform's operator does."""
+        store.overwrite(
+            self.api.store,
+            store.Kind.ACCEPTED,
+            "main",
+            msgspec.Raw(spec),
+        )
+
+    def status(self, name: str, headers: list[str], path: str = "/x") -> int:
+        """Send a request to a daemon's entry; return its answer's status."""
+        answer = keyed.ask(self.entries[name], keyed.head_of(path, headers))
+        return keyed.status_of(answer)
+
+
+def _settings(
+    name: str, ports: mesh.Ports, target: str, platform: str
+) -> tuple[str, str, str]:
+    entry, guard, control = (ports.take() for _ in range(3))
+    text = f"""
+        instance = "{name}"
+        service = "glade"
+        failure_domain = "z"
+        region = "r"
+        [listen]
+        entry = "{entry}"
+        guard = "{guard}"
+        control = "{control}"
+        [upstream]
+        address = "{target}"
+        [platform]
+        address = "{platform}"
+        protocol = "platform"
+        timeout_ms = 1500
+        [control]
+        source = "accepted"
+        [customers]
+        fail_closed = true
+        revoke_within_s = {BOUND_S}
+        [log]
+        format = "json"
+        level = "debug"
+        """
+    return text, entry, control
+
+
+@pytest.fixture(scope="module")
+def fleet(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> collections.abc.Iterator[Fleet]:
+    """Yield daemons that serve requests with keys."""
+    folder = tmp_path_factory.mktemp("keys")
+    server = platform_store.serve("127.0.0.1", 0)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    address = f"127.0.0.1:{server.server_address[1]}"
+    ports = mesh.Ports()
+    fleet = Fleet(server.api, {}, {}, {}, {}, folder)
+    fleet.accept(keyed.specification())
+    with contextlib.ExitStack() as stack:
+        stack.callback(server.server_close)
+        stack.callback(server.shutdown)
+        for name in NAMES:
+            target = fleet.targets[name] = keyed.Target()
+            stack.callback(target.close)
+            path = fleet.gates[name] = gate.Gate(address)
+            stack.callback(path.close)
+            text, entry, control = _settings(
+                name, ports, target.address, path.address
+            )
+            fleet.entries[name] = entry
+            fleet.controls[name] = control
+            settings = folder / f"{name}.toml"
+            settings.write_text(text)
+            stack.callback(_stop, _start(settings, folder / f"{name}.log"))
+        for name in NAMES:
+            mesh.wait_for(lambda: _is_serving(fleet, name) or None, name, 40.0)
+        time.sleep(4.0)
+        yield fleet
+    ports.close()
+
+
+def _start(
+    settings: pathlib.Path, log: pathlib.Path
+) -> "subprocess.Popen[bytes]":
+    with log.open("wb") as output:
+        return subprocess.Popen(
+            [sys.executable, "-m", "chiveroad", "daemon", str(settings)],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, "PYTHONPATH": str(mesh.ROOT / "src")},
+        )
+
+
+def _stop(process: "subprocess.Popen[bytes]") -> None:
+    process.kill()
+    process.wait()
+
+
+def _is_serving(fleet: Fleet, name: str) -> bool:
+    try:
+        return fleet.status(name, [TOKEN]) == 200
+    except OSError:
+        return False
+
+
+# Guards against a key in clear in what a daemon writes, shows or answers.
+def test_no_output_of_a_daemon_has_a_key(fleet: Fleet) -> None:
+    shown = []
+    for name in NAMES:
+        for headers in (
+            [TOKEN],
+            [TOKEN, "X-Tenant: horn"],
+            [TOKEN + "x"],
+            [f"Authorization: Bearer {keyed.KEY}"],
+            [TOKEN, TOKEN],
+            [TOKEN, "Transfer-Encoding: gzip"],
+            [f"Authorization Token {keyed.KEY}"],
+            [f"Authorization: Token\r\n {keyed.KEY}"],
+        ):
+            for path in ("/x", "/open", "/once"):
+                sent = keyed.head_of(path, headers)
+                shown.append(keyed.ask(fleet.entries[name], sent))
+        for page in PAGES:
+            sent = keyed.head_of(page, [TOKEN])
+            shown.append(keyed.ask(fleet.controls[name], sent))
+        for key, value in (("version", 0), ("version", 7)):
+            body = msgspec.json.encode({key: value, "digest": ""})
+            sent = keyed.head_of(
+                "/control/v1/confirmation",
+                [f"Content-Length: {len(body)}"],
+                "POST",
+            )
+            shown.append(keyed.ask(fleet.controls[name], sent + body))
+    heads = [head for t in fleet.targets.values() for head in t.heads]
+    logs = [path.read_text() for path in sorted(fleet.folder.glob("*.log"))]
+    records = [
+        bytes(found.spec).decode()
+        for found in fleet.api.store.list(store.Kind.MEMBERS).objects
+    ]
+    assert heads and len(logs) == len(NAMES) and len(records) == len(NAMES)
+    assert all(text for text in logs)
+    for text in (*shown, *heads, *logs, *records):
+        assert keyed.KEY not in text
+        assert keyed.OTHER_KEY not in text
+
+
+# Guards against requests that are refused at daemons that the store turns
+# away while it answers another one, and against a revoked key that is served
+# there, or anywhere without a path to the store.
+def test_turned_away_daemons_serve_and_revoke_like_the_others(
+    fleet: Fleet,
+) -> None:
+    for name, mode in zip("abc", ("503", gate.SILENT, gate.RESET)):
+        fleet.gates[name].set_mode(mode)
+    end_s = time.monotonic() + 2 * BOUND_S
+    while time.monotonic() < end_s:
+        assert {fleet.status(name, [TOKEN]) for name in NAMES} == {200}
+        time.sleep(0.1)
+    fleet.gates["a"].set_mode("429")
+    fleet.accept(keyed.specification(keyed.TENANTS[1:], number=8))
+    accepted_s = time.monotonic()
+    other = [f"Authorization: Token {keyed.OTHER_KEY}"]
+    while time.monotonic() < accepted_s + BOUND_S + 1:
+        for name in NAMES:
+            sent_s = time.monotonic()
+            status = fleet.status(name, [TOKEN])
+            if sent_s > accepted_s + BOUND_S:
+                assert status == 401
+            assert fleet.status(name, other) == 200
+        time.sleep(0.05)
+    # A version that the daemons can't learn of.
+    for path in fleet.gates.values():
+        path.set_mode(gate.SILENT)
+    fleet.accept(keyed.specification((), number=9))
+    accepted_s = time.monotonic()
+    time.sleep(BOUND_S + 0.1)
+    assert {fleet.status(name, other) for name in NAMES} == {503}
+    assert {fleet.status(name, [], "/open") for name in NAMES} == {200}
+    for path in fleet.gates.values():
+        path.set_mode(gate.PASS)
+    for name in NAMES:
+        mesh.wait_for(
+            lambda: fleet.status(name, other) == 401 or None, name, 40.0
+        )
