Quotas hold while quota servers fail and entries are cut off

A server that takes over, or returns, doesn't know what the other one still grants, so both could grant the whole limit. It now grants the shares of the entries that report to it, and a server keeps the shares of entries that are cut off from it. Two failures in a row make an entry pass over a server; if none answers it admits its own share.

--- a/src/chiveroad/quotas/_account.py
+++ b/src/chiveroad/quotas/_account.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import dataclasses
 import math
 import typing
@@ -17,9 +18,14 @@
 from chiveroad.quotas import _messages
 
 RECENT_SLOT_S: typing.Final = 0.5
-LEARNING_S: typing.Final = 1.5
+LEARNING_S: typing.Final = 3.0
 """Every entry with requests of the customer has reported by then, even one
-that found the previous server not to answer."""
+that has passed over this server after a failure, see
+``_links.RETRY_FAILED_S``."""
+
+CLAIM_S: typing.Final = 0.6
+"""How long after its last report an entry's share counts: two intervals and
+the time that a message takes."""
 
 DEMAND_TAU_S: typing.Final = 2.0
 """Time constant of the demand by which tokens are shared out."""
@@ -30,13 +36,26 @@
 MAX_RETRY_MS: typing.Final = 5_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """What a quota server knows of the daemons.
+
+    ``failed_over`` is the part of them that reports to this server because
+    another one doesn't answer.
+    """
+
+    daemons: int
+    failed_over: float
+    now_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _EntryUse:
     """What is known of one entry.
 
     ``used`` and ``charged`` are cumulative; the difference are tokens that
-    the entry may still use.  ``claim`` is its share of the customer's demand
-    as the previous server told it.
+    the entry may still use.  ``share`` is its part of the customer's demand,
+    and ``claim`` the same as another quota server told it.
     """
 
     incarnation: int
@@ -44,6 +63,7 @@
     charged: int
     seen_s: float
     demand: float = 0.0
+    share: float = 0.0
     claim: float = 0.0
 
 
@@ -61,6 +81,8 @@
         self._updated_s = now_s
         self._first_choice_s = -math.inf
         self._scale = 0.0
+        self._reserved = 0.0
+        self._taken_over = False
         self._level = 0.0
         self._held = 0
         self._backlog = 0.0
@@ -115,10 +137,10 @@
         self,
         report: _messages.Report,
         use: _messages.Use,
-        daemons: int,
-        now_s: float,
+        situation: Situation,
     ) -> _messages.Allowance:
         """Count an entry's use, and return what it may admit next."""
+        now_s = situation.now_s
         self._refill(now_s)
         known = self._entries.get(report.entry)
         if known is None or known.incarnation != report.incarnation:
@@ -127,10 +149,11 @@
                     use.customer, use.used, use.close, unknown=True
                 )
             known = self._add(report, use, now_s)
-        self._rescale(known, use, daemons, now_s)
+        self._rescale(known, use, situation)
         self._count(known, use, now_s)
         self._decide_state()
         share = known.demand / self._demand if self._demand else 0.0
+        known.share = share
         allowance = _messages.Allowance(
             use.customer,
             use.used,
@@ -138,7 +161,7 @@
             share=round(share, 4),
         )
         if not self.close:
-            allowance.count = self._unasked(share, daemons)
+            allowance.count = self._unasked(share, situation.daemons)
             return allowance
         granted = self._grant(known, use, share)
         allowance.count = use.held + granted
@@ -157,35 +180,65 @@
         self._entries[report.entry] = known
         return known
 
-    def _rescale(
+    def reserve(
         self,
-        known: _EntryUse,
-        use: _messages.Use,
+        missing: collections.abc.Collection[str],
         daemons: int,
         now_s: float,
+    ) -> None:
+        """Keep the shares of entries that are cut off from this server."""
+        self._refill(now_s)
+        self._reserved = sum(
+            max(known.share, 1 / daemons)
+            for name in missing
+            if (known := self._entries.get(name)) is not None
+        )
+        unknown = sum(name not in self._entries for name in missing)
+        self._reserved += unknown / daemons
+        if not self._learning(now_s) and self._is_first_choice(now_s):
+            self._scale = max(0.0, 1 - self._reserved)
+            self._cap()
+
+    def _learning(self, now_s: float) -> bool:
+        return now_s - self._created_s < LEARNING_S
+
+    def _is_first_choice(self, now_s: float) -> bool:
+        return now_s - self._first_choice_s < LEARNING_S
+
+    def _rescale(
+        self, known: _EntryUse, use: _messages.Use, situation: Situation
     ) -> None:
         """Set the part of the limit that this server may grant.
 
-        It is the whole limit where an entry takes this server for the first
-        in the order.  Otherwise another server may be serving other entries,
-        and this one grants the shares of those that report to it.
+        It is the whole limit, less the shares of entries that are cut off.
+        Where another server may be serving other entries, because they can
+        reach it or haven't changed to this one yet, it is the sum of the
+        shares of those that report here.
         """
-        known.claim = 0.0
+        now_s = situation.now_s
+        known.claim = use.share
         if use.rank:
-            known.claim = max(use.share, 1 / max(1, daemons))
+            known.claim = max(use.share, 1 / situation.daemons)
         else:
             self._first_choice_s = now_s
-        scale = 1.0
-        if now_s - self._first_choice_s > LEARNING_S:
-            claims = sum(each.claim for each in self._entries.values())
-            scale = min(1.0, claims)
-        learning = now_s - self._created_s < LEARNING_S
-        if use.close and use.recent is not None and learning:
-            # Other entries' use isn't known yet, but it is near the limit.
-            if not self.close:
+        if use.recent is not None and self._learning(now_s):
+            if use.close and not self.close:
+                # Other entries' use isn't known yet, but it is near the
+                # limit.
                 self._level = min(0.0, self._level)
-            self.close = True
-        elif scale > self._scale and not self.close:
+                self.close = True
+            self._taken_over = self._taken_over or use.share > 0
+        scale = max(0.0, 1 - self._reserved)
+        handover = self._taken_over and self._learning(now_s)
+        if handover or not self._is_first_choice(now_s):
+            from_s = now_s - CLAIM_S
+            claims = sum(
+                each.claim
+                for each in self._entries.values()
+                if each.seen_s >= from_s
+            )
+            scale = min(1.0, max(claims, situation.failed_over))
+        if scale > self._scale and not self.close:
             self._level += (scale - self._scale) * self.limit.burst
         self._scale = scale
         self._cap()
@@ -198,8 +251,8 @@
         charged = use.used + use.held
         new = charged - known.charged
         if use.recent is not None and new > 0:
-            new = self._charge_recent(use.recent, new - use.held, now_s)
-            new += use.held
+            self._charge_recent(use.recent, new - use.held, now_s)
+            new = use.held
         self._charge(new, now_s)
         self._held += use.held - held_before
         known.used = use.used
@@ -219,24 +272,20 @@
         self._level -= count
         self._slot(now_s)[1] += count
 
-    def _charge_recent(self, recent: list[int], new: int, now_s: float) -> int:
-        """Charge use that a server before this one may have counted.
-
-        Use that is older than a slot is entered where it belongs in time:
-        the bucket has been refilled since.
+    def _charge_recent(
+        self, recent: list[int], new: int, now_s: float
+    ) -> None:
+        """Count use in the slots in which it was, up to what is new.
 
-        :returns: what is to be charged as of now.
+        The bucket has been refilled since, so its level is that which follows
+        from the use in all slots.
         """
-        latest = 0
         for age, count in enumerate(recent):
             count = min(count, new)
             new -= count
-            if age <= 1:
-                latest += count
-            elif count:
+            if count:
                 self._slot(now_s - age * RECENT_SLOT_S)[1] += count
         self._level = min(self._level, self._level_by_window(now_s))
-        return latest
 
     def _slot(self, at_s: float) -> list[float]:
         """Return the slot of a time; the slots are in order of time."""
@@ -255,11 +304,15 @@
         return slot
 
     def _level_by_window(self, now_s: float) -> float:
-        """Return the level that follows from the use in the window."""
+        """Return the level that follows from the use in the window.
+
+        All use of a slot counts as if it was at the slot's end.
+        """
         level, used = self._level, 0.0
         for start_s, count in reversed(self._slots):
             used += count
-            refilled = self.limit.rate_per_s * max(0.0, now_s - start_s)
+            span_s = max(0.0, now_s - start_s - RECENT_SLOT_S)
+            refilled = self.limit.rate_per_s * span_s
             full = self._scale * (self.limit.burst + refilled)
             level = min(level, full - used)
         return level
@@ -312,7 +365,7 @@
     def _decide_state(self) -> None:
         if self.close:
             clear_at = self.limit.clear_at * self._scale
-            learning = self._updated_s - self._created_s < LEARNING_S
+            learning = self._taken_over and self._learning(self._updated_s)
             self.close = learning or self._level < clear_at
         else:
             self.close = self._level < self.limit.close_at * self._scale
--- a/src/chiveroad/quotas/_ledger.py
+++ b/src/chiveroad/quotas/_ledger.py
@@ -4,30 +4,55 @@
 
 import collections
 import collections.abc
+import dataclasses
+import typing
 
 from chiveroad import config
+from chiveroad import membership
 from chiveroad.quotas import _account
 from chiveroad.quotas import _limits
 from chiveroad.quotas import _messages
 
-EXPIRE_INTERVAL_S = 1.0
-CLEAR_INTERVAL_S = 0.1
+EXPIRE_INTERVAL_S: typing.Final = 1.0
+CLEAR_INTERVAL_S: typing.Final = 0.1
+MISSING_S: typing.Final = 1.6
+"""An entry that isn't idle reports at least this often, see
+``_links.IDLE_S``, even if one report is lost."""
 
 Customers = collections.abc.Mapping[str, config.Customer]
 
 
+@dataclasses.dataclass(slots=True)
+class _Reporter:
+    """An entry that reports.
+
+    ``order`` is the incarnation and sequence of its last report, ``start``
+    its daemon's incarnation in the view.  ``failed`` are the quota servers
+    that don't answer it.
+    """
+
+    order: tuple[int, int]
+    start: int
+    seen_s: float
+    idle: bool = False
+    failed: collections.abc.Collection[str] = ()
+
+
 class Ledger:
     """The accounts of one quota server.
 
     :param server: names this start of the server.
     """
 
-    def __init__(self, server: str, terms: _limits.Terms) -> None:
+    def __init__(
+        self, server: str, terms: _limits.Terms, view: membership.View
+    ) -> None:
         self._server = server
         self._terms = terms
+        self._view = view
         self._accounts: dict[str, _account.Account] = {}
-        self._sequences: dict[str, tuple[int, int]] = {}
-        self._reported_s: dict[str, float] = {}
+        self._reporters: dict[str, _Reporter] = {}
+        self._missing: frozenset[str] = frozenset()
         self._customers: Customers = {}
         self._epoch = 0
         self._changes: collections.OrderedDict[str, int] = (
@@ -56,29 +81,61 @@
             account.change(self._limit(customer), now_s)
             self._note_state(name, account.close)
 
+    @property
+    def missing(self) -> frozenset[str]:
+        """Return the entries that are cut off from this server."""
+        return self._missing
+
     def report(
-        self, report: _messages.Report, daemons: int, now_s: float
+        self, report: _messages.Report, now_s: float
     ) -> _messages.Answer:
         """Count an entry's report, and answer it.
 
         A repeated report, or one that a later one has overtaken, isn't
         counted; its answer grants nothing.
         """
-        order = (report.incarnation, report.sequence)
         allowances: list[_messages.Allowance] = []
-        if self._sequences.get(report.entry, (-1, -1)) < order:
-            self._sequences[report.entry] = order
-            self._reported_s[report.entry] = now_s
+        daemons = max(1, len(self._view.all()))
+        if self._is_new(report, now_s):
+            failed_over = self._failed_over(report.failed) / daemons
             for use in report.uses:
                 account = self._account(use.customer, now_s)
                 if account is not None:
-                    allowances.append(
-                        account.report(report, use, daemons, now_s)
-                    )
+                    situation = _account.Situation(daemons, failed_over, now_s)
+                    allowances.append(account.report(report, use, situation))
                     self._note_state(use.customer, account.close)
-        self._tick(now_s)
+        self._tick(daemons, now_s)
         return self._answer(report, allowances)
 
+    def _is_new(self, report: _messages.Report, now_s: float) -> bool:
+        """Register a report; False if it isn't later than the last one."""
+        order = (report.incarnation, report.sequence)
+        known = self._reporters.get(report.entry)
+        if known is not None and known.order >= order:
+            return False
+        member = self._view.get(report.entry)
+        if known is None:
+            known = self._reporters[report.entry] = _Reporter(order, 0, now_s)
+        known.order = order
+        known.start = member.incarnation if member else 0
+        known.seen_s = now_s
+        known.idle = not report.uses
+        known.failed = report.failed
+        return True
+
+    def _failed_over(self, failed: list[str]) -> int:
+        """Return how many entries don't get an answer of a quota server.
+
+        :param failed: the servers; the one that fails for most entries counts.
+        """
+        return max(
+            (
+                sum(name in known.failed for known in self._reporters.values())
+                for name in failed
+            ),
+            default=0,
+        )
+
     def _account(self, name: str, now_s: float) -> _account.Account | None:
         account = self._accounts.get(name)
         if account is None:
@@ -125,9 +182,10 @@
         else:
             self._closed.discard(name)
 
-    def _tick(self, now_s: float) -> None:
+    def _tick(self, daemons: int, now_s: float) -> None:
         if now_s >= self._clear_due_s:
             self._clear_due_s = now_s + CLEAR_INTERVAL_S
+            self._find_missing(daemons, now_s)
             for name in list(self._closed):
                 account = self._accounts[name]
                 account.level(now_s)
@@ -142,6 +200,31 @@
                 del self._accounts[name]
                 self._note_state(name, False)
         limit_s = now_s - 60 * self._terms.window_s
-        for entry, at_s in list(self._reported_s.items()):
-            if at_s < limit_s:
-                del self._reported_s[entry], self._sequences[entry]
+        for entry, known in list(self._reporters.items()):
+            if known.seen_s < limit_s and entry not in self._missing:
+                del self._reporters[entry]
+
+    def _find_missing(self, daemons: int, now_s: float) -> None:
+        """Find the entries that are silent without being idle.
+
+        Each may go on admitting its share of each customer's limit, by itself
+        or at another quota server, for as long as its daemon may be alive.
+        """
+        missing = frozenset(
+            entry
+            for entry, known in self._reporters.items()
+            if not known.idle
+            and now_s - known.seen_s > MISSING_S
+            and self._may_live(entry, known)
+        )
+        if not missing and not self._missing:
+            return
+        self._missing = missing
+        for account in self._accounts.values():
+            account.reserve(missing, daemons, now_s)
+
+    def _may_live(self, entry: str, known: _Reporter) -> bool:
+        member = self._view.get(entry)
+        if member is None or not member.alive:
+            return False
+        return member.incarnation == known.start
--- a/src/chiveroad/quotas/_links.py
+++ b/src/chiveroad/quotas/_links.py
@@ -14,10 +14,21 @@
 RETRY_FAILED_S: typing.Final = 2.0
 """For how long a quota server that hasn't answered is passed over."""
 
+MIN_FAILURES: typing.Final = 2
+"""After the first failure the server is asked again: a process that is paused
+for as long as one exchange may take needn't be replaced."""
+
 REFRESH_INTERVAL_S: typing.Final = 0.25
 """How often a changed view is searched for quota servers; with 5,700 members
 a search takes some milliseconds."""
 
+IDLE_S: typing.Final = 0.8
+"""After this time without anything to report, an entry states that it is idle:
+a quota server takes an entry that is silent otherwise for cut off."""
+
+NONE_ANSWERS: typing.Final = -1
+"""The rank of a quota server where none is known to answer."""
+
 MIN_PAUSE_S: typing.Final = 0.02
 """The least pause between two exchanges with one server."""
 
@@ -26,9 +37,12 @@
 class Link:
     """An entry's exchanges with one quota server.
 
-    ``due_s`` is when the next report is due.  ``server`` and ``epoch`` are
-    what its last answer stated, and ``close`` the customers close to their
-    limits.
+    ``due_s`` is when the next report is due, and ``idle`` says that none is
+    needed before there is something to report.  ``failures`` counts the
+    reports that have failed since the last answer, ``failed`` says that the
+    server is passed over, and ``told_failed`` that it was told of another one
+    that is.  ``server`` and ``epoch`` are what its last answer stated, and
+    ``close`` the customers close to their limits.
     """
 
     member: membership.Member
@@ -37,6 +51,10 @@
     answered_s: float = -math.inf
     failed_until_s: float = -math.inf
     busy: bool = False
+    idle: bool = True
+    failures: int = 0
+    failed: bool = False
+    told_failed: bool = False
     server: str = ""
     epoch: int = 0
     close: set[str] = dataclasses.field(default_factory=set)
@@ -45,6 +63,15 @@
         """Tell whether the server has answered a moment ago."""
         return now_s - self.answered_s < _limits.STALE_S
 
+    def fail(self, now_s: float) -> None:
+        """Pass over the server, unless this is the first failure."""
+        self.busy = False
+        self.failures += 1
+        self.due_s = now_s
+        if self.failures >= MIN_FAILURES:
+            self.failed = True
+            self.due_s = self.failed_until_s = now_s + RETRY_FAILED_S
+
     def want_report(self, urgent: bool, now_s: float) -> bool:
         """Schedule a report; True if it's due sooner than the one before."""
         pause_s = MIN_PAUSE_S if urgent else _limits.REPORT_INTERVAL_S
@@ -86,13 +113,27 @@
         """Return the quota server that a customer's use is reported to.
 
         :returns: the first in the order that isn't known to have failed, and
-            its place in the order.
+            its place in the order, or ``NONE_ANSWERS``.
         """
         order = self.order(customer, now_s)
         for rank, link in enumerate(order):
             if now_s >= link.failed_until_s:
                 return link, rank
-        return order[0], 0
+        return order[0], NONE_ANSWERS
+
+    def failed(self, except_link: Link) -> list[str]:
+        """Return the names of the other quota servers that don't answer."""
+        return [
+            name
+            for name, link in self._links.items()
+            if link.failed and link is not except_link
+        ]
+
+    def report_recovery(self, now_s: float) -> None:
+        """Tell the other quota servers soon that one answers again."""
+        for link in self._links.values():
+            if link.told_failed:
+                link.want_report(True, now_s)
 
     def _refresh(self, now_s: float) -> None:
         """Choose the quota servers again if the view has changed."""
--- a/src/chiveroad/quotas/_local.py
+++ b/src/chiveroad/quotas/_local.py
@@ -80,9 +80,13 @@
         self, name: str, meter: _meter.Meter, now_s: float
     ) -> _meter.Verdict:
         """Decide on a request, and count it if it is admitted."""
-        link, _ = self._links.owner(name, now_s)
+        link, rank = self._links.owner(name, now_s)
         situation = _meter.Situation(link.fresh(now_s), self.daemons)
-        return meter.decide(situation, now_s)
+        verdict = meter.decide(situation, now_s)
+        asks = verdict is _meter.Verdict.ASK
+        if asks and rank == _links.NONE_ANSWERS:
+            return meter.decide_alone(self.daemons, now_s)
+        return verdict
 
     def give_back(self, name: str, now_s: float) -> bool:
         """Return a token; True if a report is due sooner than before."""
@@ -130,11 +134,16 @@
         link = batch.link
         link.busy = False
         link.answered_s = now_s
+        if link.failed:
+            link.failed = False
+            self._links.report_recovery(now_s)
+        link.failures = 0
         self._learn_states(link, answer, now_s)
         for allowance in answer.allowances:
             use = batch.uses.get(allowance.customer)
             meter = self._meters.get(allowance.customer)
             if use is None or meter is None:
+                # A server of another release may name other customers.
                 continue
             meter.server = link.member.instance
             meter.answer(use, allowance, batch.sent_s, now_s)
@@ -143,13 +152,15 @@
                 link.want_report(True, now_s)
         link.server, link.epoch = answer.server, answer.epoch
         for name in batch.uses:
+            self._meters[name].end_report()
             self.schedule(name, self._meters[name], now_s)
+        if not link.idle:
+            link.due_s = min(link.due_s, link.sent_s + _links.IDLE_S)
         self._forget_idle(now_s)
 
     def fail(self, batch: Batch, now_s: float) -> None:
         """Pass over a quota server that hasn't answered for a while."""
-        batch.link.busy = False
-        batch.link.failed_until_s = now_s + _links.RETRY_FAILED_S
+        batch.link.fail(now_s)
         for name, use in batch.uses.items():
             meter = self._meters[name]
             meter.restore(use)
@@ -173,9 +184,17 @@
                 continue
             moved = meter.server != link.member.instance
             use = meter.use(continuous and not moved, now_s)
-            uses[name] = msgspec.structs.replace(use, customer=name, rank=rank)
+            uses[name] = msgspec.structs.replace(
+                use, customer=name, rank=abs(rank)
+            )
         if not uses:
-            return None
+            idle_at_s = link.sent_s + _links.IDLE_S
+            if not link.told_failed and (link.idle or now_s < idle_at_s):
+                link.due_s = math.inf if link.idle else idle_at_s
+                return None
+        link.idle = not uses
+        failed = self._links.failed(link)
+        link.told_failed = bool(failed)
         self._sequence += 1
         link.busy = True
         link.sent_s = now_s
@@ -186,6 +205,7 @@
             link.server,
             link.epoch,
             list(uses.values()),
+            failed,
         )
         return Batch(link, report, uses, now_s)
 
--- a/src/chiveroad/quotas/_messages.py
+++ b/src/chiveroad/quotas/_messages.py
@@ -36,7 +36,9 @@
 
     ``incarnation`` grows with each start of the entry, ``sequence`` with each
     report.  ``server`` and ``epoch`` say what the entry has learnt from this
-    server last.
+    server last.  A report without uses says that the entry has become idle: an
+    entry that is silent without it is cut off.  ``failed`` names the quota
+    servers that don't answer the entry.
     """
 
     entry: str
@@ -45,6 +47,7 @@
     server: str = ""
     epoch: int = 0
     uses: list[Use] = []
+    failed: list[str] = []
 
 
 class Allowance(msgspec.Struct, array_like=True):
--- a/src/chiveroad/quotas/_meter.py
+++ b/src/chiveroad/quotas/_meter.py
@@ -16,6 +16,10 @@
 """For how long an entry tells a new quota server that the customer was close
 to its limit."""
 
+SHARE_KNOWN_S: typing.Final = 5.0
+"""How long after its last request an entry relies on its share; its quota
+server keeps it longer."""
+
 FALLBACK_RETRY_MS: typing.Final = 1_000
 
 
@@ -58,6 +62,7 @@
         self.server = ""
         self.answered_s = -math.inf
         self.wants_recent = True
+        self._in_report = False
         self._terms = terms
         self._used = 0
         self._allowed = 0 if close else 1
@@ -110,7 +115,7 @@
         The entry admits its share of the customer's limit.  The sum over all
         entries is within the limit, whichever of them are cut off.
         """
-        share = max(self.share, 1 / max(1, daemons))
+        share = max(self._known_share(now_s), 1 / max(1, daemons))
         stated = self.limit
         part = _limits.MARGIN_PART * stated.margin
         rate_per_s = stated.rate_per_s - part / self._terms.window_s
@@ -165,14 +170,16 @@
             refused=self._refused,
             waiting=self.waiting,
             close=self.close and known_close,
-            share=self.share,
+            share=self._known_share(now_s),
             recent=recent,
         )
         self._demand = self._refused = 0
+        self._in_report = True
         return message
 
     def restore(self, use: _messages.Use) -> None:
         """Count again what a report that failed had stated."""
+        self._in_report = False
         self._demand += use.demand
         self._refused += use.refused
 
@@ -204,6 +211,10 @@
             self._retry_at_s = now_s + retry_s
             self._dry_until_s = now_s + min(retry_s, _limits.REPORT_INTERVAL_S)
 
+    def end_report(self) -> None:
+        """Note that a report has been answered, even if not on this meter."""
+        self._in_report = False
+
     def learn_state(self, close: bool) -> None:
         """Apply a change of the customer's state at its quota server."""
         if close is self.close:
@@ -215,13 +226,20 @@
 
     def idle(self, now_s: float) -> bool:
         """Tell whether nothing of the meter is needed any more."""
-        if self.unreported or self.close:
+        if self.unreported or self.close or self._in_report:
             return False
         newest_s = (
             self._slots[-1][0] * _account.RECENT_SLOT_S if self._slots else 0
         )
         return now_s - newest_s > 12 * self._terms.window_s
 
+    def _known_share(self, now_s: float) -> float:
+        """Return the share, unless its quota server has forgotten it."""
+        if not self._slots:
+            return 0.0
+        known_s = self._slots[-1][0] * _account.RECENT_SLOT_S
+        return self.share if now_s - known_s < SHARE_KNOWN_S else 0.0
+
     def _valid(self, situation: Situation, now_s: float) -> bool:
         if self.close:
             return now_s < self._allowed_until_s
--- a/src/chiveroad/quotas/_quotas.py
+++ b/src/chiveroad/quotas/_quotas.py
@@ -91,7 +91,7 @@
         self._started = False
         self._stopped = False
         self._ledger_lock = threading.Lock()
-        self._ledger = _ledger.Ledger(uuid.uuid4().hex[:12], terms)
+        self._ledger = _ledger.Ledger(uuid.uuid4().hex[:12], terms, view)
         self._sampler = logs.Sampler()
 
     def admit(self, name: str, due_s: float) -> bool:
@@ -162,7 +162,7 @@
         now_s = time.monotonic()
         with self._ledger_lock:
             self._ledger.configure(self._applied.config.customers, now_s)
-            return self._ledger.report(report, self._local.daemons, now_s)
+            return self._ledger.report(report, now_s)
 
     def _ask(
         self, name: str, meter: _meter.Meter, due_s: float
--- a/tests/quota_mesh.py
+++ b/tests/quota_mesh.py
@@ -88,7 +88,7 @@
     def restart_server(self, name: str) -> None:
         """Start a daemon's ledger anew."""
         self.ledgers[name] = _ledger.Ledger(
-            f"{name}-{next(self.starts)}", _limits.Terms()
+            f"{name}-{next(self.starts)}", _limits.Terms(), self.view
         )
 
     def limit(self, name: str, rate_per_s: float, burst: float) -> None:
@@ -208,7 +208,7 @@
             self.exchanges += 1
             ledger = self.ledgers[server]
             ledger.configure(self.customers, self.now_s)
-            answer = ledger.report(batch.report, len(self.names), self.now_s)
+            answer = ledger.report(batch.report, self.now_s)
             if self.random.random() >= self.lost:
                 self.at(
                     self.now_s + self._delay(server, entry.name),
--- a/tests/test_quota_mesh.py
+++ b/tests/test_quota_mesh.py
@@ -6,12 +6,10 @@
 import collections.abc
 import concurrent.futures
 import contextlib
+import functools
 import time
 import typing
 
-import msgspec
-import pytest
-
 from chiveroad import config
 from chiveroad import customers
 from chiveroad import store
@@ -68,7 +66,7 @@
         mesh.wait_for(all_known, "all members to be known")
         for name in running.daemons():
             mesh.wait_for(
-                lambda name=name: send(running, name) == 200,
+                functools.partial(serves, running, name),
                 f"{name} to serve",
             )
         yield running
@@ -82,6 +80,11 @@
     return result.status
 
 
+def serves(running: mesh.Mesh, name: str) -> bool:
+    """Tell whether an entry serves a request with the key."""
+    return send(running, name) == 200
+
+
 def load(
     running: mesh.Mesh, per_s: float, load_s: float, names: list[str]
 ) -> list[tuple[float, int]]:
