An invalid status counts as no answer on every path

Status 600 and 999 of a target reached the caller. The reader of the store's and of other daemons' answers is http.client, which also took +200, 0200, 2_00, other versions, blanks that aren't HTTP's, and a 101 or 103 as the last answer.

One module parses status lines for all paths. A status is 100 to 599; one below 200 isn't a last answer, and 101 is refused at once, as none was asked for. For http_calls, a head with a line that is no header is refused, too.

--- a/src/chiveroad/http_calls.py
+++ b/src/chiveroad/http_calls.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import email.errors
 import http.client
 import io
 import select
@@ -16,6 +17,8 @@
 import urllib3
 import urllib3.connection
 
+from chiveroad import status_line
+
 ANSWER_TIMEOUT_S: typing.Final = 10.0
 """How long an answer may take from its first byte on, unless the call's own
 limit ends later: an answer of 1 MB over a link of 1 Mbit/s takes 8 s."""
@@ -25,6 +28,10 @@
 reads several answers at once, and an instance may have 200 MB for it."""
 
 
+MAX_LINE_BYTES: typing.Final = 64 * 1024
+"""The size limit of a line of a head; the same as in ``http.client``."""
+
+
 class _BoundedReader(io.RawIOBase):
     """Reads one answer from a socket, within limits of time and size.
 
@@ -94,6 +101,37 @@
         bounded = typing.cast(socket.socket, _BoundedSocket(sock))
         super().__init__(bounded, *args, **keywords)
 
+    def begin(self) -> None:
+        """Read the head.
+
+        :raises http.client.HTTPException: when it isn't one.
+        """
+        super().begin()
+        # What follows the line would be read as the body.
+        if any(
+            isinstance(defect, email.errors.MissingHeaderBodySeparatorDefect)
+            for defect in self.msg.defects
+        ):
+            raise http.client.HTTPException("no header line")
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line of the last answer, and those before it.
+
+        Overrides a method of ``http.client.HTTPResponse``.
+        """
+        line = status_line.parse(self._read_line())
+        while line.interim:
+            while self._read_line() not in (b"\r\n", b"\n", b""):
+                """The headers of an interim answer are discarded."""
+            line = status_line.parse(self._read_line())
+        return f"HTTP/1.{line.minor}", line.status, line.reason
+
+    def _read_line(self) -> bytes:
+        line: bytes = self.fp.readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise http.client.LineTooLong("head")
+        return line
+
     def _safe_read(self, amt: int) -> bytes:
         """Read a number of bytes, for which memory is allocated at once.
 
--- a/src/chiveroad/traffic/_answer.py
+++ b/src/chiveroad/traffic/_answer.py
@@ -13,14 +13,12 @@
 import typing
 
 from chiveroad import serving
+from chiveroad import status_line
 
 MAX_HEADERS: typing.Final = 100
 """The same limit as in ``http.client``."""
 
 _SKIP_BYTES: typing.Final = 64 * 1024
-_STATUS: typing.Final = re.compile(
-    rb"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t]([^\r\n]*))?\r?\n"
-)
 _NAME: typing.Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _BODILESS: typing.Final = (
     http.HTTPStatus.NO_CONTENT,
@@ -76,18 +74,18 @@
             connection ends before its end.
         :raises ValueError: when the head is too long.
         """
-        version, status, reason = self._read_status()
-        while status < http.HTTPStatus.OK:
+        line = status_line.parse(self._lines.read())
+        while line.interim:
             _read_headers(self._lines)
-            version, status, reason = self._read_status()
-        self.code = self.status = status
-        self.reason = reason.strip()
-        self.version = version
+            line = status_line.parse(self._lines.read())
+        self.code = self.status = line.status
+        self.reason = line.reason
+        self.version = 10 + min(1, line.minor)
         found = Headers(_read_headers(self._lines))
         self._lines.remaining_bytes = serving.MAX_FRAMING_BYTES
         self.headers = self.msg = typing.cast(typing.Any, found)
         encoding = found.get("transfer-encoding") or ""
-        self._bodiless = self._bodiless or status in _BODILESS
+        self._bodiless = self._bodiless or line.status in _BODILESS
         self.chunked = encoding.lower() == "chunked" and not self._bodiless
         self.chunk_left = None
         self.length = self._declared_length(found)
@@ -105,17 +103,6 @@
             if limit_bytes < 0:
                 raise http.client.HTTPException("too long to be skipped")
 
-    def _read_status(self) -> tuple[int, int, str]:
-        line = self._lines.read()
-        if not line:
-            raise http.client.RemoteDisconnected("closed without an answer")
-        found = _STATUS.fullmatch(line)
-        if found is None:
-            raise http.client.BadStatusLine(repr(line[:80]))
-        version, status, reason = found.groups(b"")
-        text = reason.decode("latin-1")
-        return 10 + min(1, int(version)), int(status), text
-
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left in the current chunk, or None at the end.
 
