--- a/standins/placement.py
+++ b/standins/placement.py
@@ -562,9 +562,7 @@
             return
         request.attempts += 1
         request.tried, request.busy = [], set()
-        self._at(
-            now_s + retry_ms / 1000, lambda t: self._dispatch(t, request)
-        )
+        self._at(now_s + retry_ms / 1000, lambda t: self._dispatch(t, request))
 
     def _queue_centrally(self, now_s: float, request: Request) -> None:
         self._queues[request.service].append(self._ticket(now_s, request))
