Busy targets stay candidates at their distance; ejection compares with the service

Targets whose answers were 500, as a service that they all call was full, were ejected for 5 s.

Change: busy targets are left out only where others at their distance aren't busy; a kilobyte to another domain or region costs as much as the middle of what operators state; the cost of lateness is at most the answer's value; ejections compare a target's failures with those of all targets of its service.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -148,6 +148,7 @@
         self._stop = threading.Event()
         self._target_leaves = threading.Event()
         self._guard.on_leave = self._record_leave
+        self._guard.outlook = self._entry.outlook
         self._entry.quarantine.publish = self._record_suspects
         self._node.inherit = self._entry.quarantine.inherit
         self._peers_left = threading.Event()
--- a/src/chiveroad/load/_service_load.py
+++ b/src/chiveroad/load/_service_load.py
@@ -18,6 +18,10 @@
 MAX_REPORTS: typing.Final = 32
 """The limit of reports that are kept; a busy entry has more in a second."""
 
+FAILURE_SMOOTHING: typing.Final = 0.05
+"""The weight of the latest answer in the share of failures: about twenty make
+up the mean, which is some seconds of one entry's requests."""
+
 MEAN_FADE_S: typing.Final = 5.0
 """The age at which the mean load no longer counts: the length of a wave."""
 
@@ -30,6 +34,9 @@
     """
 
     def __init__(self) -> None:
+        self.failure_share = 0.0
+        """The smoothed share of failures among the answers of all targets."""
+
         self._mean = 0.0
         self._learnt_s = 0.0
         self._reports: collections.deque[tuple[float, str, bool]] = (
@@ -49,6 +56,10 @@
         self._learnt_s = now_s
         self._reports.append((now_s, target, full))
 
+    def record_outcome(self, failed: bool) -> None:
+        """Record whether an answer of any target was a failure."""
+        self.failure_share += FAILURE_SMOOTHING * (failed - self.failure_share)
+
     def mean(self, now_s: float) -> float:
         """Return the mean load of the targets, fading to 0 while unheard."""
         left_s = MEAN_FADE_S - (now_s - self._learnt_s)
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -37,6 +37,10 @@
 """A target whose smoothed share of failures exceeds this is ejected.  Healthy
 targets fail one request in a thousand."""
 
+EJECT_FAILURE_RATIO: typing.Final = 2.0
+"""How many times the share of all targets of the service this must be, or else
+halfway from that share to 1."""
+
 FAILURE_SMOOTHING: typing.Final = 0.1
 FAILURE_STATUS: typing.Final = 500
 MAX_EJECTED_SHARE: typing.Final = 0.5
@@ -69,7 +73,8 @@
     reported, and ``slots`` is its number of slots.  ``rate_limit_per_s`` is
     the target's rate limit, which is used up until
     ``rate_limited_until_s``.  ``reported_s`` and the other times are in
-    monotonic seconds.
+    monotonic seconds.  ``peers`` is what was learnt of all targets of the
+    service.
     """
 
     since_s: float
@@ -81,10 +86,14 @@
     failure_share: float = 0.0
     ejected_until_s: float = 0.0
     blocked_until_s: float = 0.0
+    busy_until_s: float = 0.0
     rate_limited_until_s: float = 0.0
     rate_limit_per_s: float = wire.UNLIMITED
     service_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     pace: load.Pace = dataclasses.field(default_factory=load.Pace)
+    peers: load.ServiceLoad = dataclasses.field(
+        default_factory=load.ServiceLoad
+    )
 
     def record_load(
         self,
@@ -144,18 +153,30 @@
             self.record_failure(now_s)
             return
         self.failures = 0
+        self.peers.record_outcome(False)
         self.failure_share -= FAILURE_SMOOTHING * self.failure_share
 
     def record_failure(self, now_s: float) -> None:
         """Record a failure.
 
         Consecutive failures, or a large share of failures among the recent
-        answers, eject the target even while its health checks pass.
+        answers, eject the target even while its health checks pass.  While
+        many answers of all targets are failures, as when a service that they
+        call is full, only a target that fails clearly more is ejected.
         """
         self.failures += 1
+        self.peers.record_outcome(True)
         self.failure_share += FAILURE_SMOOTHING * (1 - self.failure_share)
-        consecutive = self.failures >= EJECT_AFTER_FAILURES
-        if consecutive or self.failure_share > EJECT_FAILURE_SHARE:
+        usual_share = self.peers.failure_share
+        consecutive = (
+            self.failures >= EJECT_AFTER_FAILURES
+            and usual_share <= EJECT_FAILURE_SHARE
+        )
+        clearly_more = min(
+            EJECT_FAILURE_RATIO * usual_share, (1.0 + usual_share) / 2
+        )
+        limit = max(EJECT_FAILURE_SHARE, clearly_more)
+        if consecutive or self.failure_share > limit:
             self.ejected_until_s = now_s + EJECT_S
             # After the ejection, the target's new answers decide.
             self.failure_share /= 2
@@ -164,6 +185,10 @@
         """Record that the guard refuses new requests for ``for_s`` seconds."""
         self.blocked_until_s = max(self.blocked_until_s, now_s + for_s)
 
+    def record_busy(self, now_s: float, for_s: float) -> None:
+        """Record that the guard had no capacity just now."""
+        self.busy_until_s = max(self.busy_until_s, now_s + for_s)
+
     def load(self, outstanding: float, now_s: float) -> float:
         """Return the load; 1 means that all slots are taken."""
         slots = self._usable_slots(self._mean_service_ms())
@@ -205,6 +230,7 @@
     load: float
     ejected: bool = False
     blocked: bool = False
+    busy: bool = False
     reported: int = 0
     completion_ms: float = 0.0
     objective_ms: int = 0
@@ -243,6 +269,7 @@
         stats.load(outstanding, now_s),
         stats.ejected_until_s > now_s,
         stats.blocked_until_s > now_s,
+        stats.busy_until_s > now_s,
         stats.reported,
         stats.completion_ms(
             profile.kind, outstanding, stats.pace.factor(now_s)
@@ -281,13 +308,30 @@
     healthy = _healthy(candidates)
     unblocked = [candidate for candidate in healthy if not candidate.blocked]
     best: Candidate | None = None
-    for scope, max_load in _search_scopes(unblocked or healthy):
+    usable = without_busy(unblocked or healthy)
+    for scope, max_load in _search_scopes(usable):
         best = _two_choices(scope, rng)
         if best.load <= max_load:
             break
     return best
 
 
+def without_busy(
+    candidates: collections.abc.Sequence[Candidate],
+) -> collections.abc.Sequence[Candidate]:
+    """Leave out busy candidates where others at the same distance aren't.
+
+    A busy target has capacity again after some milliseconds, which costs a
+    request less than the path to a more distant target.
+    """
+    free = {each.distance for each in candidates if not each.busy}
+    return [
+        each
+        for each in candidates
+        if not each.busy or each.distance not in free
+    ]
+
+
 def _healthy(
     candidates: collections.abc.Sequence[Candidate],
 ) -> collections.abc.Sequence[Candidate]:
@@ -367,11 +411,12 @@
 
 COST_PER_KB: typing.Final = {
     Distance.DOMAIN: 0.0,
-    Distance.REGION: 0.01,
-    Distance.REMOTE: 0.032,
+    Distance.REGION: 0.025,
+    Distance.REMOTE: 0.08,
 }
 """The cost of transferring a kilobyte, as a share of the value of an answer:
-the users' prices for traffic between failure domains and between regions."""
+the middle of what operators state for traffic between failure domains (0.008
+to 0.07) and between regions (0.03 to 0.2)."""
 
 EQUAL_COST: typing.Final = 0.005
 """Costs that differ by less count as equal: an estimate of the load that is a
@@ -403,7 +448,8 @@
         unblocked = [
             candidate for candidate in healthy if not candidate.blocked
         ]
-        costs = [(self._cost(each), each) for each in unblocked or healthy]
+        usable = without_busy(unblocked or healthy)
+        costs = [(self._cost(each), each) for each in usable]
         if not costs:
             return None
         limit = min(cost for cost, _ in costs) + EQUAL_COST
@@ -416,7 +462,9 @@
         jitter = 1.0 + JITTER * self._rng.random()
         objective_ms = candidate.objective_ms or DEFAULT_OBJECTIVE_MS
         objective_share = candidate.completion_ms * jitter / objective_ms
-        late_share = LATE_SHARE_AT_OBJECTIVE * objective_share**LATE_EXPONENT
+        late_share = min(
+            1.0, LATE_SHARE_AT_OBJECTIVE * objective_share**LATE_EXPONENT
+        )
         kilobytes = HEADERS_KB + candidate.transfer_bytes / 1000
         path_cost = PATH_COST[candidate.distance]
         return (
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -66,14 +66,13 @@
     errors.CallerDisconnected,
     errors.CallerDisconnectedEarly,
 )
-_FINAL_FOR_INNER: typing.Final = (
-    *_CALLER_LEFT,
-    errors.DeadlineTooShort,
-    errors.DeadlineExceeded,
-    errors.Quarantined,
+_NO_CAPACITY: typing.Final = (
+    errors.Overloaded,
+    errors.RateLimited,
+    errors.Draining,
+    errors.TargetUnknown,
 )
-"""The refusals after which an inner call isn't tried again: neither a free
-slot nor another target would help it."""
+"""The refusals after which a pause may help an inner call."""
 
 _log = logs.Logger("entry")
 
@@ -110,6 +109,9 @@
         self._hedges = _hedges.Hedges(
             options, self._targets, self._budget, recorder
         )
+        self.outlook = inner_calls.Outlook()
+        """How the inner calls of the local target fare, for its guard."""
+
         self.quarantine = _quarantine.Quarantine(view, recorder)
         self._splitter = _split.Splitter()
         self._caller_timeouts = _caller_timeouts.CallerTimeouts()
@@ -212,7 +214,7 @@
         attempts = _Attempts(request, call, route)
         served = self._try_targets(attempts)
         if call.inner and not isinstance(attempts.worst, _CALLER_LEFT):
-            self._guard.outlook.record(not served, time.monotonic())
+            self.outlook.record(not served, time.monotonic())
         if served:
             self._log_served(attempts)
             return
@@ -277,7 +279,9 @@
         call = attempts.call
         if not call.inner or attempts.request.begun or attempts.sent:
             return False
-        if not call.body.replayable or isinstance(refusal, _FINAL_FOR_INNER):
+        if not call.body.replayable:
+            return False
+        if not isinstance(attempts.worst, _NO_CAPACITY):
             return False
         attempts.rounds += 1
         pause_s = inner_calls.retry_pause_s(
@@ -662,10 +666,11 @@
     ``tried`` names the targets that were picked, and ``busy`` those that the
     request was moved on from.  ``completed`` counts the attempts that have
     ended at a target that received the request, and ``in_progress`` the
-    targets that may still be running it while a hedged request is sent.  ``rounds`` counts how often an inner call was refused by
-    all targets that were tried.  ``worst`` is the refusal that the caller
-    receives if no target serves the request.  ``hedge_target`` is the instance
-    that the next attempt is sent to, if it is a hedge for a late answer.
+    targets that may still be running it while a hedged request is sent.
+    ``rounds`` counts how often an inner call was refused by all targets that
+    were tried.  ``worst`` is the refusal that the caller receives if no target
+    serves the request.  ``hedge_target`` is the instance that the next attempt
+    is sent to, if it is a hedge for a late answer.
     """
 
     request: serving.Request
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -95,7 +95,7 @@
         self._sampler = logs.Sampler()
         self._incarnation: tuple[int, str] = (0, "")
         self.outlook = inner_calls.Outlook()
-        """How the inner calls of the target fare, as the entry records it."""
+        """How the inner calls of the target fare, as its entry records it."""
 
         self.draining = False
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
--- a/src/chiveroad/traffic/_pages.py
+++ b/src/chiveroad/traffic/_pages.py
@@ -86,6 +86,8 @@
         _balancer.Distance.REGION: "when its own domain is loaded",
         _balancer.Distance.REMOTE: "when its own region is full",
     }[candidate.distance]
+    if candidate.busy:
+        why = "if no other one is nearer: it has just been full"
     if candidate.blocked:
         why = "not now: it has just refused"
     if candidate.ejected:
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -442,7 +442,9 @@
         key = _stats_key(member)
         stats = self._stats.get(key)
         if stats is None:
-            stats = _balancer.TargetStats(since_s=time.monotonic())
+            stats = _balancer.TargetStats(
+                since_s=time.monotonic(), peers=self.load_of(member.service)
+            )
             service = self._applied.config.services.get(member.service)
             slots = service.slots if service is not None else 0
             stats.slots = slots or member.slots or stats.slots
@@ -619,7 +621,8 @@
     if isinstance(refusal, errors.Overloaded):
         # Each finished request frees capacity, and other requests may be
         # admitted in the meantime.
-        limit_ms = min(limit_ms, OVERLOAD_BLOCK_MS)
+        stats.record_busy(now_s, min(limit_ms, OVERLOAD_BLOCK_MS) / 1000)
+        return
     if isinstance(refusal, errors.RateLimited):
         stats.rate_limited_until_s = now_s + limit_ms / 1000
     stats.record_block(now_s, limit_ms / 1000)
--- a/standins/placement.py
+++ b/standins/placement.py
@@ -89,8 +89,11 @@
 
 @dataclasses.dataclass
 class Tally:
-    """The outcomes of outer requests; ``waited`` took half their objective
-    to start, ``broken`` ended with a failed inner call."""
+    """The outcomes of outer requests.
+
+    ``waited`` took half their objective to start, ``broken`` ended with a
+    failed inner call.
+    """
 
     in_time: int = 0
     late: int = 0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -275,3 +275,51 @@
     assert not _moving.was_moved(call, errors.Draining("leaves"))
     call.patience_ms = clock.NEVER_S
     assert not _moving.was_moved(call, errors.Overloaded("busy"))
+
+
+def _candidate(
+    instance: str, distance: _balancer.Distance, busy: bool
+) -> _balancer.Candidate:
+    return _balancer.Candidate(instance, distance, 0.5, busy=busy)
+
+
+# Guards against crowds of requests that cross to another region as nearer
+# targets have just been full for some milliseconds.
+@pytest.mark.parametrize(
+    "near_busy, far_busy, expected",
+    [
+        ([False, True], [False], ["near-0", "far-0"]),
+        ([True, True], [False], ["near-0", "near-1", "far-0"]),
+        ([True], [True, False], ["near-0", "far-1"]),
+        ([], [True], ["far-0"]),
+    ],
+)
+def test_busy_targets_give_way_to_others_at_their_distance_only(
+    near_busy: list[bool], far_busy: list[bool], expected: list[str]
+) -> None:
+    candidates = [
+        _candidate(f"near-{n}", _balancer.Distance.DOMAIN, busy)
+        for n, busy in enumerate(near_busy)
+    ] + [
+        _candidate(f"far-{n}", _balancer.Distance.REMOTE, busy)
+        for n, busy in enumerate(far_busy)
+    ]
+    found = _balancer.without_busy(candidates)
+    assert [each.instance for each in found] == expected
+
+
+# Guards against ejections of sound targets while a service that they all
+# call is full, and against a failing target that stays in use.
+@pytest.mark.parametrize(
+    "usual_share, failures, ejected",
+    [(0.0, 2, False), (0.0, 3, True), (0.5, 3, False), (0.5, 40, True)],
+)
+def test_target_is_ejected_for_failing_more_than_its_peers(
+    usual_share: float, failures: int, ejected: bool
+) -> None:
+    stats = _balancer.TargetStats(since_s=0.0)
+    stats.peers.failure_share = usual_share
+    for _ in range(failures):
+        stats.record_failure(1.0)
+        stats.peers.failure_share = usual_share
+    assert (stats.ejected_until_s > 1.0) is ejected
