Customers in operators' files; chiveroad key-digest

Cause: only the platform's configurations could hold customers.

Change: [customer.NAME] with key_digests, weight, rate_per_s and burst, anonymous routes, ownership by team, errors E2016 to E2019 with file, line and hint; no message repeats a value of key_digests. key-digest reads a key from a prompt or the standard input and refuses arguments without repeating them.

Evidence: tests of files, product, configuration, keys and platform pass.

--- a/src/chiveroad/cli/_app.py
+++ b/src/chiveroad/cli/_app.py
@@ -11,6 +11,7 @@
 import chiveroad
 from chiveroad.cli import _check
 from chiveroad.cli import _explain
+from chiveroad.cli import _key_digest
 from chiveroad.cli import _output
 from chiveroad.cli import _push
 from chiveroad.cli import _quarantine
@@ -148,6 +149,21 @@
     _print_and_exit(_trace.report(request, _trace.find(request, logs)), output)
 
 
+@app.command(
+    "key-digest",
+    context_settings={
+        "allow_extra_args": True,
+        "ignore_unknown_options": True,
+    },
+)
+def key_digest(context: typer.Context, output: Output = TABLE) -> None:
+    """Print the digest of a key, read from a prompt or standard input."""
+    if context.args:
+        # The library's own message would repeat the argument.
+        raise errors.UsageError("a key is never an argument; pipe it in")
+    _print_and_exit(_key_digest.report(_key_digest.read_key()), output)
+
+
 @app.command()
 def version(output: Output = TABLE) -> None:
     """Show the version."""
--- a/src/chiveroad/cli/_check.py
+++ b/src/chiveroad/cli/_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import pathlib
 
@@ -33,10 +34,11 @@
     """Return the verdicts that a merge of the folder gives."""
     merged = config.merge(read_folder(folder))
     refused = [verdict for verdict in merged.verdicts if verdict.code]
-    services = sum(key.startswith("service/") for key in merged.items)
+    counts = collections.Counter(key.partition("/")[0] for key in merged.items)
     notes = [
         f"{len(merged.verdicts)} files, {len(refused)} refused, "
-        f"{services} services, {len(merged.items) - services} routes."
+        f"{counts['service']} services, {counts['route']} routes, "
+        f"{counts['customer']} customers."
     ]
     return _output.Report(
         value=merged.verdicts,
--- a/src/chiveroad/config/_files.py
+++ b/src/chiveroad/config/_files.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import re
 import tomllib
 import typing
 
 import msgspec
 
+from chiveroad.config import _customer_table
 from chiveroad.config import _model
 from chiveroad import errors
 
@@ -76,6 +78,7 @@
     methods: typing.Annotated[
         tuple[Method, ...], msgspec.Meta(min_length=1)
     ] = ("GET",)
+    anonymous: bool = False
 
     def __post_init__(self) -> None:
         if bool(self.service) == bool(self.split):
@@ -88,6 +91,7 @@
     team: Name
     service: dict[Name, ServiceTable] = {}
     route: dict[Name, RouteTable] = {}
+    customer: dict[Name, _customer_table.CustomerTable] = {}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,6 +103,7 @@
     team: str
     services: tuple[_model.Service, ...]
     routes: tuple[_model.Route, ...]
+    customers: tuple[_model.Customer, ...] = ()
 
     def line_of(self, table: str, name: str) -> int:
         """Return the number of the line that opens a table, or 0."""
@@ -125,12 +130,18 @@
     except msgspec.ValidationError as exc:
         line = find_line(text, _keys_in_message(str(exc)))
         raise errors.FileShape(str(exc), file, line) from exc
+    for name, customer in table.customer.items():
+        line_of = functools.partial(_line_of_customer, text, name)
+        _customer_table.check(name, customer, line_of, file)
     return Document(
         file,
         text,
         table.team,
         tuple(_service(n, table.team, t) for n, t in table.service.items()),
         tuple(_route(n, table.team, t) for n, t in table.route.items()),
+        tuple(
+            _customer_table.customer(n, t) for n, t in table.customer.items()
+        ),
     )
 
 
@@ -156,6 +167,10 @@
     return line
 
 
+def _line_of_customer(text: str, name: str, key: str) -> int:
+    return find_line(text, ["customer", name, key])
+
+
 def _find_line_from(text: str, key: str, start: int) -> int:
     pattern = re.compile(rf"(?<![\w-]){re.escape(key)}(?![\w-])")
     for number, line in enumerate(text.splitlines(), 1):
@@ -209,4 +224,5 @@
         kind=table.kind,
         host=table.host,
         split=split,
+        anonymous=table.anonymous,
     )
--- a/src/chiveroad/config/_merge.py
+++ b/src/chiveroad/config/_merge.py
@@ -132,18 +132,27 @@
 
 
 class _AcceptedState:
-    """The routes of the accepted version, and the owner of each name."""
+    """The routes of the accepted version, and the owner of each name.
+
+    ``holders`` are the names of customers by the digests of their keys.
+    """
 
     def __init__(
         self, documents: collections.abc.Mapping[str, _files.Document]
     ) -> None:
         self.service_owners: dict[str, str] = {}
+        self.customer_owners: dict[str, str] = {}
+        self.holders: dict[str, str] = {}
         self.route_owners: dict[str, str] = {}
         self.route_names: dict[_RouteMatch, str] = {}
         self.accepted_routes: dict[str, _model.Route] = {}
         for _, document in sorted(documents.items()):
             for service in document.services:
                 self.service_owners[service.name] = document.team
+            for customer in document.customers:
+                self.customer_owners[customer.name] = document.team
+                for digest in customer.key_digests:
+                    self.holders[digest] = customer.name
             for route in document.routes:
                 self.route_owners[route.name] = document.team
                 self.accepted_routes[route.name] = route
@@ -182,7 +191,7 @@
     candidates: collections.abc.Mapping[str, _Candidate],
     accepted_state: _AcceptedState,
 ) -> _Fault | None:
-    checks = (_check_owners, _check_routes, _check_matches)
+    checks = (_check_owners, _check_routes, _check_matches, _check_keys)
     for check in checks:
         fault = next(check(candidates, accepted_state), None)
         if fault is not None:
@@ -207,7 +216,13 @@
     routes = _NameUsage(
         "route", errors.RouteOwned, accepted_state.route_owners
     )
+    customers = _NameUsage(
+        "customer", errors.CustomerOwned, accepted_state.customer_owners
+    )
     for document in _documents(candidates):
+        customers.add(
+            document, [definition.name for definition in document.customers]
+        )
         services.add(
             document, [definition.name for definition in document.services]
         )
@@ -216,6 +231,7 @@
         )
     yield from services.faults()
     yield from routes.faults()
+    yield from customers.faults()
 
 
 class _NameUsage:
@@ -326,6 +342,32 @@
             yield _Fault(error, (rejected_file, file, routes[other][1]))
 
 
+def _check_keys(
+    candidates: collections.abc.Mapping[str, _Candidate],
+    accepted_state: _AcceptedState,
+) -> collections.abc.Iterator[_Fault]:
+    customers = _customers(candidates)
+    first_names: dict[str, str] = {}
+    for name in sorted(customers):
+        customer, file = customers[name]
+        for digest in customer.key_digests:
+            other = first_names.setdefault(digest, name)
+            if other == name:
+                continue
+            holder = accepted_state.holders.get(digest)
+            rejected = other if holder == name else name
+            kept = name if rejected == other else other
+            rejected_file = customers[rejected][1]
+            document = candidates[rejected_file].document
+            line = document.line_of("customer", rejected)
+            error = errors.KeyDigestShared(
+                f"customer {rejected!r} holds a key of customer {kept!r}",
+                rejected_file,
+                line,
+            )
+            yield _Fault(error, (rejected_file, file, customers[other][1]))
+
+
 def _file_to_revert(
     fault: _Fault,
     candidates: collections.abc.Mapping[str, _Candidate],
@@ -387,6 +429,16 @@
     }
 
 
+def _customers(
+    candidates: collections.abc.Mapping[str, _Candidate],
+) -> dict[str, tuple[_model.Customer, str]]:
+    return {
+        customer.name: (customer, document.file)
+        for document in _documents(candidates)
+        for customer in document.customers
+    }
+
+
 def _items(
     candidates: collections.abc.Mapping[str, _Candidate],
 ) -> dict[str, str]:
@@ -394,6 +446,8 @@
     routes = [route for route, _ in _routes(candidates).values()]
     items = [_model.service_item(service) for service in services]
     items += [_model.route_item(route) for route in routes]
+    customers = [customer for customer, _ in _customers(candidates).values()]
+    items += [_model.customer_item(customer) for customer in customers]
     return dict(sorted(items))
 
 
--- a/src/chiveroad/customers/_keys.py
+++ b/src/chiveroad/customers/_keys.py
@@ -43,8 +43,13 @@
         return ""
     stated, _, key = header.partition(" ")
     key = key.strip(" ")
-    if stated.lower() != scheme.lower() or not key.isascii():
-        return UNREADABLE_KEY
-    if not 0 < len(key) <= MAX_KEY_CHARACTERS or not key.isprintable():
+    if stated.lower() != scheme.lower() or not is_usable_key(key):
         return UNREADABLE_KEY
     return digest_key(key)
+
+
+def is_usable_key(key: str) -> bool:
+    """Return whether a request can present a key."""
+    if not 0 < len(key) <= MAX_KEY_CHARACTERS or key != key.strip(" "):
+        return False
+    return key.isascii() and key.isprintable()
--- a/src/chiveroad/errors.py
+++ b/src/chiveroad/errors.py
@@ -142,6 +142,34 @@
     hint = "change the path or the methods of one of the routes"
 
 
+class CustomerOwned(FileError):
+    """Another team owns the customer's name."""
+
+    code = 2016
+    hint = "choose another name for the customer"
+
+
+class KeyDigestShared(FileError):
+    """Two customers hold the same key."""
+
+    code = 2017
+    hint = "give each customer a key of its own"
+
+
+class KeyDigestForm(FileError):
+    """A value isn't the digest of a key; it may be a key itself."""
+
+    code = 2018
+    hint = "put what chiveroad key-digest prints; revoke a key that was pasted"
+
+
+class CustomerLimit(FileError):
+    """A customer's rate or burst can't be used."""
+
+    code = 2019
+    hint = "state a rate from 0 on, and a burst only beside a rate"
+
+
 class CandidateRejected(FileError):
     """No valid configuration could be built from the folder."""
 
@@ -381,7 +409,7 @@
 
 
 class KeyRefused(Refusal):
-    """The request has no customer's key, and its route demands one."""
+    """The request's key is unknown, or missing where its route demands one."""
 
     code = 4036
     hint = "send a key that the configuration gives to a customer"
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -37,10 +37,13 @@
 FOLDER: typing.Final = mesh.EXAMPLES / "woodland-circle" / "folder"
 
 
-def run(*arguments: str, **env: str) -> subprocess.CompletedProcess[str]:
+def run(
+    *arguments: str, stdin: str | None = None, **env: str
+) -> subprocess.CompletedProcess[str]:
     """Run the program."""
     return subprocess.run(
         [sys.executable, "-m", "chiveroad", *arguments],
+        input=stdin,
         capture_output=True,
         text=True,
         check=False,
