--- a/src/chiveroad/quotas/_account.py
+++ b/src/chiveroad/quotas/_account.py
@@ -154,11 +154,13 @@
         self._decide_state()
         share = known.demand / self._demand if self._demand else 0.0
         known.share = share
+        # The share that the first choice gave stays until it serves again.
+        told = known.claim if use.rank else share * self._scale
         allowance = _messages.Allowance(
             use.customer,
             use.used,
             close=self.close,
-            share=round(share, 4),
+            share=round(told, 4),
         )
         if not self.close:
             allowance.count = self._unasked(share, situation.daemons)
@@ -216,7 +218,7 @@
         shares of those that report here.
         """
         now_s = situation.now_s
-        known.claim = use.share
+        known.claim = use.share or known.claim
         if use.rank:
             known.claim = max(use.share, 1 / situation.daemons)
         else:
@@ -323,7 +325,9 @@
         """Grant tokens, as far as there are any, by the share of demand."""
         available = int(self._level)
         expected_per_s = known.demand / DEMAND_TAU_S
-        expected = int(expected_per_s * _limits.REPORT_INTERVAL_S)
+        expected = 0
+        if use.demand:
+            expected = int(expected_per_s * _limits.REPORT_INTERVAL_S)
         needed = use.waiting + expected - use.held
         if available < 1 or needed < 1:
             return 0
--- a/src/chiveroad/quotas/_local.py
+++ b/src/chiveroad/quotas/_local.py
@@ -172,7 +172,7 @@
         """Collect the report to one quota server; None if it is empty."""
         link.due_s = math.inf
         uses: dict[str, _messages.Use] = {}
-        continuous = link.fresh(now_s)
+        fresh = link.fresh(now_s)
         for name in list(self._unreported):
             owner, rank = self._links.owner(name, now_s)
             if owner is not link:
@@ -182,11 +182,8 @@
             self._unreported.discard(name)
             if not meter.reportable:
                 continue
-            moved = meter.server != link.member.instance
-            use = meter.use(continuous and not moved, now_s)
-            uses[name] = msgspec.structs.replace(
-                use, customer=name, rank=abs(rank)
-            )
+            use = meter.use(link.member.instance, rank, fresh, now_s)
+            uses[name] = msgspec.structs.replace(use, customer=name)
         if not uses:
             idle_at_s = link.sent_s + _links.IDLE_S
             if not link.told_failed and (link.idle or now_s < idle_at_s):
--- a/src/chiveroad/quotas/_messages.py
+++ b/src/chiveroad/quotas/_messages.py
@@ -11,12 +11,12 @@
     ``used`` counts all that it has admitted since its start, less those that
     didn't run, and ``held`` the tokens beyond them that it may still use.
     ``demand`` requests have arrived since the last report, of which
-    ``refused`` were refused and ``waiting`` wait for a token.  ``close`` is
-    the entry's last knowledge, and ``share`` its share of the customer's
-    demand.  ``recent`` is what it admitted in the last window, in slots of
-    ``RECENT_SLOT_S``, the latest first; it is sent where the server may not
-    know it.  ``rank`` is 0 where the entry takes the server for the first in
-    the customer's order.
+    ``refused`` were refused and ``waiting`` wait for a token. ``close`` and
+    ``share`` are what another quota server, or this one before a restart, has
+    told the entry last. ``recent`` is what it admitted in the last window, in
+    slots of ``RECENT_SLOT_S``, the latest first; it is sent where the server
+    may not know it. ``rank`` is 0 where the entry takes the server for the
+    first in the customer's order.
     """
 
     customer: str
--- a/src/chiveroad/quotas/_meter.py
+++ b/src/chiveroad/quotas/_meter.py
@@ -145,21 +145,25 @@
         self._used -= 1
         self._add(now_s, -1)
 
-    def use(self, continuous: bool, now_s: float) -> _messages.Use:
+    def use(
+        self, server: str, rank: int, fresh: bool, now_s: float
+    ) -> _messages.Use:
         """Return the report on this customer.
 
         Tokens that weren't needed, or have expired, are given back.
 
-        :param continuous: whether the quota server has counted the reports
-            before this one.
+        :param server: the quota server's instance.
+        :param rank: its place in the customer's order.
+        :param fresh: whether it has answered a moment ago.
         """
+        moved = self.wants_recent or self.server != server
         held = 0
         if self.close:
             if self._demand and now_s < self._allowed_until_s:
                 held = max(0, self._allowed - self._used)
             self._allowed = self._used + held
         recent = None
-        if self.wants_recent or not continuous:
+        if moved or not fresh:
             recent = self._recent(now_s)
         known_close = now_s - self.answered_s < CLOSE_KNOWN_S
         message = _messages.Use(
@@ -169,9 +173,10 @@
             demand=self._demand,
             refused=self._refused,
             waiting=self.waiting,
-            close=self.close and known_close,
-            share=self._known_share(now_s),
+            close=moved and self.close and known_close,
+            share=self._known_share(now_s) if moved or rank else 0.0,
             recent=recent,
+            rank=abs(rank),
         )
         self._demand = self._refused = 0
         self._in_report = True
