--- a/src/chiveroad/cli/_app.py
+++ b/src/chiveroad/cli/_app.py
@@ -10,6 +10,7 @@
 
 import chiveroad
 from chiveroad.cli import _check
+from chiveroad.cli import _customers
 from chiveroad.cli import _explain
 from chiveroad.cli import _output
 from chiveroad.cli import _push
@@ -135,6 +136,18 @@
     )
 
 
+@app.command()
+def customers(
+    daemons: typing.Annotated[
+        list[str],
+        typer.Argument(help="Control addresses of daemons, HOST:PORT."),
+    ],
+    output: Output = TABLE,
+) -> None:
+    """Show who uses how much of its limit, and who is refused and why."""
+    _print_and_exit(_customers.report(_customers.read(daemons)), output)
+
+
 @app.command()
 def trace(
     request: typing.Annotated[str, typer.Argument(help="A request's id.")],
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -144,6 +144,10 @@
         self._control.add_page(
             quotas.USAGE_PATH, self._quotas.usage_page, "POST"
         )
+        customers_page = quotas.CustomersPage(
+            options, self._node.applied, self._quotas, self._recorder
+        )
+        self._control.add_page(quotas.CUSTOMERS_PATH, customers_page.handle)
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
         self._target_leaves = threading.Event()
--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -26,6 +26,7 @@
     "chiveroad.entry.picks": "Upstreams picked, by distance.",
     "chiveroad.guard.requests": "Requests at the guard, by outcome.",
     "chiveroad.quota.alone": "Requests decided on without a quota server.",
+    "chiveroad.quota.refused": "Requests over a quota, by reason.",
     "chiveroad.quota.reports": "Reports to quota servers, by outcome.",
     "chiveroad.quota.waits": "Requests that waited for a token.",
     "chiveroad.store.calls": "Calls to the store, by kind and outcome.",
--- a/src/chiveroad/quotas/_meter.py
+++ b/src/chiveroad/quotas/_meter.py
@@ -28,7 +28,13 @@
 
     ADMIT = "admit"
     ASK = "ask"
-    REFUSE = "refuse"
+    REFUSE = "over its quota"
+    REFUSE_ALONE = "as no quota server answers"
+
+    @property
+    def refuses(self) -> bool:
+        """Tell whether the request is refused."""
+        return self in (Verdict.REFUSE, Verdict.REFUSE_ALONE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,9 +133,9 @@
             if span_s > self._terms.window_s:
                 break
             if used + 1 > share * (burst + rate_per_s * span_s):
-                return Verdict.REFUSE
+                return Verdict.REFUSE_ALONE
         if share * (burst + rate_per_s * self._terms.window_s) < 1:
-            return Verdict.REFUSE
+            return Verdict.REFUSE_ALONE
         self._take(now_s)
         self._allowed = max(self._allowed, self._used)
         return Verdict.ADMIT
--- a/src/chiveroad/quotas/_quotas.py
+++ b/src/chiveroad/quotas/_quotas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import http
 import threading
 import time
@@ -93,6 +94,9 @@
         self._ledger_lock = threading.Lock()
         self._ledger = _ledger.Ledger(uuid.uuid4().hex[:12], terms, view)
         self._sampler = logs.Sampler()
+        self._refusals: collections.defaultdict[
+            str, collections.Counter[str]
+        ] = collections.defaultdict(collections.Counter)
 
     def admit(self, name: str, due_s: float) -> bool:
         """Admit a request of a customer.
@@ -114,13 +118,14 @@
             if verdict is _meter.Verdict.ASK:
                 verdict = self._ask(name, meter, due_s)
             retry_ms = 0
-            if verdict is _meter.Verdict.REFUSE:
+            if verdict.refuses:
                 retry_ms = meter.refuse(time.monotonic())
+                self._refusals[name][verdict.value] += 1
             self._schedule(name, meter)
-        if verdict is _meter.Verdict.ADMIT:
+        if not verdict.refuses:
             return True
-        self._log_refusal(customer, retry_ms)
-        raise errors.OverQuota(f"customer {name} has used its quota", retry_ms)
+        self._log_refusal(customer, verdict, retry_ms)
+        raise errors.OverQuota(f"refused {verdict.value}", retry_ms)
 
     def give_back(self, customer: str) -> None:
         """Return the token of a request that never ran."""
@@ -128,6 +133,39 @@
             if self._local.give_back(customer, time.monotonic()):
                 self._due.notify()
 
+    def refusals(self) -> dict[str, dict[str, int]]:
+        """Return this entry's refusals by customer and reason."""
+        configured = self._applied.config.customers
+        with self._lock:
+            for name in self._refusals.keys() - configured.keys():
+                del self._refusals[name]
+            return {
+                name: dict(reasons) for name, reasons in self._refusals.items()
+            }
+
+    def served(
+        self,
+    ) -> tuple[list[tuple[str, float, float, bool, int]], list[str]]:
+        """Return what this quota server knows.
+
+        :returns: name, use a second, tokens left, whether tokens are needed,
+            and number of entries of each customer; and the names of the
+            daemons that are cut off.
+        """
+        now_s = time.monotonic()
+        with self._ledger_lock:
+            found = [
+                (
+                    name,
+                    account.used_per_s(now_s),
+                    account.level(now_s),
+                    account.close,
+                    account.entries,
+                )
+                for name, account in sorted(self._ledger.accounts.items())
+            ]
+            return found, sorted(self._ledger.missing)
+
     def usage_page(self, request: serving.Request) -> None:
         """Answer an entry's report."""
         try:
@@ -252,16 +290,24 @@
             self._due.notify()
             self._answered.notify_all()
 
-    def _log_refusal(self, customer: config.Customer, retry_ms: int) -> None:
+    def _log_refusal(
+        self,
+        customer: config.Customer,
+        verdict: _meter.Verdict,
+        retry_ms: int,
+    ) -> None:
+        self._recorder.count("chiveroad.quota.refused", verdict.name.lower())
         if not self._sampler.allow():
             return
         _log.warning(
-            "A request of customer {} was refused: over its quota of {} "
-            "requests a second.",
+            "A request of customer {} was refused {}; its limit is {} a "
+            "second.",
             customer.name,
+            verdict.value,
             customer.rate_per_s,
             extra={
                 "customer": customer.name,
+                "reason": verdict.value,
                 "retry_ms": retry_ms,
                 "unlogged": self._sampler.suppressed,
             },
--- a/tests/quota_mesh.py
+++ b/tests/quota_mesh.py
@@ -177,7 +177,7 @@
                 entry.quotas.schedule(name, meter, self.now_s)
                 continue
             meter.waiting -= 1
-            if verdict is _meter.Verdict.REFUSE:
+            if verdict.refuses:
                 meter.refuse(self.now_s)
             self._record(name, verdict)
         entry.waiting = still
--- a/tests/test_quota_mesh.py
+++ b/tests/test_quota_mesh.py
@@ -10,6 +10,9 @@
 import time
 import typing
 
+import msgspec
+
+from chiveroad.cli import _customers
 from chiveroad import config
 from chiveroad import customers
 from chiveroad import store
@@ -123,3 +126,57 @@
     assert set(statuses) == {200, 429}
     assert most_in_window(results) <= bound(20)
     assert statuses[200] >= 20 * LOAD_S * 0.8
+
+
+# Guards against a quota server's end that frees the limit, or blocks it, and
+# against a command that shows neither use nor refusals, or shows a key.
+def test_limit_holds_while_the_quota_server_is_killed() -> None:
+    with running_mesh(20) as running:
+        first = serving_daemon(running)
+        others = [name for name in running.daemons() if name != first]
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            sending = pool.submit(load, running, 90, 2 * LOAD_S, others)
+            time.sleep(LOAD_S)
+            running.kill(first)
+            results = sending.result()
+        read = _customers.read(
+            running.instances[name].control for name in running.instances
+        )
+        logs_text = "".join(running.log_of(name) for name in others)
+    after = [
+        status
+        for at_s, status in results
+        if at_s > results[-1][0] - LOAD_S / 2
+    ]
+    assert most_in_window(results) <= bound(20)
+    assert after.count(200) >= 20 * LOAD_S / 2 * 0.4
+    shown = _customers.report(read)
+    assert shown.exit_code == 1
+    assert [row[0] for row in shown.rows][0] == "warren"
+    assert "over its quota" in shown.rows[0][5]
+    assert "customer warren was refused" in logs_text
+    text = logs_text + msgspec.json.encode(read).decode()
+    assert KEY not in text and customers.digest_key(KEY) not in text
+
+
+def serving_daemon(running: mesh.Mesh) -> str:
+    """Return the daemon that is the customer's quota server."""
+    read = _customers.read(
+        running.instances[name].control for name in running.daemons()
+    )
+    (name,) = (
+        each.customers.instance
+        for each in read
+        if each.customers is not None and each.customers.served
+    )
+    return name
+
+
+# Guards against a lowered limit that only binds after a restart.
+def test_lowered_limit_binds_at_all_entries() -> None:
+    with running_mesh(40) as running:
+        load(running, 60, 1, running.daemons())
+        put_version(running, 2, 5, 5)
+        time.sleep(WINDOW_S)
+        results = load(running, 60, LOAD_S, running.daemons())
+    assert most_in_window(results) <= bound(5)
