Limits on what clients may hold

Clients that stopped short of the end of a body, sent half a head or read no answers held every thread; messages to the control address were read into memory without a common bound (3.1 GB where 64 MB are stated), and the number of connections was limited only by the process's descriptors.

Heads and bodies of up to 64 KB are now awaited in the selector, by the socket's low-water mark, so that they hold no thread and no memory. Requests that may wait for their client run in half of the threads, behind those that have arrived; while threads are short, the longest waits beyond a second are ended with 408. Requests sent ahead go to the back of the queue, and start once the answer before has been taken. Fields, small chunks, connections of each address and the memory of messages are limited.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -15,6 +15,7 @@
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import gauges
+from chiveroad import limits
 from chiveroad import logs
 from chiveroad import membership
 from chiveroad import metrics
@@ -89,6 +90,9 @@
         accepted = options.control.source == "accepted"
         self._protocol = _protocol(options)
         self._recorder = metrics.Recorder()
+        self._limits = limits.Shared(
+            options.limits, options.capacity, self._recorder.count
+        )
         self._uplink = serving.Uplink(options.capacity.link_mbps)
         self._platform = self._store(options.platform.timeout_ms / 1000)
         self._target = presence.LocalTarget(options.target.address)
@@ -162,7 +166,11 @@
         listen = self._options.listen
         options = self._options.traffic
         control_server = _low_traffic_server(
-            listen.control, self._control, CONTROL_THREADS, INITIAL_THREADS
+            listen.control,
+            self._control,
+            CONTROL_THREADS,
+            INITIAL_THREADS,
+            self._limits.at(limits.Place.CONTROL),
         )
         guard_server = serving.Server(
             listen.guard,
@@ -170,6 +178,7 @@
             options.threads,
             INITIAL_THREADS,
             uplink=self._uplink,
+            bounds=self._limits.at(limits.Place.GUARD),
         )
         entry_server = serving.Server(
             listen.entry,
@@ -178,6 +187,7 @@
             INITIAL_THREADS,
             options.idle_timeout_ms // 1000,
             self._protocol.fractional_retry_after,
+            bounds=self._limits.at(limits.Place.ENTRY),
         )
         return [control_server, guard_server, entry_server]
 
@@ -199,13 +209,20 @@
                     handler,
                     HEARTBEAT_THREADS,
                     1,
+                    self._limits.at(limits.Place.HEARTBEAT),
                     self._protocol.fractional_retry_after,
                 )
             )
         if listen.ready:
             ready = readiness.ReadyHandler(self._accepts_requests)
             servers.append(
-                _low_traffic_server(listen.ready, ready, READY_THREADS, 1)
+                _low_traffic_server(
+                    listen.ready,
+                    ready,
+                    READY_THREADS,
+                    1,
+                    self._limits.at(limits.Place.READY),
+                )
             )
         return servers
 
@@ -502,6 +519,7 @@
     handler: serving.Handler,
     threads: int,
     initial_threads: int,
+    bounds: limits.Bounds,
     fractional_retry: bool = False,
 ) -> serving.Server:
     """Return a server for few callers."""
@@ -512,6 +530,7 @@
         initial_threads,
         fractional_retry=fractional_retry,
         expire_s=SLOW_EXPIRE_INTERVAL_S,
+        bounds=bounds,
     )
 
 
--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -25,6 +25,7 @@
     "chiveroad.entry.retries": "Tries after the first.",
     "chiveroad.entry.picks": "Upstreams picked, by distance.",
     "chiveroad.guard.requests": "Requests at the guard, by outcome.",
+    "chiveroad.limits.reached": "Limits that clients reached, by limit.",
     "chiveroad.store.calls": "Calls to the store, by kind and outcome.",
 }
 LATENCY = "chiveroad.latency"
--- a/src/chiveroad/serving/_closer.py
+++ b/src/chiveroad/serving/_closer.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self._new: list[_Connection] = []
+        self._closing: dict[_Connection, None] = {}
         self._count = 0
         self._lock = threading.Lock()
 
@@ -58,12 +59,26 @@
                 return
             self._count += 1
             self._new.append(conn)
+            self._closing[conn] = None
             if self._count > 1:
                 return
         threading.Thread(
             target=self._close_all, name="closing", daemon=True
         ).start()
 
+    def close_oldest(self, count: int) -> int:
+        """Close the connections that have lingered for longest.
+
+        :returns: how many were closed, at most ``count``.
+        """
+        with self._lock:
+            oldest = list(self._closing)[:count]
+            for conn in oldest:
+                del self._closing[conn]
+        for conn in oldest:
+            conn.close()
+        return len(oldest)
+
     def _close_all(self) -> None:
         deadlines_s: dict[_Connection, float] = {}
         with selectors.DefaultSelector() as selector:
@@ -77,6 +92,9 @@
                 for conn in new:
                     if _register(selector, conn):
                         deadlines_s[conn] = now_s + CLOSE_TIMEOUT_S
+                    else:
+                        with self._lock:
+                            self._closing.pop(conn, None)
                 finished = [
                     key.data
                     for key, _ in selector.select(POLL_INTERVAL_S)
@@ -88,6 +106,8 @@
                     if deadline_s <= now_s
                 ]
                 for conn in set(finished):
+                    with self._lock:
+                        self._closing.pop(conn, None)
                     del deadlines_s[conn]
                     with contextlib.suppress(KeyError, ValueError):
                         selector.unregister(conn.socket)
--- a/src/chiveroad/serving/_framing.py
+++ b/src/chiveroad/serving/_framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import typing
 
@@ -13,6 +14,12 @@
 CHUNK_LINE_BYTES: typing.Final = 16
 """The framing of a chunk: the digits of its size, and two line ends."""
 
+MAX_SMALL_CHUNKS: typing.Final = 4_096
+MIN_MEAN_CHUNK_BYTES: typing.Final = 16
+"""The mean size of a request's chunks beyond the first ``MAX_SMALL_CHUNKS``;
+a chunk takes 2 us to be read, so that five bodies of 100,000 chunks of one
+byte took a whole processor for a second."""
+
 _CHUNK_SIZE: typing.Final = re.compile(
     rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*)?\r?\n"
 )
@@ -22,10 +29,16 @@
     """Reads the lines of one message, within a limit on their total size.
 
     :param source: the stream from which the lines are read.
+    :param max_small_chunks: how many chunks there may be, whatever they hold.
     """
 
-    def __init__(self, source: typing.Any) -> None:
+    def __init__(
+        self, source: typing.Any, max_small_chunks: float = math.inf
+    ) -> None:
         self._source = source
+        self._max_small_chunks = max_small_chunks
+        self._chunks = 0
+        self._chunk_bytes = 0
         self.remaining_bytes = MAX_FRAMING_BYTES
 
     def read(self) -> bytes:
@@ -48,10 +61,19 @@
         if match is None:
             raise ValueError("malformed chunk size")
         size = int(match[1], 16)
+        self._count_chunk(size)
         if size:
             self.remaining_bytes += size + CHUNK_LINE_BYTES
         return size
 
+    def _count_chunk(self, size: int) -> None:
+        self._chunks += 1
+        self._chunk_bytes += size
+        if self._chunks <= self._max_small_chunks:
+            return
+        if self._chunk_bytes < self._chunks * MIN_MEAN_CHUNK_BYTES:
+            raise ValueError("too many small chunks")
+
     def end_chunk(self) -> None:
         """Read the line end that follows a chunk.
 
@@ -70,7 +92,7 @@
 
     def __init__(self, source: typing.Any) -> None:
         self._source = source
-        self._lines = Lines(source)
+        self._lines = Lines(source, MAX_SMALL_CHUNKS)
         self._chunk_left_bytes = 0
         self.closed = False
 
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -10,16 +10,19 @@
 from __future__ import annotations
 
 import http
-import math
 import re
 import socket
 import time
 import typing
 
+from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
-import msgspec
 
 from chiveroad import errors
+from chiveroad import limits
+from chiveroad.serving import _arrival
+from chiveroad.serving import _client_waits
+from chiveroad.serving import _refusals
 from chiveroad.serving import _stream
 from chiveroad.serving import _uplink
 
@@ -45,10 +48,9 @@
 READ_TIMEOUT_S: typing.Final = 5.0
 """How long a peer may pause within a request or while it reads an answer."""
 
-_TOO_LARGE_STATUSES: typing.Final = (413, 414)
+REQUEST_TIMEOUT: typing.Final = "408 Request Timeout"
 
-CODE_HEADER: typing.Final = "Chiveroad-Code"
-RAN_HEADER: typing.Final = "Chiveroad-Ran"
+_TOO_LARGE_STATUSES: typing.Final = (413, 414)
 
 
 class _Headers(dict[bytes, bytes]):
@@ -56,9 +58,19 @@
 
     It also rejects control characters, and this is the only check: headers
     that are forwarded to a target are not checked again.
+
+    :param max_fields: each field takes far more memory than its bytes, and is
+        parsed and forwarded on its own.
     """
 
+    def __init__(self, max_fields: int) -> None:
+        super().__init__()
+        self._fields_left = max_fields
+
     def __setitem__(self, name: bytes, value: bytes) -> None:
+        self._fields_left -= 1
+        if self._fields_left < 0:
+            raise cheroot_errors.MaxSizeExceeded
         if _CONTROL_CHARACTER.search(value):
             raise ValueError("control character in a header")
         if name not in self or name in _LIST_HEADERS - _SINGLE_VALUE_HEADERS:
@@ -104,7 +116,9 @@
 
     def __init__(self, server: typing.Any, conn: typing.Any) -> None:
         super().__init__(server, conn)
-        self.inheaders: dict[bytes, bytes] = _Headers()
+        self.inheaders: dict[bytes, bytes] = _Headers(
+            server.bounds.terms.fields
+        )
         self.header_reader = _HeaderReader()
         self._refused = False
         conn.request = self
@@ -121,9 +135,14 @@
     def parse_request(self) -> None:
         """Read the request line and head, within one timeout for both."""
         reader = self.conn.rfile
-        reader.set_deadline(time.monotonic() + self.server.head_timeout_s)
+        due_s = self.conn.arrival.head_due_s
+        if due_s is None:
+            due_s = time.monotonic() + self.server.head_timeout_s
+        reader.set_deadline(due_s)
         try:
             super().parse_request()
+        except TimeoutError:
+            self.simple_response(REQUEST_TIMEOUT, "the head came too slowly")
         finally:
             reader.set_deadline(None)
 
@@ -172,6 +191,7 @@
                 errors.HeadTooLarge,
                 errors.HeadTooLarge.status,
             )
+            self._count_fields()
         elif status_code in _TOO_LARGE_STATUSES:
             error = errors.RequestTooLarge
         elif status_code == http.HTTPStatus.REQUEST_TIMEOUT:
@@ -180,12 +200,18 @@
             # A handler failed; the request may have been executed.
             error = errors.OutcomeUnknown
         self._refused = True
-        answer = refusal_answer(status_code, error(msg or str(status)))
+        answer = _refusals.refusal_answer(
+            status_code, error(msg or str(status))
+        )
         try:
             self.conn.wfile.write(answer)
         except OSError:
             return
 
+    def _count_fields(self) -> None:
+        if len(self.inheaders) >= self.server.bounds.terms.fields:
+            self.conn.limit_reached(limits.Reason.FIELDS)
+
 
 class PauseTracker:
     """Measures the pauses between an answer and the next request.
@@ -221,6 +247,15 @@
         super().__init__(server, sock, _stream.make_file)
         if server.uplink is not None and _uplink.is_remote(sock):
             self.wfile.uplink = server.uplink
+        self.arrival = _arrival.Arrival(sock)
+        self.may_wait = False
+        """Whether the current request is counted as one that may wait."""
+
+        self.is_new = True
+        self.has_served = False
+        self.waits = _client_waits.ClientWaits(self, server.waits)
+        self.rfile.record_waits(self.waits)
+        self.wfile.waits = self.waits
         self.request: HttpRequest | None = None
         """The current request, or the one that ended the connection."""
 
@@ -251,11 +286,21 @@
 
         :returns: whether the connection stays open.
         """
+        try:
+            return self._communicate()
+        finally:
+            self._end_waiting()
+
+    def _communicate(self) -> bool:
         self._pauses.request_arrived(time.monotonic())
-        while self._serve_request():
+        while self._are_answers_taken() and self._serve_request():
+            self.has_served = True
             self._pauses.request_answered(time.monotonic())
             if self.rfile.has_data():
+                if not self._may_continue():
+                    return True
                 continue
+            self._end_waiting()
             if not (self._pauses.busy and self.server.may_linger()):
                 return True
             with self.server.lingering():
@@ -263,16 +308,59 @@
             if not arrived:
                 self._pauses.busy = False
                 return True
+            if not self.arrival.is_whole(self.server.max_request_header_size):
+                return True
         return False
 
+    def _are_answers_taken(self) -> bool:
+        """Wait until the peer has taken the answers; False if it doesn't.
+
+        Only peers that send requests ahead may have left some unread.
+        """
+        if not self.may_wait:
+            return True
+        try:
+            self.waits.until_taken(self.socket)
+        except TimeoutError:
+            return False
+        return True
+
+    def _may_continue(self) -> bool:
+        """Return whether to go on with a request that was sent ahead.
+
+        Other requests go first, and the answer before must have been taken.
+        """
+        requests = self.server.requests
+        if self.may_wait:
+            if requests.queued():
+                return False
+        elif not requests.begin_waiting():
+            return False
+        self.may_wait = True
+        return True
+
+    def _end_waiting(self) -> None:
+        if self.may_wait:
+            self.may_wait = False
+            self.server.requests.end_waiting()
+
     def has_arrived(self) -> bool:
         """Return whether bytes, or the peer's close, have arrived."""
-        return self.rfile.has_data() or _stream.readable(self.socket)
+        return (
+            self.arrival.partial
+            or self.rfile.has_data()
+            or _stream.readable(self.socket)
+        )
+
+    def limit_reached(self, reason: limits.Reason) -> None:
+        """Record that the peer has reached a limit."""
+        peer = str(self.remote_addr or "")
+        self.server.bounds.account.reached(reason, peer)
 
     def refuse_unread(self, refusal: errors.Refusal) -> None:
         """Reject a request that has arrived, without reading it."""
         fractional = self.server.fractional_retry
-        answer = refusal_answer(refusal.status, refusal, fractional)
+        answer = _refusals.refusal_answer(refusal.status, refusal, fractional)
         try:
             _stream.send_now(self.socket, answer)
         except OSError:
@@ -292,69 +380,9 @@
         super().close()
 
     def _serve_request(self) -> bool:
+        self.waits.begin_request()
         is_open = bool(super().communicate())  # type: ignore[no-untyped-call]
+        self.arrival.begin()
         if is_open:
             self.request = None
         return is_open
-
-
-def refusal_answer(
-    status: int, refusal: errors.Refusal, fractional_retry: bool = False
-) -> bytes:
-    """Return an HTTP answer with a refusal that closes the connection."""
-    body = refusal_body(refusal)
-    headers = [
-        *refusal_headers(refusal, fractional_retry),
-        ("Content-Length", str(len(body))),
-        ("Connection", "close"),
-    ]
-    lines = [f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    head = "\r\n".join([*lines, "", ""])
-    return head.encode("latin-1") + body
-
-
-def refusal_headers(
-    refusal: errors.Refusal, fractional_retry: bool = False
-) -> list[tuple[str, str]]:
-    """Return the headers of a refusal.
-
-    :param fractional_retry: whether the caller accepts fractions of a second
-        in ``Retry-After``; otherwise the value is rounded up to a whole
-        second, as the HTTP standard requires.
-    """
-    headers = [
-        ("Content-Type", "application/json"),
-        (CODE_HEADER, str(refusal.code)),
-        (RAN_HEADER, refusal.ran),
-    ]
-    if refusal.retry_after_ms:
-        seconds = refusal.retry_after_ms / 1000
-        text = f"{seconds:.3f}" if fractional_retry else _round_up(seconds)
-        headers.append(("Retry-After", text))
-    return headers
-
-
-def _round_up(seconds: float) -> str:
-    return str(math.ceil(seconds))
-
-
-class _RefusalBody(msgspec.Struct):
-    code: int
-    message: str
-    hint: str
-    ran: str
-    retry_after_ms: int
-
-
-def refusal_body(refusal: errors.Refusal) -> bytes:
-    """Return the JSON body of a refusal."""
-    return msgspec.json.encode(
-        _RefusalBody(
-            refusal.code,
-            refusal.reason,
-            refusal.hint,
-            refusal.ran,
-            refusal.retry_after_ms,
-        )
-    )
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -9,10 +9,12 @@
 import typing
 
 from chiveroad import errors
-from chiveroad.serving import _http
+from chiveroad import limits
+from chiveroad.serving import _refusals
 
 BODY_CHUNK_BYTES: typing.Final = 64 * 1024
 MAX_DISCARD_BYTES: typing.Final = 1024 * 1024
+DISCARD_BYTES: typing.Final = 16 * 1024
 DISCARD_TIMEOUT_S: typing.Final = 0.2
 """How long an answer is delayed to discard a body that wasn't read."""
 
@@ -20,6 +22,11 @@
 """How long the body of a request to the daemon itself may take; the limit of
 an answer is as long."""
 
+COPIES: typing.Final = 2
+"""How often a body is in memory while its last bytes are read."""
+
+BODY_MEMORY_RETRY_MS: typing.Final = 1_000
+
 _PHRASES: typing.Final = {
     status.value: f"{status.value} {status.phrase}".encode()
     for status in http.HTTPStatus
@@ -44,7 +51,8 @@
         self.method: str = raw.method.decode("latin-1")
         self.uri: str = raw.uri.decode("latin-1")
         self.path: str = self.uri.partition("?")[0]
-        self.received_s = time.monotonic()
+        began_s = raw.conn.arrival.body_since_s
+        self.received_s = time.monotonic() if began_s is None else began_s
         self.bytes_sent = 0
         self.begun = False
         self.finished = False
@@ -83,18 +91,41 @@
         :raises errors.RequestTooLarge: when the body is over ``limit`` bytes.
         :raises errors.BadRequest: when the body is truncated or malformed.
         :raises errors.BodyTimeout: when the body arrives too slowly.
+        :raises errors.Overloaded: when the bodies that are being read need
+            more memory than they may take.
         """
         length = self.content_length
+        budget = self._raw.server.bounds.budget
+        if budget is not None:
+            limit = min(limit, budget.limit_bytes // COPIES)
         if length is not None and length > limit:
             raise errors.RequestTooLarge(f"body over {limit} bytes")
         self.set_body_deadline(self.received_s + BODY_S)
         try:
-            chunks = list(self._chunks(limit))
+            return self._read_within_budget(limit)
         except BodyTruncated as exc:
             if isinstance(exc.__cause__, TimeoutError):
                 raise errors.BodyTimeout("the body came too slowly") from exc
             raise errors.BadRequest("the body is shorter than said") from exc
-        return b"".join(chunks)
+
+    def _read_within_budget(self, limit: int) -> bytes:
+        body = bytearray()
+        with limits.Reservation(self._raw.server.bounds.budget) as memory:
+            self._reserve(memory, self.content_length or 0)
+            for chunk in self._chunks(limit):
+                if self.content_length is None:
+                    self._reserve(memory, len(chunk))
+                body += chunk
+            return bytes(body)
+
+    def _reserve(self, memory: limits.Reservation, count: int) -> None:
+        if memory.grow(COPIES * count):
+            return
+        self._raw.conn.limit_reached(limits.Reason.BODY_MEMORY)
+        raise errors.Overloaded(
+            "the bodies of requests take too much memory",
+            BODY_MEMORY_RETRY_MS,
+        )
 
     def set_body_deadline(self, end_s: float) -> None:
         """Set the deadline for reading the body, in monotonic seconds."""
@@ -166,10 +197,12 @@
             return not remaining
         self.set_body_deadline(time.monotonic() + DISCARD_TIMEOUT_S)
         try:
-            self._raw.rfile.read(remaining)
+            # Read as a whole, such bodies took 1 MB for each thread.
+            while self._raw.rfile.read(DISCARD_BYTES):
+                pass
         except OSError:
             return False
-        return True
+        return not self._raw.rfile.remaining
 
     def send(self, chunk: bytes) -> None:
         """Send a chunk of the body.
@@ -198,5 +231,10 @@
     ) -> None:
         """Answer with a refusal."""
         fractional = self._raw.server.fractional_retry
-        all_headers = [*headers, *_http.refusal_headers(refusal, fractional)]
-        self.answer(refusal.status, all_headers, _http.refusal_body(refusal))
+        all_headers = [
+            *headers,
+            *_refusals.refusal_headers(refusal, fractional),
+        ]
+        self.answer(
+            refusal.status, all_headers, _refusals.refusal_body(refusal)
+        )
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -7,7 +7,7 @@
 import contextlib
 import errno
 import math
-import queue
+import selectors
 import threading
 import time
 import typing
@@ -15,7 +15,9 @@
 import cheroot.server as cheroot_server
 
 from chiveroad import errors
+from chiveroad import limits
 from chiveroad import logs
+from chiveroad.serving import _arrival
 from chiveroad.serving import _closer
 from chiveroad.serving import _framing
 from chiveroad.serving import _http
@@ -40,6 +42,10 @@
 """How long the process's exit waits for the servers; no request is running by
 then."""
 
+CLOSED_TOGETHER: typing.Final = 16
+"""At the limit of connections a share of them, one in so many, is closed at
+once, as the search for the longest idle takes time."""
+
 _BACKLOG: typing.Final = 512
 _MAX_KEPT_CONNECTIONS: typing.Final = 4_096
 _log = logs.Logger("serving")
@@ -87,6 +93,7 @@
     :param expire_s: how often connections that have been idle for too long
         are searched for and closed.
     :param uplink: limits the rate of large answers to other instances.
+    :param bounds: what clients may hold.
     :raises errors.AddressInUse: from ``open`` when it can't listen.
     """
 
@@ -110,11 +117,17 @@
         fractional_retry: bool = False,
         expire_s: float = EXPIRE_INTERVAL_S,
         uplink: _uplink.Uplink | None = None,
+        bounds: limits.Bounds | None = None,
     ) -> None:
+        self.bounds = bounds or limits.Bounds()
+        self.waits: limits.Waits[_http.HttpConnection] = limits.Waits()
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), _Gateway, minthreads=threads)
         self.requests = _workers.Workers(
-            self, initial_threads or threads, threads
+            self,
+            initial_threads or threads,
+            threads,
+            self.bounds.terms.waiting_share,
         )
         self.closer = _closer.Closer()
         self.uplink = uplink
@@ -142,22 +155,68 @@
             target=self.serve, name=f"serve {self._address}", daemon=True
         ).start()
 
+    def prepare(self) -> None:
+        """Bind the address, and wait for requests with our own selector."""
+        super().prepare()
+        self._connections._selector.close()
+        selector = self._connections._selector = _arrival.Selector(self)
+        selector.register(self.socket.fileno(), selectors.EVENT_READ, self)
+
     def process_conn(self, conn: _http.HttpConnection) -> None:
         """Queue a connection for a worker, or refuse its request if full.
 
         A connection is often accepted before its request has arrived.  Such a
         connection is kept until the request arrives, and isn't refused.
         """
-        try:
-            self.requests.put(conn)
-        except queue.Full:
-            if not conn.has_arrived():
+        if conn.is_new:
+            conn.is_new = False
+            if self._has_capacity(conn):
                 self._keep_until_request(conn)
-                return
-            refusal = errors.Overloaded(
-                "all workers are taken", OVERLOADED_RETRY_MS
-            )
-            conn.refuse_unread(refusal)
+            return
+        if _arrival.queue_request(self, conn):
+            return
+        conn.limit_reached(limits.Reason.THREADS)
+        refusal = errors.Overloaded(
+            "all workers are taken", OVERLOADED_RETRY_MS
+        )
+        conn.refuse_unread(refusal)
+
+    def _has_capacity(self, conn: _http.HttpConnection) -> bool:
+        """Make capacity for a new connection, or close it if there is none.
+
+        Connections that linger are closed first, then those without a request
+        so far, then those that have been idle for longest.
+        """
+        limit = self.bounds.terms.connections
+        if not limit or self._connected <= limit or self.socket is None:
+            return True
+        conn.limit_reached(limits.Reason.CONNECTIONS)
+        count = max(1, limit // CLOSED_TOGETHER)
+        if self.closer.close_oldest(count):
+            return True
+        selector = self._connections._selector
+        idle = [
+            (other.has_served, other.last_used, descriptor, other)
+            for descriptor, other in selector.connections
+            if other is not self
+        ]
+        idle.sort(key=lambda entry: entry[:2])
+        for *_, descriptor, other in idle[:count]:
+            selector.forget(descriptor)
+            other.close()
+        if not idle:
+            conn.close()
+        return bool(idle)
+
+    def free_threads(self, now_s: float) -> None:
+        """End the longest waits for clients while requests are queued."""
+        shortage = self.requests.shortage()
+        if not shortage:
+            return
+        min_wait_s = self.bounds.terms.min_wait_s
+        for conn in self.waits.take_longest(shortage, min_wait_s, now_s):
+            conn.limit_reached(limits.Reason.WAITING)
+            conn.waits.give_up()
 
     def _keep_until_request(self, conn: _http.HttpConnection) -> None:
         self._connections.put(conn)
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -32,6 +32,7 @@
         self.deadline_s: float | None = None
         self.is_suspended = False
         self.caller: socket.socket | None = None
+        self.waits: Waits = NO_WAITS
 
     def readinto(self, buffer: typing.Any) -> int | None:
         """Read the bytes that are available; wait if there are none.
@@ -45,7 +46,11 @@
             try:
                 return os.readv(self._socket.fileno(), (buffer,))
             except BlockingIOError:
-                self._wait()
+                self.waits.begin(is_sending=False)
+                try:
+                    self._wait()
+                finally:
+                    self.waits.end()
 
     def _wait(self) -> None:
         wait_s = self.read_timeout_s
@@ -82,6 +87,24 @@
         raise errors.CallerDisconnected("the caller hung up")
 
 
+class Waits:
+    """Records the times in which a thread waits for its client."""
+
+    __slots__ = ()
+
+    def begin(self, is_sending: bool) -> None:
+        """Record that a wait begins; ``is_sending`` until bytes are taken."""
+
+    def end(self) -> None:
+        """Record that a wait has ended.
+
+        :raises TimeoutError: when the client has been given up.
+        """
+
+
+NO_WAITS: typing.Final = Waits()
+
+
 class Reader(io.BufferedReader):
     """A buffered socket reader with timeouts, bound to a caller if set."""
 
@@ -105,6 +128,10 @@
         """Abort further waits when the caller disconnects; None for never."""
         self._timed_socket.caller = caller
 
+    def record_waits(self, waits: Waits) -> None:
+        """Record all waits for the peer."""
+        self._timed_socket.waits = waits
+
     def has_data(self) -> bool:
         """Return whether the buffer holds data, without reading."""
         self._timed_socket.is_suspended = True
@@ -124,6 +151,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.uplink: _uplink.Uplink | None = None
+        self.waits: Waits = NO_WAITS
         self._held = False
         self._pending: list[bytes] = []
         self.bytes_written = 0
@@ -163,8 +191,13 @@
 
     def _send_all(self, data: bytes | memoryview[typing.Any]) -> None:
         sent = send_now(self._sock, data)
-        if sent < len(data):
+        if sent == len(data):
+            return
+        self.waits.begin(is_sending=True)
+        try:
             self._sock.sendall(memoryview(data)[sent:])
+        finally:
+            self.waits.end()
 
 
 def readable(sock: socket.socket, timeout_ms: float | None = 0.0) -> bool:
@@ -187,6 +220,13 @@
         return True
 
 
+def is_reset(sock: socket.socket) -> bool:
+    """Return whether the connection has failed or was shut down."""
+    poll = select.poll()
+    poll.register(sock, 0)
+    return bool(poll.poll(0))
+
+
 def send_now(sock: socket.socket, data: bytes | memoryview[typing.Any]) -> int:
     """Send as many bytes as possible without waiting; return their number.
 
--- a/src/chiveroad/serving/_workers.py
+++ b/src/chiveroad/serving/_workers.py
@@ -6,6 +6,8 @@
 
 import cheroot.workers.threadpool as threadpool
 
+from chiveroad import limits
+
 QUEUE_TIMEOUT_S: typing.Final = 0.001
 GROW_STEP: typing.Final = 4
 
@@ -17,6 +19,8 @@
 
     :param initial_threads: how many threads are started first.
     :param max_threads: the maximum number of threads.
+    :param waiting_share: the share of the threads that may process requests
+        which can wait for their client.
     """
 
     _queue: typing.Any
@@ -24,7 +28,11 @@
     _spawn_worker: typing.Callable[[], typing.Any]
 
     def __init__(
-        self, server: typing.Any, initial_threads: int, max_threads: int
+        self,
+        server: typing.Any,
+        initial_threads: int,
+        max_threads: int,
+        waiting_share: float = 0.5,
     ) -> None:
         super().__init__(
             server,
@@ -33,6 +41,13 @@
             accepted_queue_size=max_threads,
             accepted_queue_timeout=QUEUE_TIMEOUT_S,  # type: ignore[arg-type]
         )
+        self._queue = limits.ClassQueue(
+            max_threads, max(1, int(waiting_share * max_threads))
+        )
+        self.get = self._queue.get
+        self.begin_waiting = self._queue.begin_waiting
+        self.end_waiting = self._queue.end_waiting
+        self.queued = self._queue.queued
 
     def put(self, obj: typing.Any) -> None:
         """Queue a connection for a worker thread.
@@ -40,6 +55,25 @@
         :raises queue.Full: when all workers are busy and the queue is full.
         """
         super().put(obj)
+        self._grow_if_needed()
+
+    def put_waiting(self, obj: typing.Any) -> None:
+        """Queue a connection whose request may wait for its client.
+
+        :raises queue.Full: when too many such connections are queued.
+        """
+        self._queue.put_waiting(obj)
+        self._grow_if_needed()
+
+    def shortage(self) -> int:
+        """Return how many queued requests can't get a thread now."""
+        if not self._queue.queued():
+            return 0
+        unstarted = int(self.max) - len(self._threads)
+        shortage: int = self._queue.shortage(self.idle + unstarted)
+        return shortage
+
+    def _grow_if_needed(self) -> None:
         if self._queue.qsize() > self.idle:
             self.grow(GROW_STEP)
 
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -222,6 +222,23 @@
     share: typing.Annotated[float, msgspec.Meta(ge=0, le=0.5)] = 0.0
 
 
+class Limits(_Table, frozen=True):
+    """What clients may hold; see ``limits.Limits``.
+
+    ``connections`` is the number of connections at all addresses together,
+    and ``body_mb`` the memory of messages to the daemon that are read as a
+    whole; where they are 0 they follow from ``[capacity]``.  ``fields`` is
+    the number of header fields of a request.
+    """
+
+    connections: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+    body_mb: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    fields: typing.Annotated[int, msgspec.Meta(ge=16, le=10_000)] = 256
+    waiting_share: typing.Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.5
+    min_wait_ms: Milliseconds = 1_000
+    body_wait_ms: Milliseconds = 250
+
+
 class Metrics(_Table, frozen=True):
     """The push of metrics; without an address, metrics are only served."""
 
@@ -247,6 +264,7 @@
     hedging: Hedging = Hedging()
     metrics: Metrics = Metrics()
     capacity: Capacity = Capacity()
+    limits: Limits = Limits()
 
 
 _RELOADABLE: typing.Final = frozenset({"service", "retries"})
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -103,6 +103,7 @@
     "slow reader": Habit(
         lambda path: itertools.repeat(_head(path, "", "GET"), 4), 0.2, 16
     ),
+    "no reader": Habit(lambda path: [_head(path, "", "GET")]),
     "half a head": Habit(lambda path: [_head(path, "")[:-2]]),
     "nothing": Habit(lambda path: []),
 }
