--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -33,6 +33,7 @@
     "chiveroad.quota.refused": "Requests over a quota, by reason.",
     "chiveroad.quota.reports": "Reports to quota servers, by outcome.",
     "chiveroad.quota.waits": "Requests that waited for a token.",
+    "chiveroad.limits.reached": "Limits that clients reached, by limit.",
     "chiveroad.store.calls": "Calls to the store, by kind and outcome.",
 }
 LATENCY = "chiveroad.latency"
