Uploads: admitted by their heads, sent once, never mistaken for whole

Cause: entry and guard read bodies of up to 64 KB before they decided, so that a refused upload of 60 KB had crossed the link; a larger one could go to one target only, whatever had refused it; an answer was noticed only once the caller sent more.

Change: bodies over 16 KB are read once a target has admitted the request. An entry has the guard ask for them (100 Continue), and a caller that waits to be asked is asked then. Up to 64 KB of what was read is kept, so that the request can go to another target. An answer ends the wait for the caller's body. A guard buffers up to 64 KB after admission, so that such a body that stops half-way runs nothing. A connection that breaks before the guard has asked means that the request has not run. Names of customers are made fit for headers.

--- a/src/chiveroad/platform/_configuration.py
+++ b/src/chiveroad/platform/_configuration.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import typing
+import urllib.parse
 
 import msgspec
 
@@ -18,6 +19,7 @@
 each configuration."""
 
 MAX_PRIORITY: typing.Final = 99
+_HEADER_CHARACTERS: typing.Final = "".join(map(chr, range(0x20, 0x7F)))
 DEFAULT_TIMEOUT_S: typing.Final = 30.0
 QUEUE_LENGTH: typing.Final = 64
 
@@ -161,7 +163,9 @@
     if tenant.priority is not None:
         weight = _weight(tenant.priority)
     return config.Customer(
-        name=tenant.name,
+        # The name is sent in headers, which hold neither line ends nor
+        # characters beyond Latin-1.
+        name=urllib.parse.quote(tenant.name, safe=_HEADER_CHARACTERS),
         key_digests=tuple(
             customers.digest_key(key) for key in sorted(tenant.api_keys or ())
         ),
--- a/src/chiveroad/serving/__init__.py
+++ b/src/chiveroad/serving/__init__.py
@@ -12,6 +12,8 @@
 from chiveroad.serving._server import IDLE_TIMEOUT_S
 from chiveroad.serving._server import Server
 from chiveroad.serving._server import stop_all
+from chiveroad.serving._stream import BodyInterrupted
+from chiveroad.serving._stream import Interrupt
 from chiveroad.serving._stream import is_disconnected
 from chiveroad.serving._stream import Reader
 from chiveroad.serving._stream import send_now
@@ -19,12 +21,14 @@
 from chiveroad.serving._uplink import Uplink
 
 __all__ = [
+    "BodyInterrupted",
     "BodyTruncated",
     "CHUNK_LINE_BYTES",
     "CODE_HEADER",
     "Handler",
     "Header",
     "IDLE_TIMEOUT_S",
+    "Interrupt",
     "Lines",
     "MAX_FRAMING_BYTES",
     "RAN_HEADER",
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -75,16 +75,22 @@
 
     def __init__(self) -> None:
         self._name_read = False
+        self.expects_continue = False
 
     def __call__(
         self, rfile: typing.Any, hdict: typing.Any = None
     ) -> typing.Any:
         """Read the lines of a head into a header table."""
         try:
-            return super().__call__(rfile, hdict)
+            found = super().__call__(rfile, hdict)
         except UnboundLocalError as exc:
             # In the first line the library has no header to continue.
             raise ValueError("folded first header line") from exc
+        # The library would ask for the body at once, before the request is
+        # admitted.
+        expected = found.pop(b"Expect", b"")
+        self.expects_continue = expected.lower() == b"100-continue"
+        return found
 
     def _transform_key(self, key_name: bytes) -> bytes:
         if not _TOKEN.fullmatch(key_name):
@@ -118,6 +124,18 @@
             return not getattr(self.rfile, "closed", True)
         return getattr(self.rfile, "remaining", 0) > 0
 
+    @property
+    def awaits_continue(self) -> bool:
+        """Return whether the peer waits to be asked for its body."""
+        return self.header_reader.expects_continue and self.unread
+
+    def send_continue(self) -> None:
+        """Ask for the body, if the peer waits for that."""
+        expects = self.header_reader.expects_continue
+        self.header_reader.expects_continue = False
+        if expects and self.response_protocol == "HTTP/1.1":
+            self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def parse_request(self) -> None:
         """Read the request line and head, within one timeout for both."""
         reader = self.conn.rfile
--- a/src/chiveroad/serving/_request.py
+++ b/src/chiveroad/serving/_request.py
@@ -10,8 +10,12 @@
 
 from chiveroad import errors
 from chiveroad.serving import _http
+from chiveroad.serving import _stream
 
 BODY_CHUNK_BYTES: typing.Final = 64 * 1024
+STREAM_CHUNK_BYTES: typing.Final = 16 * 1024
+"""A part of a body that is passed on: it is sent only once it is complete."""
+
 MAX_DISCARD_BYTES: typing.Final = 1024 * 1024
 DISCARD_TIMEOUT_S: typing.Final = 0.2
 """How long an answer is delayed to discard a body that wasn't read."""
@@ -100,17 +104,36 @@
         """Set the deadline for reading the body, in monotonic seconds."""
         self._raw.conn.rfile.set_deadline(end_s)
 
+    @property
+    def awaits_continue(self) -> bool:
+        """Return whether the caller waits to be asked for its body."""
+        return bool(self._raw.awaits_continue)
+
+    @property
+    def interrupt(self) -> _stream.Interrupt | None:
+        """Return what ends waits for the body, or None."""
+        interrupt: _stream.Interrupt | None = self._raw.conn.rfile.interrupt
+        return interrupt
+
+    @interrupt.setter
+    def interrupt(self, interrupt: _stream.Interrupt | None) -> None:
+        self._raw.conn.rfile.interrupt = interrupt
+
     def body(self) -> collections.abc.Iterator[bytes]:
         """Yield the body in chunks, without keeping it in memory.
 
         :raises BodyTruncated: when the body is truncated or malformed.
         """
-        yield from self._chunks(None)
+        yield from self._chunks(None, STREAM_CHUNK_BYTES)
 
-    def _chunks(self, limit: int | None) -> collections.abc.Iterator[bytes]:
+    def _chunks(
+        self, limit: int | None, chunk_bytes: int = BODY_CHUNK_BYTES
+    ) -> collections.abc.Iterator[bytes]:
         total = 0
         try:
-            while chunk := self._raw.rfile.read(BODY_CHUNK_BYTES):
+            if self.content_length != 0:
+                self._raw.send_continue()
+            while chunk := self._raw.rfile.read(chunk_bytes):
                 total += len(chunk)
                 if limit is not None and total > limit:
                     raise errors.RequestTooLarge(f"body over {limit} bytes")
@@ -161,6 +184,10 @@
 
         :returns: whether the body is read; if not, the closer discards it.
         """
+        if self._raw.awaits_continue:
+            # The peer may send its body or not, so the next bytes can't be
+            # told from a request.
+            return False
         remaining = getattr(self._raw.rfile, "remaining", 0)
         if not 0 < remaining <= MAX_DISCARD_BYTES:
             return not remaining
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -15,6 +15,20 @@
 READ_BUFFER_BYTES: typing.Final = 8 * 1024
 
 
+class BodyInterrupted(Exception):
+    """A wait for a body was ended; what was read of its next part is lost."""
+
+
+class Interrupt(typing.Protocol):
+    """A connection whose answer ends the wait for a request's body."""
+
+    def fileno(self) -> int:
+        """Return the descriptor that becomes readable."""
+
+    def answer_begun(self) -> bool:
+        """Return whether a final answer has begun, once it is readable."""
+
+
 class _TimedSocket(socket.SocketIO):
     """A raw socket reader with a timeout for each read and a deadline.
 
@@ -22,7 +36,8 @@
     system call if bytes have arrived, and waits only if none have.
     ``read_timeout_s`` bounds each wait, and all waits end at ``deadline_s``.
     While ``is_suspended`` nothing is read from the socket.  A wait also ends
-    when the peer of the socket ``caller`` disconnects.
+    when the peer of the socket ``caller`` disconnects, or the connection
+    ``interrupt`` has an answer.
     """
 
     def __init__(self, sock: socket.socket) -> None:
@@ -32,6 +47,7 @@
         self.deadline_s: float | None = None
         self.is_suspended = False
         self.caller: socket.socket | None = None
+        self.interrupt: Interrupt | None = None
 
     def readinto(self, buffer: typing.Any) -> int | None:
         """Read the bytes that are available; wait if there are none.
@@ -55,7 +71,9 @@
                 remaining_s if wait_s is None else min(remaining_s, wait_s)
             )
         wait_ms = None if wait_s is None else 1000 * wait_s
-        if self.caller is None:
+        if self.interrupt is not None:
+            arrived = self._readable_or_interrupted(self.interrupt, wait_ms)
+        elif self.caller is None:
             arrived = readable(self._socket, wait_ms)
         else:
             arrived = self._readable_or_disconnected(self.caller, wait_ms)
@@ -63,6 +81,20 @@
         if not (arrived or readable(self._socket)):
             raise TimeoutError("the peer is too slow")
 
+    def _readable_or_interrupted(
+        self, interrupt: Interrupt, wait_ms: float | None
+    ) -> bool:
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        poll.register(interrupt.fileno(), select.POLLIN)
+        ready = dict(poll.poll(wait_ms))
+        if not ready or self._socket.fileno() in ready:
+            return bool(ready)
+        if interrupt.answer_begun():
+            raise BodyInterrupted("an answer has begun")
+        # An interim answer; the wait starts again, once for each read.
+        return readable(self._socket, wait_ms)
+
     def _readable_or_disconnected(
         self, caller: socket.socket, wait_ms: float | None
     ) -> bool:
@@ -105,6 +137,15 @@
         """Abort further waits when the caller disconnects; None for never."""
         self._timed_socket.caller = caller
 
+    @property
+    def interrupt(self) -> Interrupt | None:
+        """Return the connection that ends waits, or None."""
+        return self._timed_socket.interrupt
+
+    @interrupt.setter
+    def interrupt(self, interrupt: Interrupt | None) -> None:
+        self._timed_socket.interrupt = interrupt
+
     def has_data(self) -> bool:
         """Return whether the buffer holds data, without reading."""
         self._timed_socket.is_suspended = True
--- a/src/chiveroad/traffic/_answer.py
+++ b/src/chiveroad/traffic/_answer.py
@@ -68,10 +68,14 @@
         super().__init__(source, method=method)
         self._bodiless = method == "HEAD"
         self._lines = serving.Lines(self.fp)
+        self.until_continue = False
 
     def begin(self) -> None:
         """Read the head.
 
+        With ``until_continue``, an interim head that asks for the request's
+        body ends it as well.
+
         :raises http.client.HTTPException: when the head is malformed, or the
             connection ends before its end.
         :raises ValueError: when the head is too long.
@@ -79,6 +83,9 @@
         version, status, reason = self._read_status()
         while status < http.HTTPStatus.OK:
             _read_headers(self._lines)
+            if self.until_continue and status == http.HTTPStatus.CONTINUE:
+                self.status = int(status)
+                return
             version, status, reason = self._read_status()
         self.code = self.status = status
         self.reason = reason.strip()
--- a/src/chiveroad/traffic/_call.py
+++ b/src/chiveroad/traffic/_call.py
@@ -5,7 +5,6 @@
 import abc
 import collections.abc
 import dataclasses
-import hashlib
 import time
 import typing
 
@@ -13,12 +12,12 @@
 from chiveroad import config
 from chiveroad import errors
 from chiveroad import serving
+from chiveroad.traffic import _body
 from chiveroad.traffic import _buffers
 from chiveroad.traffic import _failover
 from chiveroad.traffic import _target_ends
 from chiveroad import wire
 
-MAX_BUFFERED_BODY_BYTES: typing.Final = 64 * 1024
 MAX_DEPTH: typing.Final = 64
 
 HOP_MARGIN_MS: typing.Final = 10
@@ -109,88 +108,7 @@
     at_s: float = clock.NEVER_S
 
 
-class Body:
-    """A request's body: buffered if small, otherwise streamed once.
-
-    :param limit: the maximum size in bytes; 0 for no limit.
-
-    ``buffered`` is the whole body, or None if it is streamed.  ``length`` is
-    the length of the body in bytes, or None while its end isn't known.
-
-    :raises errors.BadRequest: when the body's framing can't be read.
-    :raises errors.BodyTimeout: when the caller sends the body too slowly.
-    """
-
-    def __init__(self, request: serving.Request, limit: int = 0) -> None:
-        self._chunks = _limited(request.body(), limit)
-        self._prefix: list[bytes] = []
-        self._started = False
-        self.length = request.content_length
-        self.buffered: bytes | None = None
-        self._start_digest = b""
-        if self.length is None or self.length <= MAX_BUFFERED_BODY_BYTES:
-            self._buffer(request)
-
-    @property
-    def replayable(self) -> bool:
-        """Tell whether the body can be sent, again or for the first time."""
-        return self.buffered is not None or not self._started
-
-    @property
-    def identity(self) -> bytes:
-        """Return bytes that differ between most different bodies.
-
-        A body that is streamed is told by its declared length, or else by
-        its start: the rest isn't known before it is sent.
-        """
-        if self.buffered is not None:
-            return self.buffered
-        if self._start_digest:
-            return self._start_digest
-        return f"{self.length} bytes".encode()
-
-    def stream(self) -> collections.abc.Iterator[bytes]:
-        """Yield the body as it arrives; may be called once."""
-        self._started = True
-        yield from self._prefix
-        self._prefix.clear()
-        yield from self._chunks
-
-    def _buffer(self, request: serving.Request) -> None:
-        total = 0
-        try:
-            for chunk in self._chunks:
-                self._prefix.append(chunk)
-                total += len(chunk)
-                if total > MAX_BUFFERED_BODY_BYTES:
-                    start = b"".join(self._prefix)[:MAX_BUFFERED_BODY_BYTES]
-                    self._start_digest = hashlib.blake2b(start).digest()
-                    return
-        except serving.BodyTruncated as exc:
-            raise _body_refusal(exc) from exc
-        self.buffered = b"".join(self._prefix)
-        self.length = total
-
-
-def _limited(
-    chunks: collections.abc.Iterator[bytes], limit: int
-) -> collections.abc.Iterator[bytes]:
-    """Yield chunks up to a limit.
-
-    :raises serving.BodyTruncated: when the chunks are over the limit.
-    """
-    total = 0
-    for chunk in chunks:
-        total += len(chunk)
-        if limit and total > limit:
-            raise serving.BodyTruncated(f"over {limit} bytes")
-        yield chunk
-
-
-def _body_refusal(truncation: serving.BodyTruncated) -> errors.Refusal:
-    if isinstance(truncation.__cause__, TimeoutError):
-        return errors.BodyTimeout("the body came too slowly")
-    return errors.BadRequest(f"the body can't be read: {truncation}")
+Body = _body.Body
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -22,6 +22,7 @@
 from chiveroad import errors
 from chiveroad import serving
 from chiveroad.traffic import _answer
+from chiveroad.traffic import _body
 from chiveroad.traffic import _buffers
 from chiveroad.traffic import _call
 from chiveroad.traffic import _pool
@@ -260,6 +261,9 @@
         self._read_terms = read_terms
         self._mismatched = 0
         self._incoming: Answer | None = None
+        self._head_only = False
+        self._body_sent = True
+        self._chunked = call.body.length is None
         self.connection = connection
         self.answer: Answer | None = None
         self.failure: errors.Refusal | None = None
@@ -275,6 +279,11 @@
         """Tell whether an answer has begun, or none can come."""
         return self.answer is not None or self.failure is not None
 
+    @property
+    def awaited(self) -> bool:
+        """Tell whether to wait: for an answer, or to be asked for the body."""
+        return not self.ended and (self._head_only or self._body_sent)
+
     @property
     def served(self) -> bool:
         """Tell whether there is an answer to forward to the caller."""
@@ -306,12 +315,22 @@
         except _FAILURES as exc:
             if self._incoming is None:
                 self._pool.connection_lost(self.connection)
-            self.failure = errors.OutcomeUnknown(f"no answer: {exc!r}")
+            self.failure = self._no_answer(exc)
             self.failure.__cause__ = exc
 
+    def _no_answer(self, exc: Exception) -> errors.Refusal:
+        """Return the refusal of a request that got no answer."""
+        if self._head_only:
+            # A guard sends nothing on before it has asked for the body.
+            return errors.TargetRefused(f"the body wasn't sent: {exc!r}", 200)
+        return errors.OutcomeUnknown(f"no answer: {exc!r}")
+
     def _read_head(self) -> None:
         call = self._call
-        response = self.connection.read_head(call.method)
+        response = self.connection.read_head(call.method, self._head_only)
+        if response.status == http.HTTPStatus.CONTINUE:
+            self._head_only = False
+            return
         answer = Answer(
             self._pool,
             self.connection,
@@ -324,6 +343,9 @@
         self._pool.echoes_ids = self._pool.echoes_ids or echoed == call.id
         if echoed == call.id or self._may_omit_id(answer):
             self._incoming = answer
+            # The peer doesn't get a body that it hasn't asked for.
+            unsent = self._head_only
+            self.connection.reusable = self.connection.reusable and not unsent
             return
         self._mismatched += 1
         unframed = answer.length is None and not response.chunked
@@ -347,11 +369,30 @@
         return self._pool.is_daemon or not repeated
 
     def send(self, headers: collections.abc.Iterable[serving.Header]) -> None:
-        """Send the request."""
+        """Send the request, without its body if a daemon is to ask for it.
+
+        A daemon asks for a larger body once it has admitted the request.
+        """
+        body = self._call.body
+        self._head_only = self._pool.is_daemon and body.buffered is None
+        self._body_sent = not self._head_only
         try:
-            _send(self.connection, self._call, headers)
+            _send(self.connection, self._call, headers, self._head_only)
         except _FAILURES as exc:
             self._pool.connection_lost(self.connection)
+            raise self._no_answer(exc) from exc
+
+    def send_body(self) -> None:
+        """Send the body that the peer has asked for."""
+        self._body_sent = True
+        try:
+            _send_stream(
+                self.connection,
+                self._call,
+                self._chunked,
+                self._pool.is_daemon,
+            )
+        except _FAILURES as exc:
             raise errors.OutcomeUnknown(f"no answer: {exc!r}") from exc
 
 
@@ -398,6 +439,8 @@
         exchange.send(headers)
         while not exchange.ended:
             _await_answer(exchange, caller, call, hedge)
+            if not (exchange.ended or exchange.awaited):
+                exchange.send_body()
         if exchange.failure is not None:
             raise exchange.failure
         assert exchange.answer is not None, "report this: no answer"
@@ -512,22 +555,27 @@
     connection: _pool.Connection,
     call: _call.Call,
     headers: collections.abc.Iterable[serving.Header],
+    head_only: bool = False,
 ) -> None:
     """Send a request; stop if the peer answers before it is complete."""
     body = call.body
     framing: tuple[serving.Header, ...] = ()
+    chunked = False
     if body.buffered is None:
+        chunked = body.length is None
         framing = (("Transfer-Encoding", "chunked"),)
-        if body.length is not None:
+        if not chunked:
             framing = (("Content-Length", str(body.length)),)
+        if head_only:
+            framing += (("Expect", "100-continue"),)
     elif body.buffered or call.method in ("POST", "PUT", "PATCH"):
         framing = (("Content-Length", str(len(body.buffered))),)
     head = _head(call, (*headers, *framing))
     if body.buffered is not None:
         _transmit(connection, head + body.buffered, call)
         return
-    if _transmit(connection, head, call):
-        _send_stream(connection, call)
+    if _transmit(connection, head, call) and not head_only:
+        _send_stream(connection, call, chunked)
 
 
 def _head(
@@ -539,17 +587,39 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
-def _send_stream(connection: _pool.Connection, call: _call.Call) -> None:
-    chunked = call.body.length is None
+def _send_stream(
+    connection: _pool.Connection,
+    call: _call.Call,
+    chunked: bool,
+    to_daemon: bool = False,
+) -> None:
+    """Send a body as it arrives; stop if the peer answers before its end.
+
+    The connection then isn't reused, and what the peer takes for the rest of
+    the body never comes.
+
+    :param chunked: whether the head states no length of the body.
+    """
+    body = call.body
     try:
-        for chunk in call.body.stream():
-            if call.left_ms() <= 0:
-                raise errors.AnswerTimeout("the body goes on too long")
-            if chunked:
-                chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
-            if not _transmit(connection, chunk, call):
-                return
+        with contextlib.closing(body.stream(connection)) as chunks:
+            for chunk in chunks:
+                if call.left_ms() <= 0:
+                    raise errors.AnswerTimeout("the body goes on too long")
+                if connection.answer_begun():
+                    connection.reusable = False
+                    return
+                if chunked:
+                    chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+                if not _transmit(connection, chunk, call):
+                    return
+    except serving.BodyInterrupted:
+        connection.reusable = False
+        return
     except serving.BodyTruncated as exc:
+        if to_daemon and body.loadable:
+            # Its guard sends nothing of such a body on before its end.
+            raise _body.refusal_of(exc) from exc
         raise errors.OutcomeUnknown(f"the caller's body ended: {exc}") from exc
     if chunked:
         _transmit(connection, b"0\r\n\r\n", call)
@@ -653,7 +723,7 @@
     for number in (exchange.fileno(), *earlier):
         poll.register(number, select.POLLIN)
     check_ms = FIRST_HEDGE_CHECK_MS
-    while not exchange.ended:
+    while exchange.awaited:
         left_ms = call.left_ms()
         wait_ms = min(left_ms, check_ms if hedge else STOP_CHECK_MS)
         check_ms = HEDGE_CHECK_MS
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -175,6 +175,7 @@
         try:
             # The target may have begun to drain while the request waited.
             self._check_target(call)
+            call.body.load()
             if call.key and not call.kind.idempotent:
                 self._run_once(request, call, extra)
                 return http.HTTPStatus.OK
--- a/src/chiveroad/traffic/_pool.py
+++ b/src/chiveroad/traffic/_pool.py
@@ -52,6 +52,9 @@
 ]
 
 
+_INTERIM: typing.Final = b"HTTP/1.1 1"
+
+
 class IdleLimit:
     """How long a connection to a peer may be idle before it isn't reused.
 
@@ -136,10 +139,17 @@
             self.host, self.port, self._connect_timeout_s, _SOCKET_OPTIONS
         )
 
-    def read_head(self, method: str) -> _answer.Response:
-        """Read the head of an answer and leave its body unread."""
+    def read_head(
+        self, method: str, until_continue: bool = False
+    ) -> _answer.Response:
+        """Read the head of an answer and leave its body unread.
+
+        :param until_continue: whether to return an interim head that asks
+            for the request's body.
+        """
         assert self._reader is not None, "report this: unopened connection"
         response = _answer.Response(_SocketAdapter(self._reader), method)
+        response.until_continue = until_continue
         response.begin()
         return response
 
@@ -189,6 +199,21 @@
         """Tell whether a part of an answer has arrived."""
         return not self.no_pending_data()
 
+    def fileno(self) -> int:
+        """Return the descriptor of the open connection."""
+        assert self.sock is not None, "report this: unopened connection"
+        return self.sock.fileno()
+
+    def answer_begun(self) -> bool:
+        """Tell whether a final answer has begun, or the peer has closed.
+
+        A peer may send interim heads while it reads a body.
+        """
+        if self._reader is None or not self.readable():
+            return False
+        begin = self._reader.peek(1)[: len(_INTERIM)]
+        return not begin or not _INTERIM.startswith(begin)
+
 
 class Pool:
     """The connections to one peer.
--- a/src/chiveroad/traffic/_quarantine.py
+++ b/src/chiveroad/traffic/_quarantine.py
@@ -84,6 +84,8 @@
             self._learn_from_members()
         if not self._suspects:
             return None
+        # A body that is told by its length only would be taken for others.
+        call.body.load()
         content = content_of(call)
         with self._changed:
             while True:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -67,6 +67,8 @@
 class _BufferedRequest:
     """A received request whose body is in memory."""
 
+    awaits_continue = False
+
     def __init__(self, body: bytes, chunked: bool) -> None:
         self.content_length = None if chunked else len(body)
         self._body = body
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -338,6 +338,20 @@
         assert read.customers[name] == config.Customer(name, ())
 
 
+# Guards against a customer whose requests all fail, or that adds headers, as
+# its name can't be sent in one.
+def test_name_of_a_customer_can_be_sent_in_a_header() -> None:
+    names = ["\u0141 & Co. 100%", "a\r\nX-Other: b"]
+    tenants = [{"name": name, "api_keys": [name]} for name in names]
+    version = platform.Protocol().read_version(
+        msgspec.Raw(keyed.specification(tenants))
+    )
+    assert set(config.Config(version.items).customers) == {
+        "%C5%81 & Co. 100%",
+        "a%0D%0AX-Other: b",
+    }
+
+
 # Guards against a priority of a customer that doesn't take the place of its
 # route's, and an absent one that does.
 def test_priority_of_a_customer_precedes_the_one_of_the_route() -> None:
