--- a/src/chiveroad/traffic/_answer.py
+++ b/src/chiveroad/traffic/_answer.py
@@ -66,10 +66,14 @@
         super().__init__(source, method=method)
         self._bodiless = method == "HEAD"
         self._lines = serving.Lines(self.fp)
+        self.until_continue = False
 
     def begin(self) -> None:
         """Read the head.
 
+        With ``until_continue``, an interim head that asks for the request's
+        body ends it as well.
+
         :raises http.client.HTTPException: when the head is malformed, or the
             connection ends before its end.
         :raises ValueError: when the head is too long.
@@ -77,6 +81,9 @@
         line = status_line.parse(self._lines.read())
         while line.interim:
             _read_headers(self._lines)
+            if self.until_continue and line.status == http.HTTPStatus.CONTINUE:
+                self.status = line.status
+                return
             line = status_line.parse(self._lines.read())
         self.code = self.status = line.status
         self.reason = line.reason
