--- a/src/chiveroad/quotas/_account.py
+++ b/src/chiveroad/quotas/_account.py
@@ -41,11 +41,13 @@
     """What a quota server knows of the daemons.
 
     ``failed_over`` is the part of them that reports to this server because
-    another one doesn't answer.
+    another one doesn't answer, and ``present`` the part that has reported to
+    it since it was started, 0 once that is long ago.
     """
 
     daemons: int
     failed_over: float
+    present: float
     now_s: float
 
 
@@ -231,20 +233,26 @@
                 self.close = True
             self._taken_over = self._taken_over or use.share > 0
         scale = max(0.0, 1 - self._reserved)
-        handover = self._taken_over and self._learning(now_s)
-        if handover or not self._is_first_choice(now_s):
-            from_s = now_s - CLAIM_S
-            claims = sum(
-                each.claim
-                for each in self._entries.values()
-                if each.seen_s >= from_s
-            )
+        if not self._is_first_choice(now_s):
+            claims = self._claims(now_s - CLAIM_S)
             scale = min(1.0, max(claims, situation.failed_over))
+        elif self._taken_over and self._learning(now_s):
+            # Entries that have changed to this server stay with it.
+            claims = self._claims(self._created_s)
+            scale = min(1.0, max(claims, situation.present))
         if scale > self._scale and not self.close:
             self._level += (scale - self._scale) * self.limit.burst
         self._scale = scale
         self._cap()
 
+    def _claims(self, from_s: float) -> float:
+        """Return the sum of the shares of entries that have reported since."""
+        return sum(
+            each.claim
+            for each in self._entries.values()
+            if each.seen_s >= from_s
+        )
+
     def _count(
         self, known: _EntryUse, use: _messages.Use, now_s: float
     ) -> None:
--- a/src/chiveroad/quotas/_ledger.py
+++ b/src/chiveroad/quotas/_ledger.py
@@ -53,6 +53,7 @@
         self._accounts: dict[str, _account.Account] = {}
         self._reporters: dict[str, _Reporter] = {}
         self._missing: frozenset[str] = frozenset()
+        self._first_report_s = 0.0
         self._customers: Customers = {}
         self._epoch = 0
         self._changes: collections.OrderedDict[str, int] = (
@@ -97,11 +98,15 @@
         allowances: list[_messages.Allowance] = []
         daemons = max(1, len(self._view.all()))
         if self._is_new(report, now_s):
-            failed_over = self._failed_over(report.failed) / daemons
+            situation = _account.Situation(
+                daemons,
+                self._failed_over(report.failed) / daemons,
+                self._present(now_s) / daemons,
+                now_s,
+            )
             for use in report.uses:
                 account = self._account(use.customer, now_s)
                 if account is not None:
-                    situation = _account.Situation(daemons, failed_over, now_s)
                     allowances.append(account.report(report, use, situation))
                     self._note_state(use.customer, account.close)
         self._tick(daemons, now_s)
@@ -114,6 +119,8 @@
         if known is not None and known.order >= order:
             return False
         member = self._view.get(report.entry)
+        if not self._reporters:
+            self._first_report_s = now_s
         if known is None:
             known = self._reporters[report.entry] = _Reporter(order, 0, now_s)
         known.order = order
@@ -136,6 +143,15 @@
             default=0,
         )
 
+    def _present(self, now_s: float) -> int:
+        """Return how many entries have reported since the first report.
+
+        :returns: 0 once an entry may have reported for other customers alone.
+        """
+        if now_s - self._first_report_s > _account.LEARNING_S:
+            return 0
+        return len(self._reporters)
+
     def _account(self, name: str, now_s: float) -> _account.Account | None:
         account = self._accounts.get(name)
         if account is None:
--- a/src/chiveroad/quotas/_links.py
+++ b/src/chiveroad/quotas/_links.py
@@ -60,8 +60,9 @@
     close: set[str] = dataclasses.field(default_factory=set)
 
     def fresh(self, now_s: float) -> bool:
-        """Tell whether the server has answered a moment ago."""
-        return now_s - self.answered_s < _limits.STALE_S
+        """Tell whether the server has answered a moment ago, as expected."""
+        recent = now_s - self.answered_s < _limits.STALE_S
+        return recent and not self.failures
 
     def fail(self, now_s: float) -> None:
         """Pass over the server, unless this is the first failure."""
--- a/tests/quota_mesh.py
+++ b/tests/quota_mesh.py
@@ -17,6 +17,7 @@
 from chiveroad.quotas import _local
 from chiveroad.quotas import _messages
 from chiveroad.quotas import _meter
+from chiveroad.quotas import _placement
 from tests import fakes
 
 TIMEOUT_S = 0.3
@@ -255,3 +256,49 @@
                 first += 1
             worst = max(worst, last - first + 1)
         return worst
+
+
+def trial(rate_per_s: float, usual: float, jump: float, fault: str) -> str:
+    """Return a row of the table in ``docs/design/18-quotas.md``.
+
+    :param usual: the load of the first 10 s, as a multiple of the rate.
+    :param jump: that of the next 10 s.
+    :param fault: what happens to the quota server at the jump.
+    """
+    mesh = Mesh(81)
+    mesh.limit("c", rate_per_s, rate_per_s)
+    for number in range(4):
+        mesh.limit(f"other-{number}", 1_000, 1_000)
+        mesh.load(f"other-{number}", 2.5 * 81, START_S, START_S + 20)
+    jump_s = START_S + 10
+    mesh.load("c", usual * rate_per_s, START_S, jump_s)
+    mesh.load("c", jump * rate_per_s, jump_s, START_S + 20)
+    servers = _placement.servers(mesh.view.all())
+    first = _placement.order("c", servers)[0].instance
+
+    def restart() -> None:
+        mesh.dead.clear()
+        mesh.restart_server(first)
+
+    if fault in ("dies", "restarts"):
+        mesh.at(jump_s, lambda: mesh.dead.add(first))
+    if fault == "restarts":
+        mesh.at(jump_s + 2.5, restart)
+    mesh.run(START_S + 21)
+    permitted = (rate_per_s * 5 + rate_per_s) * 1.1 + 20
+    refused = mesh.refused.get("c", [])
+    served = sum(at_s >= jump_s for at_s in mesh.admitted["c"])
+    return (
+        f"| {rate_per_s:g} | {usual:g}, {jump:g} | {fault or '-'} "
+        f"| {mesh.worst_window('c')} | {permitted:.0f} "
+        f"| {sum(at_s < jump_s for at_s in refused)} "
+        f"| {served / 10 / rate_per_s:.2f} "
+        f"| {mesh.exchanges / 20 / 81:.1f} |"
+    )
+
+
+if __name__ == "__main__":
+    for stated in (2, 20, 100, 400):
+        for load in ((0.6, 0.6), (0.6, 4.7), (0.01, 20), (4.7, 4.7)):
+            for what in ("", "dies", "restarts"):
+                print(trial(stated, load[0], load[1], what), flush=True)
