chiveroad explain asks a running daemon, by the code that decides

The command knew the route from the store and a list of loads. Now the entry decides on a question as on a request: refusal or pick, wait, route, split, customer, each target with the age of its report and why it isn't picked, attempts and budgets left, quarantine. What deciding changes is copied first. The key's digest alone leaves the command.

Targets.pick is split into compare and choose, and the balancer's filter has a name of its own, so that both are shared.

--- a/src/chiveroad/cli/_app.py
+++ b/src/chiveroad/cli/_app.py
@@ -20,6 +20,7 @@
 from chiveroad import errors
 from chiveroad import settings
 from chiveroad import store
+from chiveroad import traffic
 
 app = typer.Typer(
     name="chiveroad",
@@ -104,17 +105,50 @@
 
 @app.command()
 def explain(
-    path: typing.Annotated[str, typer.Argument(help="A request's path.")],
-    store_address: StoreAddress,
+    path: typing.Annotated[
+        str, typer.Argument(help="A request's path, with its query.")
+    ],
+    store_address: StoreAddress = "",
     daemon_address: DaemonAddress = "",
     method: typing.Annotated[
         str, typer.Option("--method", "-m", help="A request's method.")
     ] = "GET",
+    host: typing.Annotated[str, typer.Option(help="Its Host header.")] = "",
+    key_file: typing.Annotated[
+        typing.Optional[pathlib.Path],
+        typer.Option(help="A file with the customer's key alone."),
+    ] = None,
+    ask_key: typing.Annotated[
+        bool, typer.Option("--ask-key", help="Ask for the customer's key.")
+    ] = False,
+    body_bytes: typing.Annotated[
+        int, typer.Option(min=0, help="The size of its body.")
+    ] = 0,
+    deadline_ms: typing.Annotated[
+        int, typer.Option(min=0, help="The time that its caller allows.")
+    ] = 0,
     output: Output = TABLE,
 ) -> None:
-    """Show which route takes a request, who set it, and who is asked."""
-    platform = store.HttpStore(store_address)
-    explanation = _explain.explain(platform, daemon_address, method, path)
+    """Show what a daemon would do with a request, and who set its route.
+
+    Nothing is sent or counted. The key's digest alone leaves this command.
+    Exit status: 0, or 5 if the request would be refused.
+    """
+    if not (store_address or daemon_address):
+        raise errors.UsageError("neither --daemon nor --store is given")
+    prompted = ""
+    if ask_key:
+        prompted = typer.prompt("Key", hide_input=True, err=True)
+    question = traffic.Question(
+        path,
+        method,
+        host,
+        _explain.read_key(key_file, prompted),
+        body_bytes,
+        deadline_ms,
+    )
+    platform = store.HttpStore(store_address) if store_address else None
+    explanation = _explain.explain(platform, daemon_address, question)
     _print_and_exit(_explain.report(explanation), output)
 
 
--- a/src/chiveroad/cli/_daemon_page.py
+++ b/src/chiveroad/cli/_daemon_page.py
@@ -17,14 +17,21 @@
 
 
 def fetch(
-    address: str, page: str, answer_type: type[_T], method: str = "GET"
+    address: str,
+    page: str,
+    answer_type: type[_T],
+    method: str = "GET",
+    message: object = None,
 ) -> _T:
     """Return the decoded answer of a daemon's page.
 
     :param page: the path, with the query if there is one.
+    :param message: what is sent as JSON, unless it is None.
     :raises errors.PeerUnavailable: when the daemon gives no valid answer.
     """
     body = None if method == "GET" else b""
+    if message is not None:
+        body = msgspec.json.encode(message)
     try:
         client = http_calls.Client(1, TIMEOUT_S)
         response = client.request(
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -132,6 +132,11 @@
             functools.partial(traffic.lift_page, self._entry),
             "POST",
         )
+        self._control.add_page(
+            traffic.EXPLAIN_PATH,
+            functools.partial(traffic.explain_page, self._entry),
+            "POST",
+        )
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
         self._target_leaves = threading.Event()
--- a/src/chiveroad/hedging/_delay.py
+++ b/src/chiveroad/hedging/_delay.py
@@ -123,6 +123,11 @@
             aged.refresh_s = now_s + REFRESH_S
         return aged.delay_ms
 
+    def calculated_ms(self, key: Key) -> float | None:
+        """Return the delay as it was last calculated, and change nothing."""
+        aged = self._aged.get(key)
+        return None if aged is None else aged.delay_ms
+
     def _calculate(self, latencies: typing.Any) -> float | None:
         if latencies.get_total_count() < self._min_samples:
             return None
--- a/src/chiveroad/traffic/__init__.py
+++ b/src/chiveroad/traffic/__init__.py
@@ -4,7 +4,12 @@
 from chiveroad.traffic._claims import Claims
 from chiveroad.traffic._claims import collect_expired_claims
 from chiveroad.traffic._entry import Entry
+from chiveroad.traffic._explanation import CandidateView
+from chiveroad.traffic._explanation import Question
+from chiveroad.traffic._explanation import RouteExplanation
 from chiveroad.traffic._guard import Guard
+from chiveroad.traffic._pages import explain_page
+from chiveroad.traffic._pages import EXPLAIN_PATH
 from chiveroad.traffic._pages import lift_page
 from chiveroad.traffic._pages import quarantine_page
 from chiveroad.traffic._pages import QUARANTINE_PATH
@@ -14,15 +19,20 @@
 from chiveroad.traffic._pages import TargetView
 
 __all__ = [
+    "CandidateView",
     "Claim",
     "Claims",
     "Entry",
+    "EXPLAIN_PATH",
     "Guard",
     "QUARANTINE_PATH",
+    "Question",
+    "RouteExplanation",
     "SuspectView",
     "TARGETS_PATH",
     "TargetView",
     "collect_expired_claims",
+    "explain_page",
     "lift_page",
     "quarantine_page",
     "targets_page",
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import abc
+import copy
 import dataclasses
 import threading
 import typing
@@ -131,6 +132,15 @@
         """Return the number of running and waiting requests."""
         return self.running + len(self.waiting)
 
+    def preview(self) -> Admission:
+        """Return a copy, whose decisions leave this state as it is."""
+        copied = copy.copy(self)
+        copied.rate_limit = copy.deepcopy(self.rate_limit)
+        copied.waiting = [_copy_ticket(each) for each in self.waiting]
+        copied._running = {_copy_ticket(each) for each in self._running}
+        copied.running_by_team = dict(self.running_by_team)
+        return copied
+
     def offer(self, ticket: Ticket, now_s: float) -> None:
         """Admit, queue or refuse a request."""
         self.update_slowdown(now_s)
@@ -269,6 +279,10 @@
         ticket.decided.set()
 
 
+def _copy_ticket(ticket: Ticket) -> Ticket:
+    return dataclasses.replace(ticket, decided=threading.Event())
+
+
 def exceeds_team_share(state: Admission, ticket: Ticket) -> bool:
     """Tell whether the ticket's team already uses its share of the queue."""
     queued: dict[str, int] = {}
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -254,16 +254,26 @@
 
     :returns: None when there are no candidates.
     """
-    healthy = _healthy(candidates)
-    unblocked = [candidate for candidate in healthy if not candidate.blocked]
     best: Candidate | None = None
-    for scope, max_load in _search_scopes(unblocked or healthy):
+    for scope, max_load in _search_scopes(eligible(candidates)):
         best = _two_choices(scope, rng)
         if best.load <= max_load:
             break
     return best
 
 
+def eligible(
+    candidates: collections.abc.Sequence[Candidate],
+) -> collections.abc.Sequence[Candidate]:
+    """Return the candidates that are neither ejected nor blocked.
+
+    If all are, those are returned that are ignored with the least reason.
+    """
+    healthy = _healthy(candidates)
+    unblocked = [candidate for candidate in healthy if not candidate.blocked]
+    return unblocked or healthy
+
+
 def _healthy(
     candidates: collections.abc.Sequence[Candidate],
 ) -> collections.abc.Sequence[Candidate]:
@@ -309,6 +319,10 @@
     ) -> Candidate | None:
         """Return the chosen candidate, or None when there are none."""
 
+    def cost(self, candidate: Candidate) -> float | None:
+        """Return what is compared, or None if it isn't one figure."""
+        return None
+
 
 class TwoChoices(Picker):
     """A baseline: two random choices, see ``pick``."""
@@ -367,14 +381,16 @@
         self, candidates: collections.abc.Sequence[Candidate]
     ) -> Candidate | None:
         """Choose by cost, among the candidates that are not blocked."""
-        healthy = _healthy(candidates)
-        unblocked = [
-            candidate for candidate in healthy if not candidate.blocked
-        ]
-        return min(unblocked or healthy, key=self._cost, default=None)
+        return min(
+            eligible(candidates),
+            key=lambda candidate: self.cost(
+                candidate, 1.0 + JITTER * self._rng.random()
+            ),
+            default=None,
+        )
 
-    def _cost(self, candidate: Candidate) -> float:
-        jitter = 1.0 + JITTER * self._rng.random()
+    def cost(self, candidate: Candidate, jitter: float = 1.0) -> float:
+        """Return the expected cost, as a share of the value of an answer."""
         objective_ms = candidate.objective_ms or DEFAULT_OBJECTIVE_MS
         objective_share = candidate.completion_ms * jitter / objective_ms
         late_share = LATE_SHARE_AT_OBJECTIVE * objective_share**LATE_EXPONENT
--- a/src/chiveroad/traffic/_caller_timeouts.py
+++ b/src/chiveroad/traffic/_caller_timeouts.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import copy
 import dataclasses
 import threading
 import typing
@@ -50,6 +51,13 @@
             self._vote(majority, timeout_ms)
             return max(0, majority.timeout_ms - timeout_ms)
 
+    def preview(self) -> CallerTimeouts:
+        """Return a copy, which learns for itself."""
+        copied = CallerTimeouts()
+        with self._lock:
+            copied._majorities = copy.deepcopy(self._majorities)
+        return copied
+
     def _vote(self, majority: _MajorityTimeout, timeout_ms: int) -> None:
         if majority.timeout_ms == timeout_ms:
             majority.votes = min(MAX_VOTES, majority.votes + 1)
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections.abc
+import copy
 import dataclasses
 import functools
 import itertools
@@ -35,6 +36,7 @@
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _guard_answer
 from chiveroad.traffic import _hedges
+from chiveroad.traffic import _preview
 from chiveroad.traffic import _quarantine
 from chiveroad.traffic import _reachability
 from chiveroad.traffic import _retry
@@ -162,6 +164,29 @@
         """Return how many hedges each service may have now."""
         return self._hedges.left(self._applied.config.services)
 
+    def preview(self, protocol: wire.Protocol) -> _preview.Preview:
+        """Return the decisions on one request, without their effects.
+
+        :param protocol: reads the request's terms.
+        """
+        copied = copy.copy(self)
+        copied._protocol = protocol
+        copied._splitter = self._splitter.preview()
+        copied._caller_timeouts = self._caller_timeouts.preview()
+        copied._targets = self._targets.preview()
+        budget = self._budget.preview()
+        return _preview.Preview(
+            self._options,
+            self._applied,
+            copied._read_call,
+            copied._check_time_left,
+            copied._targets,
+            self.quarantine,
+            budget.left,
+            self._hedges,
+            self._guard,
+        )
+
     def tick(self) -> None:
         """Close idle connections and drop the state of departed targets."""
         self._targets.tick()
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -302,15 +302,7 @@
         self, call: _call.Call, request: serving.Request
     ) -> _admission.Ticket:
         now_s = time.monotonic()
-        ticket = _admission.Ticket(
-            team=call.team,
-            kind=call.kind_name,
-            weight=call.kind.weight,
-            deadline_s=call.due_s,
-            arrived_s=now_s,
-            objective_s=call.objective_s,
-            inner=call.inner,
-        )
+        ticket = _ticket(call, now_s)
         with self._lock:
             self._admission.limits = self._limits()
             rate_limit = self._current_rate_limit()
@@ -344,6 +336,20 @@
             )
         return ticket
 
+    def preview(self, call: _call.Call) -> _admission.Ticket:
+        """Return what would be decided on a request, without its effects.
+
+        :raises errors.Refusal: when the target takes no requests.
+        """
+        self._check_target(call)
+        now_s = time.monotonic()
+        ticket = _ticket(call, now_s)
+        with self._lock:
+            admission = self._admission.preview()
+        admission.limits = self._limits()
+        admission.offer(ticket, now_s)
+        return ticket
+
     def _log_fields(self, call: _call.Call) -> dict[str, object]:
         """Return the fields of a log line about a request."""
         return {
@@ -583,6 +589,18 @@
     return call.failover is not None and call.failover.replaces(status)
 
 
+def _ticket(call: _call.Call, now_s: float) -> _admission.Ticket:
+    return _admission.Ticket(
+        team=call.team,
+        kind=call.kind_name,
+        weight=call.kind.weight,
+        deadline_s=call.due_s,
+        arrived_s=now_s,
+        objective_s=call.objective_s,
+        inner=call.inner,
+    )
+
+
 def _incarnation(status: presence.TargetStatus) -> str:
     """Return the name of a target's incarnation in headers."""
     return f"{status.target_id}@{status.started_at_ms}"
--- a/src/chiveroad/traffic/_hedges.py
+++ b/src/chiveroad/traffic/_hedges.py
@@ -150,6 +150,14 @@
         with self._lock:
             return {name: self._limit.left(name) for name in services}
 
+    def delay_ms(
+        self, service: str, kind: str, distance: _balancer.Distance
+    ) -> float | None:
+        """Return after how long a request is late; None if not known."""
+        key = (service, kind, distance.name)
+        with self._lock:
+            return self._delays.calculated_ms(key)
+
     @contextlib.contextmanager
     def watch(
         self,
--- a/src/chiveroad/traffic/_pages.py
+++ b/src/chiveroad/traffic/_pages.py
@@ -11,10 +11,14 @@
 from chiveroad import serving
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _entry
+from chiveroad.traffic import _explanation
 from chiveroad.traffic import _reachability
 
 TARGETS_PATH: typing.Final = "/control/v1/upstreams"
 QUARANTINE_PATH: typing.Final = "/control/v1/quarantine"
+EXPLAIN_PATH: typing.Final = "/control/v1/explain"
+MAX_QUESTION_BYTES: typing.Final = 64 * 1024
+"""The limit on a question: a path may be as long as a head."""
 
 _JSON: typing.Final = (("Content-Type", "application/json"),)
 
@@ -39,6 +43,20 @@
     request.answer(200, _JSON, msgspec.json.encode(views))
 
 
+def explain_page(entry: _entry.Entry, request: serving.Request) -> None:
+    """Answer what the entry would do with the request in the body, as JSON.
+
+    A key is in the body as its digest, so that no log of paths holds it.
+    """
+    body = request.read_body(MAX_QUESTION_BYTES)
+    try:
+        question = msgspec.json.decode(body, type=_explanation.Question)
+    except msgspec.DecodeError as exc:
+        raise errors.BadRequest(f"no question: {exc}") from exc
+    explanation = _explanation.explain(entry, question)
+    request.answer(200, _JSON, msgspec.json.encode(explanation))
+
+
 class SuspectView(msgspec.Struct):
     """A request's content under which upstreams have ended.
 
--- a/src/chiveroad/traffic/_quarantine.py
+++ b/src/chiveroad/traffic/_quarantine.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections.abc
+import copy
 import hashlib
 import threading
 import time
@@ -232,6 +233,17 @@
         with self._changed:
             return list(self._suspects.items())
 
+    def preview(
+        self, content: str, service: str
+    ) -> tuple[_suspects.Decision, _suspects.Suspect | None]:
+        """Return what is decided on a content now, without an attempt."""
+        with self._changed:
+            suspects = copy.deepcopy(self._suspects)
+        now_s = time.monotonic()
+        running = self._view.software_versions()
+        suspects.shorten_if_replaced(content, service, running, now_s)
+        return suspects.decide(content, now_s), suspects.get(content)
+
     def _learn_from_members(self) -> None:
         """Learn the ends that the records of members name.
 
--- a/src/chiveroad/traffic/_retry_budget.py
+++ b/src/chiveroad/traffic/_retry_budget.py
@@ -10,6 +10,7 @@
 
 import collections
 import collections.abc
+import copy
 import dataclasses
 import threading
 import time
@@ -106,6 +107,14 @@
             requests, retries = self._current_windows(service, self._clock())
             return self._allowed(requests.total) - retries.total
 
+    def preview(self) -> RetryBudget:
+        """Return a copy with the budget that is left."""
+        copied = RetryBudget(self._terms, self._daemons, self._clock)
+        with self._lock:
+            copied._requests = copy.deepcopy(self._requests)
+            copied._retries = copy.deepcopy(self._retries)
+        return copied
+
     def _current_windows(
         self, service: str, now_s: float
     ) -> tuple[_SlidingWindow, _SlidingWindow]:
--- a/src/chiveroad/traffic/_split.py
+++ b/src/chiveroad/traffic/_split.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import threading
 import typing
 
@@ -31,6 +32,13 @@
         with self._lock:
             return self._next(route.split)
 
+    def preview(self) -> Splitter:
+        """Return a copy, whose choices leave this splitter as it is."""
+        copied = Splitter()
+        with self._lock:
+            copied._credits = copy.deepcopy(self._credits)
+        return copied
+
     def _next(self, split: tuple[config.Share, ...]) -> str:
         credits = self._credits.get(split)
         if credits is None:
--- a/src/chiveroad/traffic/_targets.py
+++ b/src/chiveroad/traffic/_targets.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import contextlib
+import copy
 import itertools
 import random
 import threading
@@ -119,6 +120,17 @@
         :param only: the instance of the target to choose, if it is given.
         :raises errors.NoTarget: when no untried target is reachable.
         """
+        untried = self.compare(service, profile, tried, only)
+        return self.choose(service, untried)
+
+    def compare(
+        self,
+        service: str,
+        profile: _balancer.RequestProfile,
+        tried: collections.abc.Container[str],
+        only: str = "",
+    ) -> list[_balancer.Candidate]:
+        """Return the targets that one is chosen from; see ``pick``."""
         remaining = self._without_leaving(self._by_distance(service))
         if only:
             remaining = {
@@ -127,11 +139,19 @@
             }
         by_distance = self._reachable(remaining, tried)
         candidates = self._candidates(by_distance, profile)
-        untried = [
+        return [
             candidate
             for candidate in candidates
             if candidate.instance not in tried
         ]
+
+    def choose(
+        self, service: str, untried: list[_balancer.Candidate]
+    ) -> tuple[_balancer.Candidate, membership.Member]:
+        """Choose one of the targets that are compared.
+
+        :raises errors.NoTarget: when no untried target is reachable.
+        """
         chosen = self._picker.pick(untried)
         member = self._view.get(chosen.instance) if chosen else None
         if chosen is None or member is None:
@@ -143,6 +163,23 @@
             self._check_rate_limits(service, untried)
         return chosen, member
 
+    def cost(self, candidate: _balancer.Candidate) -> float | None:
+        """Return what is compared of a target, if it is one figure."""
+        return self._picker.cost(candidate)
+
+    def preview(self) -> Targets:
+        """Return a copy that picks as this would, and changes nothing here.
+
+        The statistics of targets are shared: picking doesn't change them.
+        """
+        copied = copy.copy(self)
+        copied._stats = dict(self._stats)
+        copied._stats_cache = dict(self._stats_cache)
+        copied._distance_cache = dict(self._distance_cache)
+        copied._rng = copy.deepcopy(self._rng)
+        copied._picker = copy.deepcopy(self._picker)
+        return copied
+
     def survey(self, service: str) -> collections.abc.Iterator[Seen]:
         """Yield all targets of a service, including those not picked now."""
         for distance, members in self._by_distance(service).items():
