Hedging delay from 20 latencies in 30 to 60 s; messages of explain apart

An entry with 10 requests a second sees too few answers of one kind and distance for 50 in 20 s, so most kinds would never be hedged. The limit bounds hedges where few latencies give a delay that is too short. test_hedging and test_explain pass.

--- a/src/chiveroad/hedging/_delay.py
+++ b/src/chiveroad/hedging/_delay.py
@@ -8,15 +8,19 @@
 
 from __future__ import annotations
 
-import math
 import typing
 
 from hdrh import histogram
 
-AGE_S: typing.Final = 20.0
+AGE_S: typing.Final = 30.0
 """Latencies count for at least this long and for at most twice as long: an
-entry with 10 requests a second needs about that to see a few dozen of a
-kind."""
+entry with 10 requests a second needs about that to see ``MIN_SAMPLES`` of a
+kind at a distance."""
+
+MIN_SAMPLES: typing.Final = 20
+"""How many latencies a delay is based on.  The greatest of fewer is often an
+ordinary one.  With this many the delay may still be too short, in which case
+the limit bounds the hedges."""
 
 MIN_QUANTILE: typing.Final = 0.95
 """With a limit above 5% the delay stays here: a shorter delay would hedge
@@ -97,7 +101,6 @@
 
     def __init__(self, quantile: float) -> None:
         self._quantile = quantile
-        self._min_samples = math.ceil(1 / max(0.001, 1.0 - quantile))
         self._aged: dict[Key, _Aged] = {}
 
     def record(self, key: Key, took_ms: float, now_s: float) -> None:
@@ -129,7 +132,7 @@
         return None if aged is None else aged.delay_ms
 
     def _calculate(self, latencies: typing.Any) -> float | None:
-        if latencies.get_total_count() < self._min_samples:
+        if latencies.get_total_count() < MIN_SAMPLES:
             return None
         late: float = latencies.get_value_at_percentile(100 * self._quantile)
         median: float = latencies.get_value_at_percentile(50)
--- a/src/chiveroad/traffic/__init__.py
+++ b/src/chiveroad/traffic/__init__.py
@@ -4,9 +4,9 @@
 from chiveroad.traffic._claims import Claims
 from chiveroad.traffic._claims import collect_expired_claims
 from chiveroad.traffic._entry import Entry
-from chiveroad.traffic._explanation import CandidateView
-from chiveroad.traffic._explanation import Question
-from chiveroad.traffic._explanation import RouteExplanation
+from chiveroad.traffic._explanation_views import CandidateView
+from chiveroad.traffic._explanation_views import Question
+from chiveroad.traffic._explanation_views import RouteExplanation
 from chiveroad.traffic._guard import Guard
 from chiveroad.traffic._pages import explain_page
 from chiveroad.traffic._pages import EXPLAIN_PATH
--- a/src/chiveroad/traffic/_explanation.py
+++ b/src/chiveroad/traffic/_explanation.py
@@ -10,8 +10,6 @@
 import time
 import typing
 
-import msgspec
-
 from chiveroad import clock
 from chiveroad import config
 from chiveroad import customers
@@ -20,6 +18,7 @@
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _call
 from chiveroad.traffic import _entry
+from chiveroad.traffic import _explanation_views
 from chiveroad.traffic import _preview
 from chiveroad.traffic import _quarantine
 from chiveroad.traffic import _reachability
@@ -32,133 +31,10 @@
 _CHUNK: typing.Final = b"\0" * 4_096
 
 
-class Question(msgspec.Struct, forbid_unknown_fields=True):
-    """A request to explain.
-
-    ``key_digest`` is the digest of the customer's key, see
-    ``customers.digest_key``, or empty.  ``timeout_ms`` is the caller's
-    deadline, or 0 if it states none.
-    """
-
-    path: str
-    method: str = "GET"
-    host: str = ""
-    key_digest: str = ""
-    body_bytes: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
-    timeout_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
-
-
-class RefusalView(msgspec.Struct):
-    """The refusal that the caller would receive."""
-
-    code: int
-    reason: str
-    status: int
-    retry_after_ms: int
-
-
-class CustomerView(msgspec.Struct):
-    """The customer that holds the key.
-
-    ``quota_left`` is how many requests it may send now, None where that isn't
-    known or there is no limit.
-    """
-
-    name: str
-    weight: int
-    rate_per_s: float
-    burst: float
-    quota_left: float | None = None
-
-
-class RouteView(msgspec.Struct):
-    """The route that takes the request, with its kind.
-
-    ``split`` maps each service to its weight, and ``service`` is the next
-    one in turn.
-    """
-
-    name: str
-    path: str
-    methods: list[str]
-    team: str
-    service: str
-    split: dict[str, int]
-    kind: str
-    weight: int
-    idempotent: bool
-    timeout_ms: int
-    objective_ms: int
-    anonymous: bool
-
-
-class CandidateView(msgspec.Struct):
-    """A target, as the entry knows it.
-
-    ``load`` and ``slots`` are those that its guard last reported,
-    ``heard_ms`` ago, None if it hasn't.  ``pace`` is how long work takes on
-    its machine, in percent of what is usual, None where that isn't known.
-    ``cost`` is what the balancer compares.  ``why`` says why it isn't picked.
-    """
-
-    instance: str
-    distance: str
-    load: int
-    slots: int
-    in_flight: int
-    heard_ms: int | None
-    expected_ms: float
-    cost: float | None
-    why: str
-    pace: float | None = None
-
-
-class QuarantineView(msgspec.Struct):
-    """What is known of the request's content, see ``chiveroad quarantine``.
-
-    ``known`` is False where the content depends on a body that isn't given.
-    """
-
-    content: str
-    known: bool
-    state: str
-    ended: int
-
-
-class RouteExplanation(msgspec.Struct):
-    """What an entry would do with a request.
-
-    ``refusal`` is None if the request would be sent to ``pick``.  ``wait``
-    says whether it would wait there.  ``confirmed_ms`` is the age of the last
-    confirmation that the version is the newest, None without one, and
-    ``key_confirmed`` says whether requests with keys are served by it, None
-    without customers.  ``at_ms`` is when all of this was read, in Unix
-    milliseconds.
-    """
-
-    instance: str
-    at_ms: int
-    version: int
-    confirmed_ms: int | None
-    key_confirmed: bool | None = None
-    refusal: RefusalView | None = None
-    route: RouteView | None = None
-    customer: CustomerView | None = None
-    deadline_ms: int = 0
-    candidates: list[CandidateView] = msgspec.field(default_factory=list)
-    pick: str = ""
-    wait: str = ""
-    max_attempts: int = 0
-    retries_left: float = 0.0
-    hedge_after_ms: float | None = None
-    hedges_left: float | None = None
-    quarantine: QuarantineView | None = None
-
-
 class _ImaginedRequest(serving.Request):
     """A request that nobody has sent, with a body of zeros."""
 
-    def __init__(self, question: Question) -> None:
+    def __init__(self, question: _explanation_views.Question) -> None:
         self.method = question.method
         self.uri = question.path
         self.path = question.path.partition("?")[0]
@@ -198,7 +74,7 @@
 class _StatedTerms(wire.Native):
     """Reads the terms of a question instead of those in headers."""
 
-    def __init__(self, question: Question) -> None:
+    def __init__(self, question: _explanation_views.Question) -> None:
         super().__init__()
         self._question = question
 
@@ -211,11 +87,13 @@
         )
 
 
-def explain(entry: _entry.Entry, question: Question) -> RouteExplanation:
+def explain(
+    entry: _entry.Entry, question: _explanation_views.Question
+) -> _explanation_views.RouteExplanation:
     """Return what an entry would do with a request now."""
     preview = entry.preview(_StatedTerms(question))
     applied = preview.applied
-    found = RouteExplanation(
+    found = _explanation_views.RouteExplanation(
         preview.options.instance,
         int(time.time() * 1000),
         applied.current.number,
@@ -226,7 +104,7 @@
     try:
         _follow(preview, question, found)
     except errors.Refusal as refusal:
-        found.refusal = RefusalView(
+        found.refusal = _explanation_views.RefusalView(
             refusal.code,
             refusal.reason,
             refusal.status,
@@ -249,7 +127,9 @@
 
 
 def _follow(
-    preview: _preview.Preview, question: Question, found: RouteExplanation
+    preview: _preview.Preview,
+    question: _explanation_views.Question,
+    found: _explanation_views.RouteExplanation,
 ) -> None:
     """Take the steps of an entry with a request, in its order.
 
@@ -262,7 +142,7 @@
     found.deadline_ms = int((call.deadline_s - request.received_s) * 1000)
     for customer in current.customers.values():
         if customer.name == call.customer:
-            found.customer = CustomerView(
+            found.customer = _explanation_views.CustomerView(
                 customer.name,
                 call.kind.weight,
                 customer.rate_per_s,
@@ -287,8 +167,10 @@
     )
 
 
-def _route(route: config.Route, call: _call.Call) -> RouteView:
-    return RouteView(
+def _route(
+    route: config.Route, call: _call.Call
+) -> _explanation_views.RouteView:
+    return _explanation_views.RouteView(
         route.name,
         route.path,
         list(route.methods),
@@ -306,10 +188,10 @@
 
 def _check_quarantine(
     preview: _preview.Preview,
-    question: Question,
+    question: _explanation_views.Question,
     call: _call.Call,
-    found: RouteExplanation,
-) -> QuarantineView:
+    found: _explanation_views.RouteExplanation,
+) -> _explanation_views.QuarantineView:
     """Return what is known of the content.
 
     :raises errors.Quarantined: when it is in quarantine.
@@ -319,7 +201,9 @@
     known = not question.body_bytes or call.body.buffered is None
     decision, suspect = preview.quarantine.preview(content, call.service)
     ended = 0 if suspect is None else len(suspect.ends)
-    found.quarantine = QuarantineView(content, known, decision.value, ended)
+    found.quarantine = _explanation_views.QuarantineView(
+        content, known, decision.value, ended
+    )
     if known and decision is _suspects.Decision.REFUSED:
         raise errors.Quarantined(
             f"{ended} upstreams have ended under content {content}"
@@ -332,7 +216,7 @@
     call: _call.Call,
     profile: _balancer.RequestProfile,
     compared: list[_balancer.Candidate],
-) -> list[CandidateView]:
+) -> list[_explanation_views.CandidateView]:
     """Return all targets of the service, the nearest first."""
     now_s = time.monotonic()
     by_name = {candidate.instance: candidate for candidate in compared}
@@ -347,7 +231,7 @@
         if stats.reported_s:
             heard_ms = int((now_s - stats.reported_s) * 1000)
         views.append(
-            CandidateView(
+            _explanation_views.CandidateView(
                 name,
                 seen.distance.name.lower(),
                 stats.reported,
@@ -385,7 +269,9 @@
 
 
 def _wait(
-    preview: _preview.Preview, call: _call.Call, chosen: CandidateView
+    preview: _preview.Preview,
+    call: _call.Call,
+    chosen: _explanation_views.CandidateView,
 ) -> str:
     """Return whether a request would wait at the chosen target.
 
--- a/src/chiveroad/traffic/_pages.py
+++ b/src/chiveroad/traffic/_pages.py
@@ -12,6 +12,7 @@
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _entry
 from chiveroad.traffic import _explanation
+from chiveroad.traffic import _explanation_views
 from chiveroad.traffic import _reachability
 
 TARGETS_PATH: typing.Final = "/control/v1/upstreams"
@@ -50,7 +51,7 @@
     """
     body = request.read_body(MAX_QUESTION_BYTES)
     try:
-        question = msgspec.json.decode(body, type=_explanation.Question)
+        question = msgspec.json.decode(body, type=_explanation_views.Question)
     except msgspec.DecodeError as exc:
         raise errors.BadRequest(f"no question: {exc}") from exc
     explanation = _explanation.explain(entry, question)
