The hedging property holds the budget of one daemon

The bound was the slack of all daemons, so that a limit which took nothing from the retry budget passed.

--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -245,9 +245,9 @@
     Together with retries they stay within the retry budget.
     """
     now = fakes.Clock()
-    window_s, slack = 10.0, 8.0
+    window_s, slack, daemons = 10.0, 8.0, 8
     budget = _retry_budget.RetryBudget(
-        _retry_budget.Terms(ratio, window_s, slack), lambda: 8, now
+        _retry_budget.Terms(ratio, window_s, slack), lambda: daemons, now
     )
     limit = hedging.Limit(share)
     trace: list[tuple[float, str, str]] = []
@@ -288,7 +288,7 @@
                 if at_s - 1.2 * window_s < s <= at_s
             ]
             total = longer.count("request")
-            assert extra <= ratio * total + slack + 1e-6
+            assert extra <= ratio * total + slack / daemons + 1e-6
 
 
 class _Guards(serving.Handler):
