--- a/src/chiveroad/hedging/_delay.py
+++ b/src/chiveroad/hedging/_delay.py
@@ -30,6 +30,11 @@
 """The minimum delay in medians of the kind.  Where latencies hardly differ, a
 second attempt takes longer than what is left of the first."""
 
+MAX_MEDIANS: typing.Final = 3.0
+"""The maximum delay in medians of the kind.  While more requests than the
+share of hedges wait for a pausing target, the quantile is as long as the
+pause, and a hedge would come too late to help."""
+
 MIN_DELAY_MS: typing.Final = 5.0
 """The minimum delay: several round trips within a region."""
 
@@ -139,9 +144,9 @@
             return None
         late: float = latencies.get_value_at_percentile(100 * self._quantile)
         median: float = latencies.get_value_at_percentile(50)
-        return max(
-            late / _PER_MS, MIN_MEDIANS * median / _PER_MS, MIN_DELAY_MS
-        )
+        usual_ms = median / _PER_MS
+        delay_ms = min(late / _PER_MS, MAX_MEDIANS * usual_ms)
+        return max(delay_ms, MIN_MEDIANS * usual_ms, MIN_DELAY_MS)
 
     def _forget_unused(self, now_s: float) -> None:
         """Drop the keys without recent latencies."""
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -122,6 +122,10 @@
     for _ in range(80):
         delays.record(KEY, 100.0, 1.0)
     assert delays.delay_ms(KEY, 1.6) == pytest.approx(150.0, rel=0.02)
+    # A pause that more requests meet than can be hedged isn't usual.
+    for _ in range(10):
+        delays.record(KEY, 900.0, 1.0)
+    assert delays.delay_ms(KEY, 2.5) == pytest.approx(300.0, rel=0.02)
     other: hedging.Key = ("glade", "write", "DOMAIN")
     assert delays.delay_ms(other, 1.6) is None
     for _ in range(60):
