--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -152,6 +152,11 @@
             options, self._node.applied, self._quotas, self._recorder
         )
         self._control.add_page(quotas.CUSTOMERS_PATH, customers_page.handle)
+        self._control.add_page(
+            traffic.EXPLAIN_PATH,
+            functools.partial(traffic.explain_page, self._entry),
+            "POST",
+        )
         self._control.add_page(METRICS_PATH, self._exporter.page)
         self._stop = threading.Event()
         self._target_leaves = threading.Event()
--- a/src/chiveroad/hedging/_delay.py
+++ b/src/chiveroad/hedging/_delay.py
@@ -8,15 +8,19 @@
 
 from __future__ import annotations
 
-import math
 import typing
 
 from hdrh import histogram
 
-AGE_S: typing.Final = 20.0
+AGE_S: typing.Final = 30.0
 """Latencies count for at least this long and for at most twice as long: an
-entry with 10 requests a second needs about that to see a few dozen of a
-kind."""
+entry with 10 requests a second needs about that to see ``MIN_SAMPLES`` of a
+kind at a distance."""
+
+MIN_SAMPLES: typing.Final = 20
+"""How many latencies a delay is based on.  The greatest of fewer is often an
+ordinary one.  With this many the delay may still be too short, in which case
+the limit bounds the hedges."""
 
 MIN_QUANTILE: typing.Final = 0.95
 """With a limit above 5% the delay stays here: a shorter delay would hedge
@@ -26,6 +30,11 @@
 """The minimum delay in medians of the kind.  Where latencies hardly differ, a
 second attempt takes longer than what is left of the first."""
 
+MAX_MEDIANS: typing.Final = 3.0
+"""The maximum delay in medians of the kind.  While more requests than the
+share of hedges wait for a pausing target, the quantile is as long as the
+pause, and a hedge would come too late to help."""
+
 MIN_DELAY_MS: typing.Final = 5.0
 """The minimum delay: several round trips within a region."""
 
@@ -34,13 +43,16 @@
 times as long as recording a latency."""
 
 MAX_KEYS: typing.Final = 128
-"""The limit on keys with latencies of their own.  Each takes 15 KB."""
+"""The limit on keys with latencies of their own.  Each takes 13 KB."""
 
 _LOWEST: typing.Final = 1
-_HIGHEST: typing.Final = 6_000_000
+_HIGHEST: typing.Final = 120_000
 _DIGITS: typing.Final = 2
-_PER_MS: typing.Final = 10
-"""Latencies are recorded in tenths of a millisecond, up to ten minutes."""
+_PER_MS: typing.Final = 2
+"""Latencies are recorded in halves of a millisecond, up to a minute."""
+
+_COUNTER_BYTES: typing.Final = 4
+"""Half of the library's default, which halves the memory of a histogram."""
 
 Key = tuple[str, str, str]
 """The service, the kind and the distance of a request."""
@@ -56,7 +68,7 @@
 
 
 def _histogram() -> typing.Any:
-    return histogram.HdrHistogram(_LOWEST, _HIGHEST, _DIGITS)
+    return histogram.HdrHistogram(_LOWEST, _HIGHEST, _DIGITS, _COUNTER_BYTES)
 
 
 class _Aged:
@@ -97,7 +109,6 @@
 
     def __init__(self, quantile: float) -> None:
         self._quantile = quantile
-        self._min_samples = math.ceil(1 / max(0.001, 1.0 - quantile))
         self._aged: dict[Key, _Aged] = {}
 
     def record(self, key: Key, took_ms: float, now_s: float) -> None:
@@ -123,14 +134,19 @@
             aged.refresh_s = now_s + REFRESH_S
         return aged.delay_ms
 
+    def calculated_ms(self, key: Key) -> float | None:
+        """Return the delay as it was last calculated, and change nothing."""
+        aged = self._aged.get(key)
+        return None if aged is None else aged.delay_ms
+
     def _calculate(self, latencies: typing.Any) -> float | None:
-        if latencies.get_total_count() < self._min_samples:
+        if latencies.get_total_count() < MIN_SAMPLES:
             return None
         late: float = latencies.get_value_at_percentile(100 * self._quantile)
         median: float = latencies.get_value_at_percentile(50)
-        return max(
-            late / _PER_MS, MIN_MEDIANS * median / _PER_MS, MIN_DELAY_MS
-        )
+        usual_ms = median / _PER_MS
+        delay_ms = min(late / _PER_MS, MAX_MEDIANS * usual_ms)
+        return max(delay_ms, MIN_MEDIANS * usual_ms, MIN_DELAY_MS)
 
     def _forget_unused(self, now_s: float) -> None:
         """Drop the keys without recent latencies."""
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -305,17 +305,26 @@
 
     :returns: None when there are no candidates.
     """
-    healthy = _healthy(candidates)
-    unblocked = [candidate for candidate in healthy if not candidate.blocked]
     best: Candidate | None = None
-    usable = without_busy(unblocked or healthy)
-    for scope, max_load in _search_scopes(usable):
+    for scope, max_load in _search_scopes(eligible(candidates)):
         best = _two_choices(scope, rng)
         if best.load <= max_load:
             break
     return best
 
 
+def eligible(
+    candidates: collections.abc.Sequence[Candidate],
+) -> collections.abc.Sequence[Candidate]:
+    """Return the candidates that are neither ejected, blocked nor busy.
+
+    If all are, those are returned that are ignored with the least reason.
+    """
+    healthy = _healthy(candidates)
+    unblocked = [candidate for candidate in healthy if not candidate.blocked]
+    return without_busy(unblocked or healthy)
+
+
 def without_busy(
     candidates: collections.abc.Sequence[Candidate],
 ) -> collections.abc.Sequence[Candidate]:
@@ -377,6 +386,10 @@
     ) -> Candidate | None:
         """Return the chosen candidate, or None when there are none."""
 
+    def cost(self, candidate: Candidate) -> float | None:
+        """Return what is compared, or None if it isn't one figure."""
+        return None
+
 
 class TwoChoices(Picker):
     """A baseline: two random choices, see ``pick``."""
@@ -444,12 +457,10 @@
         Of those that cost nearly the least, two random ones are compared, so
         that many entries with similar knowledge don't choose the same target.
         """
-        healthy = _healthy(candidates)
-        unblocked = [
-            candidate for candidate in healthy if not candidate.blocked
+        costs = [
+            (self.cost(each, 1.0 + JITTER * self._rng.random()), each)
+            for each in eligible(candidates)
         ]
-        usable = without_busy(unblocked or healthy)
-        costs = [(self._cost(each), each) for each in usable]
         if not costs:
             return None
         limit = min(cost for cost, _ in costs) + EQUAL_COST
@@ -458,8 +469,8 @@
             near = self._rng.sample(near, 2)
         return min(near, key=lambda pair: pair[0])[1]
 
-    def _cost(self, candidate: Candidate) -> float:
-        jitter = 1.0 + JITTER * self._rng.random()
+    def cost(self, candidate: Candidate, jitter: float = 1.0) -> float:
+        """Return the expected cost, as a share of the value of an answer."""
         objective_ms = candidate.objective_ms or DEFAULT_OBJECTIVE_MS
         objective_share = candidate.completion_ms * jitter / objective_ms
         late_share = min(
--- a/standins/placement.py
+++ b/standins/placement.py
@@ -58,7 +58,7 @@
     ) -> _balancer.Candidate | None:
         """Choose by cost alone, among the candidates that aren't blocked."""
         unblocked = [each for each in candidates if not each.blocked]
-        return min(unblocked or candidates, key=self._cost, default=None)
+        return min(unblocked or candidates, key=self.cost, default=None)
 
 
 @dataclasses.dataclass(frozen=True)
