Late work is queued behind work that can be in time

Change: as many late requests wait as the target has slots, in order of weight; one gives up its place to a request that can be in time, or to a weightier one. MAX_WAIT_SHARE is gone.

--- a/src/chiveroad/traffic/_objective.py
+++ b/src/chiveroad/traffic/_objective.py
@@ -5,10 +5,12 @@
 running request waits for them, and then requests that can still be answered
 within their objective.
 
-A request that would be late is queued while the queue is young, so that a
-short burst is worked off.  Once there has been a queue for longer than
-``CONGESTED_AFTER_S``, such a request is refused at once with a retry delay,
-instead of waiting until it fails.
+A request that would be late is still worth something.  It is queued behind
+those that can be in time, as far as its deadline allows, and gives up its
+place to one of them when the queue is full.  Once there has been a queue for
+longer than ``CONGESTED_AFTER_S``, no more of such requests wait than the
+target has slots: further ones are refused at once with a retry delay, instead
+of waiting until they fail.
 """
 
 from __future__ import annotations
@@ -21,10 +23,6 @@
 """A queue that has lasted longer than this is overload, not a burst that the
 target is working off."""
 
-MAX_WAIT_SHARE: typing.Final = 0.5
-"""The share of the time to its objective after which a waiting request that
-would be late is dropped while the target is congested."""
-
 
 class ObjectiveFirst(_admission.Policy):
     """Inner calls, then requests within their objective, then by weight."""
@@ -61,14 +59,29 @@
             return "can't be finished in time"
         if ticket.inner:
             return ""
-        if len(state.waiting) >= state.limits.queue_length:
-            return "the queue is full"
         if _admission.exceeds_team_share(state, ticket):
             return "the team's share of the queue is used"
-        if _misses_objective(state, ticket, now_s, wait_ms) and _is_congested(
-            state, now_s
-        ):
-            return "can't be finished within its objective"
+        late = _misses_objective(state, ticket, now_s, wait_ms)
+        full = len(state.waiting) >= state.limits.queue_length
+        if not full and not (late and _is_congested(state, now_s)):
+            return ""
+        waiting_late = [
+            other
+            for other in state.waiting
+            if not other.inner and _misses_objective(state, other, now_s, 0.0)
+        ]
+        if not full and len(waiting_late) < state.limits.slots:
+            return ""
+        # A late request makes room only for a weightier one, or for one that
+        # can be in time.
+        lightest = min(waiting_late, key=_shed_rank, default=None)
+        if lightest is None or (late and lightest.weight >= ticket.weight):
+            return (
+                "the queue is full"
+                if full
+                else "can't be finished within its objective"
+            )
+        state.drop(lightest, "shed for a request that is worth more")
         return ""
 
     def drop_reason(
@@ -78,16 +91,13 @@
         now_s: float,
     ) -> str:
         """Return why a ticket is dropped from the queue, or ''."""
-        if not state.meets_deadline(ticket, now_s):
-            return "no time left to run it"
-        if ticket.inner or not _is_congested(state, now_s):
-            return ""
-        if not _misses_objective(state, ticket, now_s, 0.0):
+        if state.meets_deadline(ticket, now_s):
             return ""
-        max_wait_s = MAX_WAIT_SHARE * (ticket.objective_s - ticket.arrived_s)
-        if now_s - ticket.arrived_s < max_wait_s:
-            return ""
-        return "can't be finished within its objective any more"
+        return "no time left to run it"
+
+
+def _shed_rank(ticket: _admission.Ticket) -> tuple[float, ...]:
+    return (ticket.weight, -ticket.arrived_s)
 
 
 def _misses_objective(
--- a/standins/experiments.py
+++ b/standins/experiments.py
@@ -1,8 +1,9 @@
 """Simulated comparison of admission and balancing policies.
 
 ``python -m standins.experiments`` prints a table of all load patterns in some
-seconds.  ``--plots DIR`` also plots the shares of requests that are served in
-time, late and refused against the offered load, which needs
+seconds, and with ``--placement`` a table of the decisions about where work
+goes, in some minutes.  ``--plots DIR`` also plots the shares of requests that
+are served in time, late and refused against the offered load, which needs
 ``requirements-experiments.txt``.
 """
 
@@ -10,7 +11,10 @@
 
 import argparse
 import collections.abc
+from concurrent import futures
 import dataclasses
+import functools
+import itertools
 import pathlib
 import random
 import statistics
@@ -20,6 +24,7 @@
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _objective
 from standins import loadmodel
+from standins import placement
 
 DURATION_S: typing.Final = 12.0
 TARGET_SPEEDS: typing.Final = (0.5, 1.0, 1.0, 1.5)
@@ -64,6 +69,29 @@
 )
 
 
+PLACEMENT_PROCESSES: typing.Final = 4
+BEFORE: typing.Final = placement.Options(
+    moves=False, pace=False, fades_to_mean=False, random_near=False
+)
+PLACEMENT: typing.Final[dict[str, placement.Options]] = {
+    "before": BEFORE,
+    "two of the nearly equal": dataclasses.replace(BEFORE, random_near=True),
+    "fades to the mean": dataclasses.replace(BEFORE, fades_to_mean=True),
+    "pace": dataclasses.replace(BEFORE, pace=True),
+    "moves": dataclasses.replace(BEFORE, moves=True),
+    "all": placement.Options(),
+    "all but pace": placement.Options(pace=False),
+    "central queue": placement.Options(central=True),
+}
+PLACEMENT_LOADS: typing.Final[dict[str, placement.Load]] = {
+    "0.6": placement.Load(0.6),
+    "0.8, waves": placement.Load(0.8, wave=0.55),
+    "0.95, waves": placement.Load(0.95, wave=0.55),
+    "1.3": placement.Load(1.3),
+    "0.75, inner calls": placement.Load(0.75, inner_share=0.4),
+}
+
+
 @dataclasses.dataclass(frozen=True)
 class Figures:
     """Shares of all requests, mean credit of a request, and fairness.
@@ -175,11 +203,65 @@
             pyplot.close(picture)
 
 
+def placement_rows(
+    seeds: collections.abc.Sequence[int], seconds: float
+) -> collections.abc.Iterator[str]:
+    """Yield the rows of a table of loads and decisions."""
+    yield (
+        "| load | decisions | net | worth | in time | late | refused | broken "
+        "| long wait | tries | moved | remote |"
+    )
+    yield "| --- " * 12 + "|"
+    cases = list(itertools.product(PLACEMENT_LOADS, PLACEMENT))
+    run = functools.partial(_placement_row, seeds, seconds)
+    with futures.ProcessPoolExecutor(PLACEMENT_PROCESSES) as pool:
+        yield from pool.map(run, cases)
+
+
+def _placement_row(
+    seeds: collections.abc.Sequence[int],
+    seconds: float,
+    case: tuple[str, str],
+) -> str:
+    load_name, name = case
+    pattern = dataclasses.replace(PLACEMENT_LOADS[load_name], seconds=seconds)
+    tallies = [
+        placement.Fleet(pattern, PLACEMENT[name], seed=seed).run()
+        for seed in seeds
+    ]
+    figures = [
+        statistics.fmean(values)
+        for values in zip(*map(_placement_figures, tallies))
+    ]
+    cells = " | ".join(f"{figure:.3f}" for figure in figures)
+    return f"| {load_name} | {name} | {cells} |"
+
+
+def _placement_figures(tally: placement.Tally) -> tuple[float, ...]:
+    counts = (
+        tally.in_time,
+        tally.late,
+        tally.refused,
+        tally.broken,
+        tally.waited,
+        tally.tries,
+        tally.moved,
+        tally.far,
+    )
+    shares = (count / tally.total for count in counts)
+    return (tally.net, tally.worth, *shares)
+
+
 def main() -> None:
     """Print the table, and write the plots if there is a folder for them."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--placement", action="store_true")
     parser.add_argument("--plots", type=pathlib.Path)
     options = parser.parse_args()
+    if options.placement:
+        for row in placement_rows(SEEDS, seconds=6.0):
+            print(row, flush=True)
+        return
     print("\n".join(table_rows()))
     if options.plots:
         draw_plots(options.plots)
