--- a/src/chiveroad/load/_service_load.py
+++ b/src/chiveroad/load/_service_load.py
@@ -22,6 +22,12 @@
 """The weight of the latest answer in the share of failures: about twenty make
 up the mean, which is some seconds of one entry's requests."""
 
+MAX_ASSUMED_LOAD: typing.Final = 0.7
+"""The most that a target counts as loaded of which nothing recent is known.
+With the uncapped mean of a full service, requests go to far targets that are
+no less full, in the load model 0.4 of them at 0.95 of capacity; a near target
+that turns out to be full refuses at once."""
+
 MEAN_FADE_S: typing.Final = 5.0
 """The age at which the mean load no longer counts: the length of a wave."""
 
@@ -61,9 +67,14 @@
         self.failure_share += FAILURE_SMOOTHING * (failed - self.failure_share)
 
     def mean(self, now_s: float) -> float:
-        """Return the mean load of the targets, fading to 0 while unheard."""
+        """Return the load that a target has for all that is known.
+
+        It is the mean of the latest reports, with a limit; it fades to 0
+        while there are none.
+        """
         left_s = MEAN_FADE_S - (now_s - self._learnt_s)
-        return self._mean * min(1.0, max(0.0, left_s / MEAN_FADE_S))
+        mean = self._mean * min(1.0, max(0.0, left_s / MEAN_FADE_S))
+        return min(MAX_ASSUMED_LOAD, mean)
 
     def lately(self, now_s: float) -> tuple[int, int]:
         """Return how many targets reported in the last second.
--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -50,10 +50,6 @@
 """The share by which a request takes longer while all slots are taken and
 none waits: targets may become slower as they fill."""
 
-JITTER: typing.Final = 0.05
-"""Random variation of the expected completion time, so that entries with the
-same statistics don't all choose the same target."""
-
 _T = typing.TypeVar("_T")
 
 
@@ -457,10 +453,7 @@
         Of those that cost nearly the least, two random ones are compared, so
         that many entries with similar knowledge don't choose the same target.
         """
-        costs = [
-            (self.cost(each, 1.0 + JITTER * self._rng.random()), each)
-            for each in eligible(candidates)
-        ]
+        costs = [(self.cost(each), each) for each in eligible(candidates)]
         if not costs:
             return None
         limit = min(cost for cost, _ in costs) + EQUAL_COST
@@ -469,10 +462,10 @@
             near = self._rng.sample(near, 2)
         return min(near, key=lambda pair: pair[0])[1]
 
-    def cost(self, candidate: Candidate, jitter: float = 1.0) -> float:
+    def cost(self, candidate: Candidate) -> float:
         """Return the expected cost, as a share of the value of an answer."""
         objective_ms = candidate.objective_ms or DEFAULT_OBJECTIVE_MS
-        objective_share = candidate.completion_ms * jitter / objective_ms
+        objective_share = candidate.completion_ms / objective_ms
         late_share = min(
             1.0, LATE_SHARE_AT_OBJECTIVE * objective_share**LATE_EXPONENT
         )
--- a/src/chiveroad/traffic/_moving.py
+++ b/src/chiveroad/traffic/_moving.py
@@ -42,7 +42,7 @@
         return targets.pick(call.service, profile, tried, hedge_target)
     if enabled and _may_move(targets, call, tried):
         call.patience_ms = load.patience_ms(
-            profile.objective_ms, profile.body_bytes
+            profile.objective_ms, profile.body_bytes, call.inner
         )
         return targets.pick(call.service, profile, tried)
     return targets.pick(call.service, profile, set(tried) - busy)
