Folder: leaders and peers keep a version confirmed while keys depend on it

Cause: with a folder that chiveroad merges itself, a leader confirmed its version once, so that with fail_closed requests with keys were refused for good 4.35 s after the start.

Change: with fail_closed and customers a leader reads the accepted version each 0.5 s, and the others ask peers.

--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -13,6 +13,7 @@
 from chiveroad.control import _lease
 from chiveroad.control import _merger
 from chiveroad.control import _node
+from chiveroad.control import _peer_confirmations
 from chiveroad.control import _plan
 from chiveroad.control import _publisher
 from chiveroad.control import _source
@@ -27,6 +28,10 @@
 FAR_OBSERVE_S: typing.Final = 3.0
 FAR_TAKEOVER_DELAY_S: typing.Final = 6.0
 LEASE_CHECK_S: typing.Final = 0.5
+KEYS_CONFIRM_S: typing.Final = 0.5
+"""How often a leader reads the accepted version while keys depend on it: a
+third of the age at which its peers ask, see ``_peer_confirmations``."""
+
 SUBSTITUTE_HOLD_MS: typing.Final = 300
 
 _TICK_S: typing.Final = 0.5
@@ -77,6 +82,9 @@
         self._failure_detector = _failure_detector.FailureDetector(
             node, self._relay_lease
         )
+        self._peer_confirmations = _peer_confirmations.PeerConfirmations(
+            node, options.customers.revoke_within_s
+        )
         self._failed_s: dict[str, float] = {}
         self._unresponsive_since_s: float | None = None
         self._lease_check_due_s = 0.0
@@ -96,6 +104,8 @@
         self._publisher.start()
         _threads.start("parent exchanges", self._exchange_loop)
         _threads.start("failure detection", self._detection_loop)
+        if self._options.customers.fail_closed:
+            _threads.start("confirming", self._confirm_keys)
 
     @property
     def parent(self) -> str:
@@ -192,6 +202,24 @@
             else:
                 self._check_lease()
 
+    def _confirm_keys(self) -> None:
+        """Keep the version confirmed while customers' keys depend on it.
+
+        A leader reads the store, and the others ask their peers.
+        """
+        backoff = _peer_confirmations.new_backoff()
+        while not self.stopped:
+            now_s = clock.now_s()
+            if self._reads_store():
+                if self._node.applied.config.demands_keys:
+                    self._store.confirm(now_s)
+                time.sleep(KEYS_CONFIRM_S)
+            elif self._peer_confirmations.tick(now_s):
+                backoff.reset()
+                time.sleep(_peer_confirmations.IDLE_S)
+            else:
+                backoff.wait()
+
     def _confirm_once(self) -> None:
         if not self._node.applied.ready:
             self._store.confirm(clock.now_s())
--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -16,6 +16,7 @@
 import msgspec
 import pytest
 
+from chiveroad import customers
 from chiveroad import store
 from standins import mesh
 from standins import object_api
@@ -229,3 +230,60 @@
         mesh.wait_for(
             lambda: fleet.status(name, other) == 401 or None, name, 40.0
         )
+
+
+FOLDER: typing.Final = f"""team = "keys"
+[service.glade]
+slots = 12
+[service.glade.kind.browse]
+idempotent = true
+[route.keyed]
+path = "/"
+methods = ["*"]
+service = "glade"
+kind = "browse"
+[route.open]
+path = "/open"
+methods = ["*"]
+service = "glade"
+kind = "browse"
+anonymous = true
+[customer.tusk]
+key_digests = ["{customers.digest_key(keyed.KEY)}"]
+"""
+
+
+# Guards against daemons that merge a folder themselves and can't confirm what
+# they have merged, or that serve keys without their store.
+def test_folder_with_customers_serves_and_fails_closed() -> None:
+    deployment = mesh.Deployment("keys", "r", {"r": ["a", "b"]}, {"glade": 4})
+    options = "[customers]\nfail_closed = true\n"
+    bearer = [f"Authorization: Bearer {keyed.KEY}"]
+    with mesh.Mesh(deployment, options) as running:
+        entries = [each.entry for each in running.instances.values()]
+
+        def statuses(headers: list[str], path: str = "/x") -> set[int]:
+            # Targets share the address of other callers here.
+            sent = keyed.head_of(path, headers)
+            return {
+                keyed.status_of(keyed.ask(entry, sent, "127.0.0.3"))
+                for entry in entries
+            }
+
+        running.start()
+        running.push_file("10-keys.toml", FOLDER)
+        running.wait_in_force(1)
+        running.wait_serving()
+        mesh.wait_for(lambda: statuses(bearer) == {200} or None, "keys", 40.0)
+        time.sleep(2.0)
+        end_s = time.monotonic() + 2 * BOUND_S
+        while time.monotonic() < end_s:
+            assert statuses(bearer) == {200}
+            time.sleep(0.1)
+        assert statuses([]) == statuses([bearer[0] + "x"]) == {401}
+        running.faults(outage=True)
+        time.sleep(BOUND_S + 0.1)
+        assert statuses(bearer) == {503}
+        assert statuses([], "/open") == {200}
+        running.faults(outage=False)
+        mesh.wait_for(lambda: statuses(bearer) == {200} or None, "keys", 40.0)
