--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -7,6 +7,7 @@
 import dataclasses
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import threading
@@ -45,6 +46,7 @@
     entries: dict[str, str]
     controls: dict[str, str]
     folder: pathlib.Path
+    processes: dict[str, "subprocess.Popen[bytes]"]
 
     def accept(self, spec: bytes) -> None:
         """Accept a version as the platform's operator does."""
@@ -102,7 +104,7 @@
     threading.Thread(target=server.serve_forever, daemon=True).start()
     address = f"127.0.0.1:{server.server_address[1]}"
     ports = mesh.Ports()
-    fleet = Fleet(server.api, {}, {}, {}, {}, folder)
+    fleet = Fleet(server.api, {}, {}, {}, {}, folder, {})
     fleet.accept(keyed.specification())
     with contextlib.ExitStack() as stack:
         stack.callback(server.server_close)
@@ -119,7 +121,9 @@
             fleet.controls[name] = control
             settings = folder / f"{name}.toml"
             settings.write_text(text)
-            stack.callback(_stop, _start(settings, folder / f"{name}.log"))
+            process = _start(settings, folder / f"{name}.log")
+            fleet.processes[name] = process
+            stack.callback(_stop, process)
         for name in NAMES:
             mesh.wait_for(lambda: _is_serving(fleet, name) or None, name, 40.0)
         time.sleep(4.0)
@@ -192,6 +196,34 @@
         assert keyed.OTHER_KEY not in text
 
 
+# Guards against a process that was suspended while a key was revoked, and
+# counts its confirmation as young when it goes on.
+def test_suspended_daemon_serves_no_key_that_was_revoked(fleet: Fleet) -> None:
+    suspended = fleet.processes["d"]
+    suspended.send_signal(signal.SIGSTOP)
+    try:
+        fleet.accept(keyed.specification(keyed.TENANTS[1:], number=8))
+        time.sleep(BOUND_S + 0.1)
+        asked: list[int] = []
+        asking = [
+            threading.Thread(
+                target=lambda: asked.append(fleet.status("d", [TOKEN]))
+            )
+            for _ in range(4)
+        ]
+        for thread in asking:
+            thread.start()
+        time.sleep(0.2)
+    finally:
+        suspended.send_signal(signal.SIGCONT)
+    for thread in asking:
+        thread.join(10)
+    assert len(asked) == len(asking) and set(asked) <= {401, 503}
+    fleet.accept(keyed.specification(number=9))
+    for name in NAMES:
+        mesh.wait_for(lambda: _is_serving(fleet, name) or None, name, 40.0)
+
+
 # Guards against requests that are refused at daemons that the store turns
 # away while it answers another one, and against a revoked key that is served
 # there, or anywhere without a path to the store.
@@ -205,7 +237,7 @@
         assert {fleet.status(name, [TOKEN]) for name in NAMES} == {200}
         time.sleep(0.1)
     fleet.gates["a"].set_mode("429")
-    fleet.accept(keyed.specification(keyed.TENANTS[1:], number=8))
+    fleet.accept(keyed.specification(keyed.TENANTS[1:], number=10))
     accepted_s = time.monotonic()
     other = [f"Authorization: Token {keyed.OTHER_KEY}"]
     while time.monotonic() < accepted_s + BOUND_S + 1:
@@ -219,7 +251,7 @@
     # A version that the daemons can't learn of.
     for path in fleet.gates.values():
         path.set_mode(gate.SILENT)
-    fleet.accept(keyed.specification((), number=9))
+    fleet.accept(keyed.specification((), number=11))
     accepted_s = time.monotonic()
     time.sleep(BOUND_S + 0.1)
     assert {fleet.status(name, other) for name in NAMES} == {503}
