--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -7,6 +7,7 @@
 import dataclasses
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import threading
@@ -16,6 +17,7 @@
 import msgspec
 import pytest
 
+from chiveroad import customers
 from chiveroad import store
 from standins import mesh
 from standins import object_api
@@ -44,6 +46,7 @@
     entries: dict[str, str]
     controls: dict[str, str]
     folder: pathlib.Path
+    processes: dict[str, "subprocess.Popen[bytes]"]
 
     def accept(self, spec: bytes) -> None:
         """Accept a version as the platform's operator does."""
@@ -101,7 +104,7 @@
     threading.Thread(target=server.serve_forever, daemon=True).start()
     address = f"127.0.0.1:{server.server_address[1]}"
     ports = mesh.Ports()
-    fleet = Fleet(server.api, {}, {}, {}, {}, folder)
+    fleet = Fleet(server.api, {}, {}, {}, {}, folder, {})
     fleet.accept(keyed.specification())
     with contextlib.ExitStack() as stack:
         stack.callback(server.server_close)
@@ -118,7 +121,9 @@
             fleet.controls[name] = control
             settings = folder / f"{name}.toml"
             settings.write_text(text)
-            stack.callback(_stop, _start(settings, folder / f"{name}.log"))
+            process = _start(settings, folder / f"{name}.log")
+            fleet.processes[name] = process
+            stack.callback(_stop, process)
         for name in NAMES:
             mesh.wait_for(lambda: _is_serving(fleet, name) or None, name, 40.0)
         time.sleep(4.0)
@@ -191,6 +196,34 @@
         assert keyed.OTHER_KEY not in text
 
 
+# Guards against a process that was suspended while a key was revoked, and
+# counts its confirmation as young when it goes on.
+def test_suspended_daemon_serves_no_key_that_was_revoked(fleet: Fleet) -> None:
+    suspended = fleet.processes["d"]
+    suspended.send_signal(signal.SIGSTOP)
+    try:
+        fleet.accept(keyed.specification(keyed.TENANTS[1:], number=8))
+        time.sleep(BOUND_S + 0.1)
+        asked: list[int] = []
+        asking = [
+            threading.Thread(
+                target=lambda: asked.append(fleet.status("d", [TOKEN]))
+            )
+            for _ in range(4)
+        ]
+        for thread in asking:
+            thread.start()
+        time.sleep(0.2)
+    finally:
+        suspended.send_signal(signal.SIGCONT)
+    for thread in asking:
+        thread.join(10)
+    assert len(asked) == len(asking) and set(asked) <= {401, 503}
+    fleet.accept(keyed.specification(number=9))
+    for name in NAMES:
+        mesh.wait_for(lambda: _is_serving(fleet, name) or None, name, 40.0)
+
+
 # Guards against requests that are refused at daemons that the store turns
 # away while it answers another one, and against a revoked key that is served
 # there, or anywhere without a path to the store.
@@ -204,7 +237,7 @@
         assert {fleet.status(name, [TOKEN]) for name in NAMES} == {200}
         time.sleep(0.1)
     fleet.gates["a"].set_mode("429")
-    fleet.accept(keyed.specification(keyed.TENANTS[1:], number=8))
+    fleet.accept(keyed.specification(keyed.TENANTS[1:], number=10))
     accepted_s = time.monotonic()
     other = [f"Authorization: Token {keyed.OTHER_KEY}"]
     while time.monotonic() < accepted_s + BOUND_S + 1:
@@ -218,7 +251,7 @@
     # A version that the daemons can't learn of.
     for path in fleet.gates.values():
         path.set_mode(gate.SILENT)
-    fleet.accept(keyed.specification((), number=9))
+    fleet.accept(keyed.specification((), number=11))
     accepted_s = time.monotonic()
     time.sleep(BOUND_S + 0.1)
     assert {fleet.status(name, other) for name in NAMES} == {503}
@@ -229,3 +262,60 @@
         mesh.wait_for(
             lambda: fleet.status(name, other) == 401 or None, name, 40.0
         )
+
+
+FOLDER: typing.Final = f"""team = "keys"
+[service.glade]
+slots = 12
+[service.glade.kind.browse]
+idempotent = true
+[route.keyed]
+path = "/"
+methods = ["*"]
+service = "glade"
+kind = "browse"
+[route.open]
+path = "/open"
+methods = ["*"]
+service = "glade"
+kind = "browse"
+anonymous = true
+[customer.tusk]
+key_digests = ["{customers.digest_key(keyed.KEY)}"]
+"""
+
+
+# Guards against daemons that merge a folder themselves and can't confirm what
+# they have merged, or that serve keys without their store.
+def test_folder_with_customers_serves_and_fails_closed() -> None:
+    deployment = mesh.Deployment("keys", "r", {"r": ["a", "b"]}, {"glade": 4})
+    options = "[customers]\nfail_closed = true\n"
+    bearer = [f"Authorization: Bearer {keyed.KEY}"]
+    with mesh.Mesh(deployment, options) as running:
+        entries = [each.entry for each in running.instances.values()]
+
+        def statuses(headers: list[str], path: str = "/x") -> set[int]:
+            # Targets share the address of other callers here.
+            sent = keyed.head_of(path, headers)
+            return {
+                keyed.status_of(keyed.ask(entry, sent, "127.0.0.3"))
+                for entry in entries
+            }
+
+        running.start()
+        running.push_file("10-keys.toml", FOLDER)
+        running.wait_in_force(1)
+        running.wait_serving()
+        mesh.wait_for(lambda: statuses(bearer) == {200} or None, "keys", 40.0)
+        time.sleep(2.0)
+        end_s = time.monotonic() + 2 * BOUND_S
+        while time.monotonic() < end_s:
+            assert statuses(bearer) == {200}
+            time.sleep(0.1)
+        assert statuses([]) == statuses([bearer[0] + "x"]) == {401}
+        running.faults(outage=True)
+        time.sleep(BOUND_S + 0.1)
+        assert statuses(bearer) == {503}
+        assert statuses([], "/open") == {200}
+        running.faults(outage=False)
+        mesh.wait_for(lambda: statuses(bearer) == {200} or None, "keys", 40.0)
