--- a/src/chiveroad/quotas/_account.py
+++ b/src/chiveroad/quotas/_account.py
@@ -162,7 +162,7 @@
             use.customer,
             use.used,
             close=self.close,
-            share=round(told, 4),
+            share=min(1.0, round(told, 4)),
         )
         if not self.close:
             allowance.count = self._unasked(share, situation.daemons)
--- a/src/chiveroad/quotas/_messages.py
+++ b/src/chiveroad/quotas/_messages.py
@@ -2,8 +2,19 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
+from chiveroad import decoding
+
+MAX_SLOTS: typing.Final = 1_202
+"""The slots of the longest window that settings allow, 600 s."""
+
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
+_Recent = typing.Annotated[list[_Count], msgspec.Meta(max_length=MAX_SLOTS)]
+_Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+
 
 class Use(msgspec.Struct, frozen=True, array_like=True):
     """What an entry has admitted of one customer's requests.
@@ -20,15 +31,15 @@
     """
 
     customer: str
-    used: int
-    held: int = 0
-    demand: int = 0
-    refused: int = 0
-    waiting: int = 0
+    used: _Count
+    held: _Count = 0
+    demand: _Count = 0
+    refused: _Count = 0
+    waiting: _Count = 0
     close: bool = False
-    share: float = 0.0
-    recent: list[int] | None = None
-    rank: int = 0
+    share: _Share = 0.0
+    recent: _Recent | None = None
+    rank: _Count = 0
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -42,10 +53,10 @@
     """
 
     entry: str
-    incarnation: int
-    sequence: int
+    incarnation: _Count
+    sequence: _Count
     server: str = ""
-    epoch: int = 0
+    epoch: _Count = 0
     uses: list[Use] = []
     failed: list[str] = []
 
@@ -60,11 +71,11 @@
     """
 
     customer: str
-    used: int
+    used: _Count
     close: bool = False
-    count: int = 0
-    share: float = 0.0
-    retry_ms: int = 0
+    count: _Count = 0
+    share: _Share = 0.0
+    retry_ms: _Count = 0
     unknown: bool = False
 
 
@@ -76,7 +87,7 @@
     """
 
     server: str
-    epoch: int
+    epoch: _Count
     allowances: list[Allowance] = []
     close: list[str] = []
     clear: list[str] = []
--- a/src/chiveroad/quotas/_meter.py
+++ b/src/chiveroad/quotas/_meter.py
@@ -148,6 +148,9 @@
 
     def give_back(self, now_s: float) -> None:
         """Return the token of a request that never ran."""
+        if self._used == 0:
+            # The meter has been dropped and made again since.
+            return
         self._used -= 1
         self._add(now_s, -1)
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+import time
 import typing
 
 import hypothesis
@@ -11,7 +13,12 @@
 import pytest
 
 from chiveroad import config
+from chiveroad import control
+from chiveroad import decoding
+from chiveroad import errors
 from chiveroad import membership
+from chiveroad import metrics
+from chiveroad import quotas
 from chiveroad.quotas import _account
 from chiveroad.quotas import _ledger
 from chiveroad.quotas import _limits
@@ -322,6 +329,73 @@
     assert account.level(START_S) == before + 3
 
 
+# Guards against a report that raises a bucket, or that can't be compared.
+@pytest.mark.parametrize(
+    "use",
+    [
+        ["c", -1],
+        ["c", 2**60],
+        ["c", 5, -5],
+        ["c", 5, 0, 0, 0, 0, False, 7.5],
+        ["c", 5, 0, 0, 0, 0, False, 0.0, [-5]],
+        ["c", 5, 0, 0, 0, 0, False, 0.0, [0] * 2_000],
+        ["c"],
+    ],
+)
+def test_report_out_of_range_is_refused(use: list[object]) -> None:
+    body = msgspec.json.encode(["e00", 1, 1, "", 0, [use]])
+    with pytest.raises(msgspec.DecodeError):
+        decoding.decode(msgspec.json.Decoder(_messages.Report), body)
+
+
+class _NoPeers:
+    """Peers that mustn't be called."""
+
+    def post(self, *_: object) -> bytes:
+        raise AssertionError("a report was sent")
+
+
+# Guards against messages and threads where nothing has a limit.
+@pytest.mark.parametrize("name", ["", "unlimited", "unknown"])
+def test_nothing_is_sent_without_a_limit(name: str) -> None:
+    node = control.Node(fakes.member("a"), recorded=True)
+    key, text = config.customer_item(config.Customer("unlimited", ()))
+    items = {key: text}
+    node.applied.offer(1, config.digest(items), items)
+    enforced = quotas.Quotas(
+        fakes.options("a"),
+        node.applied,
+        node.view,
+        metrics.Recorder(),
+        _NoPeers(),
+    )
+    threads = threading.active_count()
+    assert not enforced.admit(name, time.monotonic() + 1)
+    assert threading.active_count() == threads
+
+
+# Guards against a request that waits for its deadline while no quota server
+# answers, and against one that is refused while the local server has tokens.
+def test_daemon_serves_its_own_quota() -> None:
+    node = control.Node(fakes.member("a"), recorded=True)
+    customer = config.Customer(CUSTOMER, (), 0, 2.0, 2.0)
+    items = dict([config.customer_item(customer)])
+    node.applied.offer(1, config.digest(items), items)
+    recorder = metrics.Recorder()
+    enforced = quotas.Quotas(
+        fakes.options("a"), node.applied, node.view, recorder, _NoPeers()
+    )
+    admitted = 0
+    with pytest.raises(errors.OverQuota) as refused:
+        while admitted < 40:
+            admitted += enforced.admit(CUSTOMER, time.monotonic() + 10)
+    enforced.stop()
+    assert 2 <= admitted <= permitted(2, 2)
+    assert 0 < refused.value.retry_after_ms <= 5_000
+    assert enforced.refusals()[CUSTOMER] == {"over its quota": 1}
+    assert recorder.counts()["chiveroad.quota.refused", "refuse"] == 1
+
+
 def members(capacities: dict[str, int]) -> list[membership.Member]:
     """Return live members with capacities."""
     return [
