No weight of requests is starved at a guard

Change: a weight whose admitted share is less than a tenth of that of a greater one goes first among those that can be in time.

--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -119,13 +119,14 @@
     :param policy: defaults to ``WeightFirst``.
 
     ``pace`` is what the target states about its speed.  Mean service times
-    are those at the usual pace.
+    are those at the usual pace.  ``shares`` says which weights are starved.
     """
 
     def __init__(self, limits: Limits, policy: Policy | None = None) -> None:
         self.limits = limits
         self.rate_limit = _rate_limit.RateLimit()
         self.pace = load.Pace()
+        self.shares = load.ServedShares()
         self.pace_factor = 1.0
         self.waiting: list[Ticket] = []
         self.running_by_team: dict[str, int] = {}
@@ -146,15 +147,16 @@
     def offer(self, ticket: Ticket, now_s: float) -> None:
         """Admit, queue or refuse a request."""
         self.update_slowdown(now_s)
+        if self._expects_to_leave(ticket, now_s):
+            self.refuse(ticket, IMPATIENT_REASON, impatient=True)
+            return
+        self.shares.offer(ticket.weight)
         free = self.has_room(now_s) and not self.waiting
         if free and (self.meets_deadline(ticket, now_s) or not self.running):
             # A target that has become too slow still gets one request at a
             # time: nothing else shows that it has become fast again.
             self._admit(ticket, now_s)
             return
-        if self._expects_to_leave(ticket, now_s):
-            self.refuse(ticket, IMPATIENT_REASON, impatient=True)
-            return
         reason = self._policy.refusal_reason(self, ticket, now_s)
         if reason:
             self.refuse(ticket, reason)
@@ -305,6 +307,7 @@
         ticket.admitted = True
         self.running += 1
         self.rate_limit.take()
+        self.shares.serve(ticket.weight)
         ticket.begun_s = now_s
         self._running.add(ticket)
         count = self.running_by_team.get(ticket.team, 0)
--- a/src/chiveroad/traffic/_objective.py
+++ b/src/chiveroad/traffic/_objective.py
@@ -38,6 +38,7 @@
         return (
             not ticket.inner,
             _misses_objective(state, ticket, now_s, 0.0),
+            not state.shares.is_starved(ticket.weight),
             -ticket.weight,
             running,
             min(ticket.objective_s, ticket.deadline_s),
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import threading
 import time
 import typing
@@ -25,6 +26,7 @@
 from chiveroad.traffic import _targets
 from chiveroad import wire
 from tests import fakes
+from tests import test_policies
 
 KIND = config.Kind(1, False, 2_000, 600, 2)
 
@@ -276,3 +278,67 @@
     assert not _moving.was_moved(call, errors.Draining("leaves"))
     call.patience_ms = clock.NEVER_S
     assert not _moving.was_moved(call, errors.Overloaded("busy"))
+
+
+# Guards against a greater weight that is served less than a lesser one, and
+# against a lesser one that isn't served at all.
+@pytest.mark.parametrize(
+    ("greater", "lesser"), [(1.3, 0.5), (1.3, 0.05), (2.5, 1.0), (0.6, 0.9)]
+)
+def test_no_weight_is_starved_and_the_greater_is_served_more(
+    greater: float, lesser: float
+) -> None:
+    capacity = test_policies.CAPACITY
+    arrivals = [
+        test_policies.poisson_arrivals(
+            share * capacity, 20.0, str(weight), weight, seed
+        )
+        for weight, share, seed in ((5, greater, 8), (1, lesser, 9))
+    ]
+    mixed = sorted(itertools.chain(*arrivals), key=lambda pair: pair[0])
+    test_policies.simulate(_objective.ObjectiveFirst(), mixed)
+    more, less = (
+        sum(ticket.admitted for _, ticket in tickets) / len(tickets)
+        for tickets in arrivals
+    )
+    assert more >= less >= load.STARVED_RATIO / 2 * more
+
+
+# Guards against a share that never ends to be starved, or of a weight that is
+# preferred to a greater one that is served less.
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(0, 3), st.booleans()), max_size=600)
+)
+def test_starved_weights_have_been_served_less(
+    events: list[tuple[int, bool]],
+) -> None:
+    shares = load.ServedShares()
+    for weight, served in events:
+        shares.offer(weight)
+        if served:
+            shares.serve(weight)
+    assert not shares.is_starved(3)
+    for weight in range(3):
+        for _ in range(600 if shares.is_starved(weight) else 0):
+            shares.serve(weight)
+        assert not shares.is_starved(weight)
+
+
+# Guards against late requests that fill the queue before those in time.
+def test_late_request_gives_up_its_place_to_one_in_time() -> None:
+    state = busy_guard(slots=2)
+    state.limits = _admission.Limits(2, 2)
+    late = [ticket(0.0), ticket(0.0)]
+    for offered in late:
+        offered.objective_s = 0.01
+        state.offer(offered, 0.0)
+    assert state.waiting == late
+    third = ticket(0.1)
+    third.objective_s = 0.11
+    state.offer(third, 0.1)
+    assert third.refusal is not None
+    timely = ticket(0.1)
+    state.offer(timely, 0.1)
+    assert timely in state.waiting and len(state.waiting) == 2
+    state.finish(next(iter(state._running)), 0.2)
+    assert timely.admitted
