A request tries the last untried target before it waits at a busy one

Cause: with one untried target left, the next try waited wherever the cost was least: at the busy target that had just refused, while the other one was idle, until the deadline (found by tests/test_moving.py, which runs an entry, two guards and two targets on real sockets).

Change: an impatient try goes to any untried target as long as there is another one to wait at.

--- a/src/chiveroad/traffic/_moving.py
+++ b/src/chiveroad/traffic/_moving.py
@@ -36,11 +36,17 @@
     """
     profile = targets.profile(call)
     call.patience_ms = clock.NEVER_S
-    if enabled and _may_move(targets, call, tried):
-        call.patience_ms = load.patience_ms(
-            profile.objective_ms, profile.body_bytes, call.inner
-        )
-        return targets.pick(call.service, profile, tried)
+    if enabled and _may_move(targets, call, tried, busy):
+        try:
+            found = targets.pick(call.service, profile, tried)
+        except errors.NoTarget:
+            if not busy:
+                raise
+        else:
+            call.patience_ms = load.patience_ms(
+                profile.objective_ms, profile.body_bytes, call.inner
+            )
+            return found
     return targets.pick(call.service, profile, set(tried) - busy)
 
 
@@ -54,12 +60,17 @@
     targets: _targets.Targets,
     call: _call.Call,
     tried: collections.abc.Sequence[str],
+    busy: collections.abc.Set[str],
 ) -> bool:
-    """Tell whether the next try may refuse to wait."""
+    """Tell whether the next try may refuse to wait.
+
+    It may if a target hasn't been tried, and there is another one to wait at.
+    """
     if call.body.buffered is None:
         # A streamed body can be sent only once.
         return False
-    if targets.untried(call.service, tried) < 2:
+    untried = targets.untried(call.service, tried)
+    if untried < 1 or untried + len(busy) < 2:
         return False
     learnt, full = targets.load_of(call.service).lately(time.monotonic())
     return len(tried) < load.impatient_tries(learnt, full, _retry.MAX_TRIES)
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -41,6 +41,7 @@
     _call.OBJECTIVE_MS,
     _call.INNER,
     _call.LOAD,
+    _call.PATIENCE_MS,
     _call.RATE_LIMIT,
     _call.LEAVING,
     _call.ENDED,
