Clients that don't finish a body leave slots and connections to others

Requests whose bodies are streamed now use at most half of the slots; further ones wait for their turn before the admission, and while any waits, the longest waits for clients are ended. Bytes that come at 16 KB/s count against the time waited, so that uploads over slow links go on.

With more threads than connections, every connection could be in a thread or queued, and new ones were closed at the cap: queued requests that may wait for their client are refused first now, then the longest waits ended.

Closing lingering connections to make room could end the closer's thread, and a connection closed while the library's loop was about to process it lost the rest of that round. Closing is idempotent now, and new connections come last.

--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -189,6 +189,8 @@
             self._protocol.fractional_retry_after,
             bounds=self._limits.at(limits.Place.ENTRY),
         )
+        for server in (guard_server, entry_server):
+            server.others_waiting = lambda: self._guard.uploads.waiting
         return [control_server, guard_server, entry_server]
 
     def _make_status_servers(self) -> list[serving.Server]:
--- a/src/chiveroad/limits/__init__.py
+++ b/src/chiveroad/limits/__init__.py
@@ -6,6 +6,7 @@
 from chiveroad.limits._bounds import Shared
 from chiveroad.limits._budget import ByteBudget
 from chiveroad.limits._budget import Reservation
+from chiveroad.limits._gate import Gate
 from chiveroad.limits._head import bytes_expected
 from chiveroad.limits._head import LATER
 from chiveroad.limits._head import SMALL_BODY_BYTES
@@ -20,6 +21,7 @@
     "Bounds",
     "ByteBudget",
     "ClassQueue",
+    "Gate",
     "LATER",
     "Limits",
     "Place",
--- a/src/chiveroad/limits/_queue.py
+++ b/src/chiveroad/limits/_queue.py
@@ -89,6 +89,12 @@
             if self._waiting:
                 self._condition.notify()
 
+    def withdraw_waiting(self, count: int) -> list[typing.Any]:
+        """Return the requests that may wait and were queued first."""
+        with self._condition:
+            number = min(count, len(self._waiting))
+            return [self._waiting.popleft() for _ in range(number)]
+
     def _may_take_waiting(self) -> bool:
         return self._running_waiting < self._max_waiting
 
--- a/src/chiveroad/serving/_arrival.py
+++ b/src/chiveroad/serving/_arrival.py
@@ -169,10 +169,11 @@
         ready = self._selector.select(self._wait_s(timeout))
         now_s = time.monotonic()
         complete = []
+        new = []
         for key, _ in ready:
             conn = key.data
             if conn is server:
-                complete.append((key.fd, conn))
+                new.append((key.fd, conn))
             elif conn.arrival.is_complete(server, now_s):
                 self._partial.pop(key.fd, None)
                 complete.append((key.fd, conn))
@@ -180,7 +181,9 @@
                 self._partial[key.fd] = conn
         complete += self._overdue(now_s)
         server.free_threads(now_s)
-        return complete
+        # A new connection may close idle ones, which the library's loop would
+        # then process.
+        return complete + new
 
     def forget(self, descriptor: int) -> None:
         """Unregister a connection that is closed by the selector's thread."""
@@ -200,7 +203,7 @@
 
     def _wait_s(self, timeout: float | None) -> float | None:
         waits_s = [] if timeout is None else [timeout]
-        if self._server.requests.queued():
+        if self._server.requests.queued() or self._server.others_waiting():
             waits_s.append(SHORTAGE_INTERVAL_S)
         if self._partial:
             due_s = min(c.arrival.due_s for c in self._partial.values())
--- a/src/chiveroad/serving/_client_waits.py
+++ b/src/chiveroad/serving/_client_waits.py
@@ -14,6 +14,10 @@
 TAKE_TIMEOUT_S: typing.Final = 5.0
 """How long a peer that sends requests ahead may leave its answers unread."""
 
+USUAL_BYTES_PER_S: typing.Final = 16 * 1024
+"""A client that sends a body this fast isn't waited for: 40 such bodies share
+a link of 5 Mbit/s."""
+
 TAKE_CHECK_S: typing.Final = 0.02
 
 
@@ -62,6 +66,10 @@
         if self._given_up:
             raise TimeoutError("threads are short, and the peer is slow")
 
+    def received(self, count: int) -> None:
+        """Count less of the time waited so far for bytes that came in it."""
+        self._waited_s = max(0.0, self._waited_s - count / USUAL_BYTES_PER_S)
+
     def give_up(self) -> None:
         """End the current wait.
 
--- a/src/chiveroad/serving/_closer.py
+++ b/src/chiveroad/serving/_closer.py
@@ -115,17 +115,22 @@
 
 
 def _register(selector: selectors.BaseSelector, conn: _Connection) -> bool:
-    """Register a connection; return False if it is closed already."""
+    """Register a connection; return False if it is closed already.
+
+    ``close_oldest`` may close it at any time.
+    """
     try:
-        selector.register(conn.socket, selectors.EVENT_READ, conn)
-    except KeyError:
+        with contextlib.suppress(KeyError):
+            selector.register(conn.socket, selectors.EVENT_READ, conn)
+            return True
         # The connection that had this descriptor was closed elsewhere.
-        selector.unregister(conn.socket.fileno())
+        with contextlib.suppress(KeyError):
+            selector.unregister(conn.socket.fileno())
         selector.register(conn.socket, selectors.EVENT_READ, conn)
-    except ValueError:
+        return True
+    except (KeyError, ValueError, OSError):
         conn.close()
         return False
-    return True
 
 
 def _discard_received(conn: _Connection) -> bool:
--- a/src/chiveroad/serving/_framing.py
+++ b/src/chiveroad/serving/_framing.py
@@ -14,7 +14,7 @@
 CHUNK_LINE_BYTES: typing.Final = 16
 """The framing of a chunk: the digits of its size, and two line ends."""
 
-MAX_SMALL_CHUNKS: typing.Final = 4_096
+MAX_SMALL_CHUNKS: typing.Final = 1_024
 MIN_MEAN_CHUNK_BYTES: typing.Final = 16
 """The mean size of a request's chunks beyond the first ``MAX_SMALL_CHUNKS``;
 a chunk takes 2 us to be read, so that five bodies of 100,000 chunks of one
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http
 import re
 import socket
@@ -259,7 +260,7 @@
         self.request: HttpRequest | None = None
         """The current request, or the one that ended the connection."""
 
-        self._open = True
+        self.is_open = True
         self._pauses = PauseTracker()
         self._last_used_s = 0.0
         server.connection_opened()
@@ -374,10 +375,10 @@
         if last_request is not None and last_request.unread:
             self.server.closer.close(self)
             return
-        if self._open:
-            self._open = False
-            self.server.connection_closed()
-        super().close()
+        # The thread that accepts connections may close lingering ones, too.
+        if self.server.connection_closed(self):
+            with contextlib.suppress(OSError):
+                super().close()
 
     def _serve_request(self) -> bool:
         self.waits.begin_request()
--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -138,6 +138,9 @@
         self.fractional_retry = fractional_retry
         self.keeps_connections = True
         self.head_timeout_s = _http.READ_TIMEOUT_S
+        self.others_waiting: collections.abc.Callable[[], int] = lambda: 0
+        """Returns how many requests wait for what slow clients hold."""
+
         self._address = address
         self._running = 0
         self._lingering = 0
@@ -176,41 +179,59 @@
         if _arrival.queue_request(self, conn):
             return
         conn.limit_reached(limits.Reason.THREADS)
-        refusal = errors.Overloaded(
-            "all workers are taken", OVERLOADED_RETRY_MS
-        )
-        conn.refuse_unread(refusal)
+        self._refuse_unread(conn)
+
+    def _refuse_unread(self, conn: _http.HttpConnection) -> None:
+        reason = "all workers are taken"
+        conn.refuse_unread(errors.Overloaded(reason, OVERLOADED_RETRY_MS))
 
     def _has_capacity(self, conn: _http.HttpConnection) -> bool:
         """Make capacity for a new connection, or close it if there is none.
 
         Connections that linger are closed first, then those without a request
-        so far, then those that have been idle for longest.
+        so far, those that have been idle for longest, and those whose
+        requests wait for their clients.
         """
         limit = self.bounds.terms.connections
         if not limit or self._connected <= limit or self.socket is None:
             return True
         conn.limit_reached(limits.Reason.CONNECTIONS)
         count = max(1, limit // CLOSED_TOGETHER)
-        if self.closer.close_oldest(count):
+        closers = self.closer.close_oldest, self._close_idle, self._end_waiting
+        if any(close(count) for close in closers):
             return True
+        conn.close()
+        return False
+
+    def _close_idle(self, count: int) -> bool:
         selector = self._connections._selector
         idle = [
-            (other.has_served, other.last_used, descriptor, other)
-            for descriptor, other in selector.connections
-            if other is not self
+            (conn.has_served, conn.last_used, descriptor, conn)
+            for descriptor, conn in selector.connections
+            if conn is not self
         ]
         idle.sort(key=lambda entry: entry[:2])
-        for *_, descriptor, other in idle[:count]:
+        for *_, descriptor, conn in idle[:count]:
             selector.forget(descriptor)
-            other.close()
-        if not idle:
             conn.close()
         return bool(idle)
 
+    def _end_waiting(self, count: int) -> bool:
+        queued = self.requests.withdraw_waiting(count)
+        for conn in queued:
+            conn.may_wait = False
+            self._refuse_unread(conn)
+        if queued:
+            return True
+        now_s, min_wait_s = time.monotonic(), self.bounds.terms.min_wait_s
+        longest = self.waits.take_longest(count, min_wait_s, now_s)
+        for conn in longest:
+            conn.waits.give_up()
+        return bool(longest)
+
     def free_threads(self, now_s: float) -> None:
-        """End the longest waits for clients while requests are queued."""
-        shortage = self.requests.shortage()
+        """End the longest waits for clients while other requests wait."""
+        shortage = self.requests.shortage() + self.others_waiting()
         if not shortage:
             return
         min_wait_s = self.bounds.terms.min_wait_s
@@ -266,10 +287,12 @@
         with self._count_lock:
             self._connected += 1
 
-    def connection_closed(self) -> None:
-        """Count a connection that was closed."""
+    def connection_closed(self, conn: _http.HttpConnection) -> bool:
+        """Count a closed connection; return False if it was closed before."""
         with self._count_lock:
-            self._connected -= 1
+            was_open, conn.is_open = conn.is_open, False
+            self._connected -= was_open
+            return was_open
 
     def drain(
         self,
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -42,15 +42,24 @@
         """
         if self.is_suspended:
             return None
+        try:
+            return os.readv(self._socket.fileno(), (buffer,))
+        except BlockingIOError:
+            return self._read_later(buffer)
+
+    def _read_later(self, buffer: typing.Any) -> int:
         while True:
+            self.waits.begin(is_sending=False)
             try:
-                return os.readv(self._socket.fileno(), (buffer,))
+                self._wait()
+            finally:
+                self.waits.end()
+            try:
+                count = os.readv(self._socket.fileno(), (buffer,))
             except BlockingIOError:
-                self.waits.begin(is_sending=False)
-                try:
-                    self._wait()
-                finally:
-                    self.waits.end()
+                continue
+            self.waits.received(count)
+            return count
 
     def _wait(self) -> None:
         wait_s = self.read_timeout_s
@@ -101,6 +110,9 @@
         :raises TimeoutError: when the client has been given up.
         """
 
+    def received(self, count: int) -> None:
+        """Record how many bytes were read after a wait."""
+
 
 NO_WAITS: typing.Final = Waits()
 
--- a/src/chiveroad/serving/_workers.py
+++ b/src/chiveroad/serving/_workers.py
@@ -48,6 +48,7 @@
         self.begin_waiting = self._queue.begin_waiting
         self.end_waiting = self._queue.end_waiting
         self.queued = self._queue.queued
+        self.withdraw_waiting = self._queue.withdraw_waiting
 
     def put(self, obj: typing.Any) -> None:
         """Queue a connection for a worker thread.
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -16,6 +16,7 @@
 from chiveroad import clock
 from chiveroad import control
 from chiveroad import errors
+from chiveroad import limits
 from chiveroad import logs
 from chiveroad import metrics
 from chiveroad import presence
@@ -39,6 +40,10 @@
 DRAIN_RETRY_AFTER_MS: typing.Final = 200
 SHED_RETRY_AFTER_MS: typing.Final = 200
 UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
+UPLOAD_SHARE: typing.Final = 0.5
+"""The share of the slots for requests whose bodies may still be on their way;
+the others can't be held by callers that stop sending."""
+
 TIMEOUT_FACTOR: typing.Final = 2.0
 STOP_CHECK_S: typing.Final = _exchange.STOP_CHECK_MS / 1000
 
@@ -89,6 +94,7 @@
         self._buffers = _buffers.BufferBudget()
         self._sampler = logs.Sampler()
         self._incarnation: tuple[int, str] = (0, "")
+        self.uploads = limits.Gate()
         self.draining = False
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
         """Called when the first request begins to wait for a slot."""
@@ -171,6 +177,23 @@
         extra: collections.abc.Sequence[serving.Header],
     ) -> int:
         self._check_target(call)
+        if call.body.buffered is not None:
+            return self._serve_admitted(request, call, extra)
+        # Bodies that their callers don't send to the end held every slot.
+        capacity = max(1, int(UPLOAD_SHARE * self._limits().slots))
+        with self.uploads.admitted(capacity, call.left_ms() / 1000) as may_run:
+            if not may_run:
+                raise errors.Overloaded(
+                    "too many bodies are being sent", SHED_RETRY_AFTER_MS
+                )
+            return self._serve_admitted(request, call, extra)
+
+    def _serve_admitted(
+        self,
+        request: serving.Request,
+        call: _call.Call,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> int:
         ticket = self._admit(call)
         try:
             # The target may have begun to drain while the request waited.
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,8 +7,10 @@
 import contextlib
 import queue
 import socket
+import threading
 import time
 import typing
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies as st
@@ -18,6 +20,8 @@
 from chiveroad import limits
 from chiveroad import serving
 from chiveroad.serving import _arrival
+from chiveroad.serving import _client_waits
+from chiveroad.serving import _closer
 from chiveroad import settings
 from standins import mesh
 
@@ -173,6 +177,49 @@
     assert budget.left_bytes == 100
 
 
+def test_gate_admits_in_the_order_of_arrival() -> None:
+    """A body that comes later mustn't take the slot that another awaits."""
+    gate = limits.Gate()
+    order: list[int] = []
+
+    def enter(number: int) -> None:
+        with gate.admitted(1, 5.0) as is_inside:
+            assert is_inside
+            order.append(number)
+
+    with gate.admitted(1, 0.0):
+        threads = []
+        for number in range(4):
+            threads.append(threading.Thread(target=enter, args=(number,)))
+            threads[-1].start()
+            mesh.wait_for(lambda: gate.waiting > len(threads) - 1, "a turn")
+        with gate.admitted(1, 0.01) as is_inside:
+            assert not is_inside
+    for thread in threads:
+        thread.join()
+    assert order == [0, 1, 2, 3]
+    assert not gate.waiting
+
+
+def test_body_that_keeps_coming_is_not_waited_for() -> None:
+    """Uploads over slow links were ended like bodies that had stopped."""
+    ours, theirs = socket.socketpair()
+    all_waits: limits.Waits[typing.Any] = limits.Waits()
+    conn = mock.Mock(socket=ours)
+    waits = _client_waits.ClientWaits(conn, all_waits)
+    for count, ended in ((100_000, False), (1, True)):
+        waits.begin_request()
+        waits.begin(is_sending=False)
+        time.sleep(0.05)
+        waits.end()
+        waits.received(count)
+        waits.begin(is_sending=False)
+        now_s = time.monotonic()
+        assert bool(all_waits.take_longest(1, 0.04, now_s)) is ended
+    ours.close()
+    theirs.close()
+
+
 @pytest.mark.parametrize("descriptors", [40, 160, 4_100, 8_192])
 def test_connections_of_all_addresses_leave_descriptors(
     descriptors: int,
@@ -313,6 +360,28 @@
     assert counts == {"waiting": 1}
 
 
+class _Closing:
+    def __init__(self) -> None:
+        self.socket, self._peer = socket.socketpair()
+
+    def close(self) -> None:
+        """Close both ends."""
+        self.socket.close()
+        self._peer.close()
+
+
+def test_closer_survives_connections_that_are_closed_to_make_room() -> None:
+    """Its thread ended, and all later connections lingered for ever."""
+    closer = _closer.Closer()
+    for _ in range(300):
+        for _ in range(8):
+            closer.close(_Closing())
+        closer.close_oldest(6)
+    last = _Closing()
+    closer.close(last)
+    mesh.wait_for(lambda: last.socket.fileno() < 0, "the last to be closed")
+
+
 def test_head_that_comes_too_slowly_is_refused_as_not_run() -> None:
     """It was answered with 500, which left open whether it had run."""
     address = _PORTS.take()
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -72,9 +72,9 @@
 class Mesh(mesh.Mesh):
     """One daemon with all its addresses, its target and the store."""
 
-    def __init__(self) -> None:
+    def __init__(self, options: str = SETTINGS) -> None:
         deployment = mesh.Deployment("one", "r", {"r": ["a"]}, {"glade": 1})
-        super().__init__(deployment, SETTINGS)
+        super().__init__(deployment, options)
         self.ready = self._ports.take()
         self.heartbeat = self._ports.take()
 
@@ -135,22 +135,31 @@
         )
 
 
-@pytest.fixture
-def daemon() -> collections.abc.Iterator[Mesh]:
-    """Yield a running daemon, while no other of these tests runs."""
+@contextlib.contextmanager
+def _alone(
+    options: str = SETTINGS, service_file: str = SERVICE_FILE
+) -> collections.abc.Iterator[Mesh]:
+    """Run a daemon while no other of these tests runs."""
     path = pathlib.Path(tempfile.gettempdir()) / _LOCK
     with path.open("w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
-        running = Mesh()
+        running = Mesh(options)
         with running:
             running.start()
-            running.push_file("10-glade.toml", SERVICE_FILE)
+            running.push_file("10-glade.toml", service_file)
             running.wait_in_force(1)
             running.wait_for_target("glade-1")
             assert mesh.wait_for(lambda: _is_served(running), "an answer")
             yield running
 
 
+@pytest.fixture
+def daemon() -> collections.abc.Iterator[Mesh]:
+    """Yield a running daemon."""
+    with _alone() as running:
+        yield running
+
+
 def _is_served(running: Mesh, timeout_s: float = ATTEMPT_TIMEOUT_S) -> bool:
     entry = running.instances["glade-1"].entry
     result = caller.Caller(entry, timeout_s).call("GET", "/any/ordinary")
@@ -194,6 +203,7 @@
     unserved_later = _unserved(running)
     print(f"used: {used}; unserved: {unserved}, later: {unserved_later}")
     assert process.poll() is None
+    assert "Traceback" not in running.log_of("glade-1")
     assert not unserved_later
     assert watcher.memory_mb <= MEMORY_MB, used
     assert watcher.descriptors <= DESCRIPTORS, used
@@ -233,6 +243,16 @@
     _check(daemon, [client] * IDLE_CLIENTS)
 
 
+def test_bodies_without_an_end_leave_slots_of_the_target() -> None:
+    """Such bodies held all slots, though threads were left for others."""
+    many_threads = SETTINGS.replace("threads = 8", "threads = 64")
+    few_slots = SERVICE_FILE.replace("slots = 16", "slots = 2")
+    with _alone(many_threads, few_slots) as running:
+        address, path = running.places()["route"]
+        client = (address, path, crowd.HABITS["body in one piece"])
+        _check(running, [client] * CLIENTS)
+
+
 def test_large_answers_that_are_not_read_leave_the_daemon_in_order(
     daemon: Mesh,
 ) -> None:
