--- a/src/chiveroad/serving/_server.py
+++ b/src/chiveroad/serving/_server.py
@@ -168,8 +168,7 @@
     def process_conn(self, conn: _http.HttpConnection) -> None:
         """Queue a connection for a worker, or refuse its request if full.
 
-        A connection is often accepted before its request has arrived.  Such a
-        connection is kept until the request arrives, and isn't refused.
+        A new connection is kept until its request arrives.
         """
         if conn.is_new:
             conn.is_new = False
@@ -198,10 +197,9 @@
         conn.limit_reached(limits.Reason.CONNECTIONS)
         count = max(1, limit // CLOSED_TOGETHER)
         closers = self.closer.close_oldest, self._close_idle, self._end_waiting
-        if any(close(count) for close in closers):
-            return True
-        conn.close()
-        return False
+        if not any(close(count) for close in closers):
+            conn.close()
+        return conn.is_open
 
     def _close_idle(self, count: int) -> bool:
         selector = self._connections._selector
