--- a/src/chiveroad/traffic/_body.py
+++ b/src/chiveroad/traffic/_body.py
@@ -45,6 +45,9 @@
         self._start_digest = b""
         self.length = request.content_length
         self.buffered: bytes | None = None
+        self.on_complete: collections.abc.Callable[[], None] = lambda: None
+        """Called when the end of the body has been read."""
+
         small = self.length is None or self.length <= EAGER_BODY_BYTES
         if small and not request.awaits_continue:
             self._buffer(EAGER_BODY_BYTES)
@@ -140,6 +143,7 @@
             self._kept.append(chunk)
         elif not chunk:
             self.length = self._read_bytes
+            self.on_complete()
             if not self._dropped:
                 self.buffered = b"".join(self._kept)
                 self._kept.clear()
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -17,6 +17,7 @@
 from chiveroad import control
 from chiveroad import errors
 from chiveroad import inner_calls
+from chiveroad import limits
 from chiveroad import load
 from chiveroad import logs
 from chiveroad import metrics
@@ -41,6 +42,10 @@
 DRAIN_RETRY_AFTER_MS: typing.Final = 200
 SHED_RETRY_AFTER_MS: typing.Final = 200
 UNKNOWN_RETRY_AFTER_MS: typing.Final = 500
+UPLOAD_SHARE: typing.Final = 0.5
+"""The share of the slots for requests whose bodies may still be on their way;
+the others can't be held by callers that stop sending."""
+
 TIMEOUT_FACTOR: typing.Final = 2.0
 QUEUE_CHECK_S: typing.Final = 0.05
 """How often a waiting request checks whether its caller has left, or a planned
@@ -97,6 +102,7 @@
         self.outlook = inner_calls.Outlook()
         """How the inner calls of the target fare, as its entry records it."""
 
+        self.uploads = limits.Gate()
         self.draining = False
         self.on_queue: collections.abc.Callable[[], None] = lambda: None
         """Called when the first request begins to wait for a slot."""
@@ -180,6 +186,24 @@
     ) -> int:
         self._check_target(call)
         self._check_outlook(call)
+        if call.body.buffered is not None:
+            return self._serve_admitted(request, call, extra)
+        # Bodies that their callers don't send to the end held every slot.
+        capacity = max(1, int(UPLOAD_SHARE * self._limits().slots))
+        with self.uploads.admitted(capacity, call.left_ms() / 1000) as entered:
+            if not entered:
+                raise errors.Overloaded(
+                    "too many bodies are being sent", SHED_RETRY_AFTER_MS
+                )
+            call.body.on_complete = entered.leave
+            return self._serve_admitted(request, call, extra)
+
+    def _serve_admitted(
+        self,
+        request: serving.Request,
+        call: _call.Call,
+        extra: collections.abc.Sequence[serving.Header],
+    ) -> int:
         ticket = self._admit(call, request)
         try:
             # The target may have begun to drain while the request waited.
