--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -363,6 +363,7 @@
             "running": self.running,
             "waiting": self.waiting,
             "slots": self.slots,
+            "pace": round(self.pace_factor, 2),
             "left_ms": int(call.left_ms()),
         }
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -25,6 +25,9 @@
 from chiveroad.traffic import _objective
 from chiveroad.traffic import _targets
 from chiveroad import wire
+from standins import experiments
+from standins import placement
+from standins import placement_parts
 from tests import fakes
 from tests import test_policies
 
@@ -349,3 +352,26 @@
     assert timely in state.waiting and len(state.waiting) == 2
     state.finish(next(iter(state._running)), 0.2)
     assert timely.admitted
+
+
+# Guards against a decision that loses requests, and against moves that are
+# worth less than they cost.
+@pytest.mark.parametrize(
+    "pattern",
+    [
+        placement_parts.Load(0.8, wave=0.55, seconds=2.0),
+        placement_parts.Load(0.75, inner_share=0.4, seconds=2.0),
+    ],
+)
+def test_moves_and_pace_earn_more_than_they_cost(
+    pattern: placement_parts.Load,
+) -> None:
+    tallies = [
+        placement.Fleet(pattern, options, entries=16, targets=(12, 8)).run()
+        for options in (experiments.BEFORE, placement_parts.Options())
+    ]
+    for tally in tallies:
+        outcomes = sum(count for count, _, _ in tally.by_weight.values())
+        assert tally.total == outcomes > 500
+    before, after = tallies
+    assert after.net > before.net
