A client that doesn't read its answer leaves no stack trace

The wait was ended with an error that the library logs with a stack trace; a test of untrusted clients found it. It is a broken pipe now, as when the client closes.

--- a/src/chiveroad/serving/_client_waits.py
+++ b/src/chiveroad/serving/_client_waits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import time
 import typing
@@ -59,10 +60,13 @@
     def end(self) -> None:
         """Record that a wait has ended.
 
-        :raises TimeoutError: when the client has been given up.
+        :raises OSError: when the client has been given up.
         """
         self._all.end(self._conn)
         self._waited_s += time.monotonic() - self._begun_s
+        if self._given_up and self._is_sending:
+            # The library logs other errors of a write with a stack trace.
+            raise BrokenPipeError(errno.EPIPE, "the peer doesn't read")
         if self._given_up:
             raise TimeoutError("threads are short, and the peer is slow")
 
@@ -83,7 +87,7 @@
     def until_taken(self, sock: socket.socket) -> None:
         """Wait until the peer has taken the answers sent so far.
 
-        :raises TimeoutError: when the peer doesn't in time.
+        :raises OSError: when the peer doesn't in time.
         """
         if not _arrival.untaken_bytes(sock):
             return
--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -322,7 +322,7 @@
             return True
         try:
             self.waits.until_taken(self.socket)
-        except TimeoutError:
+        except OSError:
             return False
         return True
 
--- a/src/chiveroad/serving/_stream.py
+++ b/src/chiveroad/serving/_stream.py
@@ -107,7 +107,7 @@
     def end(self) -> None:
         """Record that a wait has ended.
 
-        :raises TimeoutError: when the client has been given up.
+        :raises OSError: when the client has been given up.
         """
 
     def received(self, count: int) -> None:
