--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -6,12 +6,9 @@
 
 from __future__ import annotations
 
-import collections.abc
 import copy
-import dataclasses
 import functools
 import itertools
-import random
 import time
 import typing
 import urllib.parse
@@ -29,6 +26,7 @@
 from chiveroad import quotas
 from chiveroad import serving
 from chiveroad import settings
+from chiveroad.traffic import _attempts
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _buffers
 from chiveroad.traffic import _call
@@ -68,14 +66,6 @@
     errors.CallerDisconnected,
     errors.CallerDisconnectedEarly,
 )
-_NO_CAPACITY: typing.Final = (
-    errors.Overloaded,
-    errors.RateLimited,
-    errors.Draining,
-    errors.TargetUnknown,
-)
-"""The refusals after which a pause may help an inner call."""
-
 _log = logs.Logger("entry")
 
 
@@ -236,7 +226,7 @@
         self._hedges.count(call.service)
         size = call.body.length or 0
         self._recorder.count("chiveroad.entry.bytes", "in", size)
-        attempts = _Attempts(request, call, route)
+        attempts = _attempts.Attempts(request, call, route)
         served = self._try_targets(attempts)
         if call.inner and not isinstance(attempts.worst, _CALLER_LEFT):
             self.outlook.record(not served, time.monotonic())
@@ -271,7 +261,7 @@
             return False
         return self._quotas.admit(call.customer, call.due_s)
 
-    def _try_targets(self, attempts: _Attempts) -> bool:
+    def _try_targets(self, attempts: _attempts.Attempts) -> bool:
         """Try targets one after the other; False if all attempts fail."""
         while True:
             try:
@@ -295,36 +285,20 @@
                 )
 
     def _retry_inner_call(
-        self, attempts: _Attempts, refusal: errors.Refusal
+        self, attempts: _attempts.Attempts, refusal: errors.Refusal
     ) -> bool:
         """Wait until an inner call may be tried at all targets again.
 
         :returns: False if it isn't to be tried again.
         """
-        call = attempts.call
-        if not call.inner or attempts.request.begun or attempts.sent:
-            return False
-        if not call.body.replayable:
-            return False
-        if not isinstance(attempts.worst, _NO_CAPACITY):
-            return False
-        attempts.rounds += 1
-        pause_s = inner_calls.retry_pause_s(
-            attempts.rounds,
-            refusal.ran,
-            refusal.reached,
-            call.left_ms(),
-            random.random(),
-        )
+        pause_s = attempts.next_round_in_s(refusal)
         if pause_s is None:
             return False
         self._recorder.count("chiveroad.entry.inner_retries")
         time.sleep(pause_s)
-        attempts.tried.clear()
-        attempts.busy.clear()
         return True
 
-    def _log_served(self, attempts: _Attempts) -> None:
+    def _log_served(self, attempts: _attempts.Attempts) -> None:
         if not self._sampler.allow():
             return
         _log.info(
@@ -334,7 +308,7 @@
             extra=self._log_fields(attempts),
         )
 
-    def _log_fields(self, attempts: _Attempts) -> dict[str, object]:
+    def _log_fields(self, attempts: _attempts.Attempts) -> dict[str, object]:
         """Return the fields of a log line about a request."""
         return {
             "request": attempts.call.id,
@@ -446,7 +420,7 @@
         """Tell whether the daemon's local target sent the request."""
         return request.peer_host == self._own_host
 
-    def _try_once(self, attempts: _Attempts) -> None:
+    def _try_once(self, attempts: _attempts.Attempts) -> None:
         """Try one target, unless the request's content is in quarantine."""
         call = attempts.call
         if call.left_ms() <= 0:
@@ -467,7 +441,7 @@
                 self.quarantine.release(suspect)
         self.quarantine.answered(call)
 
-    def _try_target(self, attempts: _Attempts) -> None:
+    def _try_target(self, attempts: _attempts.Attempts) -> None:
         call, tried = attempts.call, attempts.tried
         self._check_time_left(call)
         hedge_target, attempts.hedge_target = attempts.hedge_target, ""
@@ -511,7 +485,9 @@
         if _deadline.no_target_in_time(call.kind_name, left_ms, all_stats):
             raise errors.DeadlineTooShort(f"{left_ms:.0f} ms are left")
 
-    def _failover(self, attempts: _Attempts) -> _failover.Failover | None:
+    def _failover(
+        self, attempts: _attempts.Attempts
+    ) -> _failover.Failover | None:
         """Return the failover of an idempotent request, or None.
 
         There is none if the body can't be replayed, the request is part of
@@ -528,7 +504,7 @@
 
     def _serve(
         self,
-        attempts: _Attempts,
+        attempts: _attempts.Attempts,
         member: membership.Member,
         stats: _balancer.TargetStats,
     ) -> None:
@@ -571,7 +547,7 @@
 
     def _hedge(
         self,
-        attempts: _Attempts,
+        attempts: _attempts.Attempts,
         member: membership.Member,
         stats: _balancer.TargetStats,
     ) -> _exchange.Hedge | None:
@@ -614,7 +590,9 @@
 
         return lambda: attempts.hedge(try_another)
 
-    def _late_sender(self, attempts: _Attempts) -> _hedges.Sender | None:
+    def _late_sender(
+        self, attempts: _attempts.Attempts
+    ) -> _hedges.Sender | None:
         """Return what sends a hedge if the answer is late, or None.
 
         Only the outermost entry hedges, as only it retries after an unknown
@@ -633,7 +611,9 @@
             attempts.tried,
         )
 
-    def _send_late_hedge(self, attempts: _Attempts, instance: str) -> bool:
+    def _send_late_hedge(
+        self, attempts: _attempts.Attempts, instance: str
+    ) -> bool:
         """Send a hedge to one target; it isn't retried at others."""
 
         def try_once() -> bool:
@@ -652,7 +632,7 @@
         return attempts.hedge(try_once)
 
     def _retry_allowed(
-        self, attempts: _Attempts, refusal: errors.Refusal
+        self, attempts: _attempts.Attempts, refusal: errors.Refusal
     ) -> bool:
         """Tell whether a request may go to another target."""
         call = attempts.call
@@ -670,7 +650,7 @@
         return _retry.decide(failure, True) is _retry.Decision.RETRY
 
     def _should_retry(
-        self, attempts: _Attempts, refusal: errors.Refusal
+        self, attempts: _attempts.Attempts, refusal: errors.Refusal
     ) -> bool:
         if isinstance(refusal, _NOT_RETRIED):
             return False
@@ -684,73 +664,6 @@
         return self._budget.spend(call.service)
 
 
-@dataclasses.dataclass(slots=True)
-class _Attempts:
-    """The attempts to serve one request so far.
-
-    ``tried`` names the targets that were picked, and ``busy`` those that the
-    request was moved on from.  ``completed`` counts the attempts that have
-    ended at a target that received the request, and ``in_progress`` the
-    targets that may still be running it while a hedged request is sent.
-    ``rounds`` counts how often an inner call was refused by all targets that
-    were tried.  ``worst`` is the refusal that the caller receives if no target
-    serves the request.  ``hedge_target`` is the instance that the next attempt
-    is sent to, if it is a hedge for a late answer.
-    """
-
-    request: serving.Request
-    call: _call.Call
-    route: config.Route
-    tried: list[str] = dataclasses.field(default_factory=list)
-    busy: set[str] = dataclasses.field(default_factory=set)
-    completed: int = 0
-    in_progress: int = 0
-    rounds: int = 0
-    worst: errors.Refusal | None = None
-    served_by: str = ""
-    hedge_target: str = ""
-
-    @property
-    def moved(self) -> bool:
-        """Tell whether the last try ended as the target was busy."""
-        return bool(self.tried) and self.tried[-1] in self.busy
-
-    @property
-    def sent(self) -> int:
-        """Return how many targets have, or may have, received the request."""
-        return self.completed + self.in_progress
-
-    @property
-    def may_have_run(self) -> bool:
-        """Tell whether a target may have run the request, which failed."""
-        return self.sent > 0 or self.worst is None or self.worst.ran != "no"
-
-    def record_refusal(self, refusal: errors.Refusal) -> None:
-        """Record why a target gave no answer."""
-        self.worst = _worse(self.worst, refusal)
-        self.completed += refusal.reached
-
-    def hedge(self, try_another: collections.abc.Callable[[], bool]) -> bool:
-        """Try other targets while the first one may run the request.
-
-        :returns: whether the caller has been answered.
-        :raises errors.Refusal: when an answer that had begun was truncated.
-        """
-        self.in_progress += 1
-        try:
-            served = try_another()
-        except _exchange.Superseded:
-            return False
-        finally:
-            self.in_progress -= 1
-        if not served and self.request.begun:
-            assert (
-                self.worst is not None
-            ), "report this: truncated without a refusal"
-            raise self.worst
-        return served
-
-
 def _answer_failure(
     request: serving.Request, call: _call.Call, worst: errors.Refusal
 ) -> None:
@@ -788,19 +701,3 @@
     if "." in parts or ".." in parts or "\\" in path or "//" in path:
         raise errors.BadRequest("the path has dot or empty segments")
     return path
-
-
-def _worse(
-    before: errors.Refusal | None, now: errors.Refusal
-) -> errors.Refusal:
-    """Return the refusal that the caller receives after several attempts.
-
-    Once one attempt may have run, the request may have run.
-    """
-    if before is None or now.ran == "unknown":
-        return now
-    if before.ran == "unknown":
-        return before
-    if isinstance(now, errors.NoTarget):
-        return before
-    return now
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -24,6 +24,7 @@
 from chiveroad import metrics
 from chiveroad import platform
 from chiveroad import serving
+from chiveroad.traffic import _attempts
 from chiveroad.traffic import _call
 from chiveroad.traffic import _entry
 from chiveroad.traffic import _exchange
@@ -480,7 +481,7 @@
     class ScriptedEntry(_entry.Entry):
         """An entry without a network."""
 
-        def _try_once(self, attempts: _entry._Attempts) -> None:
+        def _try_once(self, attempts: _attempts.Attempts) -> None:
             tried = attempts.tried
             tried.append(f"daemon-{len(tried)}")
             attempted.append(tried[-1])
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -15,9 +15,9 @@
 from chiveroad import errors
 from chiveroad import store
 from chiveroad.traffic import _admission
+from chiveroad.traffic import _attempts
 from chiveroad.traffic import _balancer
 from chiveroad.traffic import _claims
-from chiveroad.traffic import _entry
 from chiveroad.traffic import _objective
 from chiveroad.traffic import _rate_limit
 from chiveroad.traffic import _retry
@@ -416,7 +416,7 @@
     latest: errors.Refusal,
     reported: errors.Refusal,
 ) -> None:
-    assert _entry._worse(before, latest) is reported
+    assert _attempts.worse(before, latest) is reported
 
 
 OWN_CLAIM: typing.Final = _claims.Claim("s", "f", "mine", "g", 1_000, 2_000)
