Two candidates of equal cost are chosen at random

Cause: with exactly two candidates of nearly equal cost there was no sample, so the first of two equal ones was always chosen (found by test_entry_leaves_out_the_incarnation_of_a_target_that_leaves).

--- a/src/chiveroad/traffic/_balancer.py
+++ b/src/chiveroad/traffic/_balancer.py
@@ -404,9 +404,9 @@
             return None
         limit = min(cost for cost, _ in costs) + EQUAL_COST
         near = [pair for pair in costs if pair[0] <= limit]
-        if len(near) > 2:
-            near = self._rng.sample(near, 2)
-        return min(near, key=lambda pair: pair[0])[1]
+        # The sample is in random order, which decides between equal costs.
+        compared = self._rng.sample(near, min(2, len(near)))
+        return min(compared, key=lambda pair: pair[0])[1]
 
     def _cost(self, candidate: Candidate) -> float:
         objective_ms = candidate.objective_ms or DEFAULT_OBJECTIVE_MS
