Explanations leave the guard's shares alone; only calls of targets are tried again

Change: the explained request states that its body needn't be asked for; the copy of the admission has shares of its own; in a protocol whose targets state the depth of their calls, only those with a depth are tried again, and only while a quarter of the objective is left. The refusal that callers get is the first cause, not that no time is left.

--- a/src/chiveroad/inner_calls/_retries.py
+++ b/src/chiveroad/inner_calls/_retries.py
@@ -21,9 +21,18 @@
 MIN_LEFT_MS: typing.Final = 10.0
 """With less time left, an answer of another instance comes too late."""
 
+WORK_SHARE: typing.Final = 0.25
+"""The share of its latency objective that a call takes at the least.  One that
+begins with less time left would be run and broken off."""
+
 
 def retry_pause_s(
-    rounds: int, ran: str, reached: bool, left_ms: float, spread: float
+    rounds: int,
+    ran: str,
+    reached: bool,
+    left_ms: float,
+    spread: float,
+    objective_ms: float = 0.0,
 ) -> float | None:
     """Return the pause before an inner call is tried again, or None.
 
@@ -38,6 +47,7 @@
     :param left_ms: the time left until the call's deadline.
     :param spread: a random number from 0 to 1, so that calls which failed
         together don't return together.
+    :param objective_ms: the latency objective of the call's kind, 0 for none.
 
     >>> retry_pause_s(1, "no", False, 300.0, 1.0)
     0.015
@@ -46,6 +56,7 @@
         return None
     pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0 ** (rounds - 1))
     pause_s *= 0.5 + 0.5 * spread
-    if left_ms - 1000 * pause_s < MIN_LEFT_MS:
+    needed_ms = max(MIN_LEFT_MS, WORK_SHARE * objective_ms)
+    if left_ms - 1000 * pause_s < needed_ms:
         return None
     return pause_s
--- a/src/chiveroad/traffic/_admission.py
+++ b/src/chiveroad/traffic/_admission.py
@@ -149,6 +149,7 @@
         """Return a copy, whose decisions leave this state as it is."""
         copied = copy.copy(self)
         copied.rate_limit = copy.deepcopy(self.rate_limit)
+        copied.shares = copy.deepcopy(self.shares)
         copied.waiting = [_copy_ticket(each) for each in self.waiting]
         copied._running = {_copy_ticket(each) for each in self._running}
         copied.running_by_team = dict(self.running_by_team)
--- a/src/chiveroad/traffic/_attempts.py
+++ b/src/chiveroad/traffic/_attempts.py
@@ -23,6 +23,13 @@
 """The refusals after which a pause may help an inner call."""
 
 
+_CONSEQUENCES: typing.Final = (
+    errors.NoTarget,
+    errors.DeadlineTooShort,
+    errors.DeadlineExceeded,
+)
+
+
 @dataclasses.dataclass(slots=True)
 class Attempts:
     """The attempts to serve one request so far.
@@ -87,6 +94,7 @@
             refusal.reached,
             call.left_ms(),
             random.random(),
+            call.kind.objective_ms,
         )
         if pause_s is not None:
             self.tried.clear()
@@ -119,12 +127,13 @@
 ) -> errors.Refusal:
     """Return the refusal that the caller receives after several attempts.
 
-    Once one attempt may have run, the request may have run.
+    Once one attempt may have run, the request may have run.  That no target
+    or no time is left for another attempt isn't why the request failed.
     """
     if before is None or now.ran == "unknown":
         return now
     if before.ran == "unknown":
         return before
-    if isinstance(now, errors.NoTarget):
+    if isinstance(now, _CONSEQUENCES):
         return before
     return now
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -228,7 +228,8 @@
         self._recorder.count("chiveroad.entry.bytes", "in", size)
         attempts = _attempts.Attempts(request, call, route)
         served = self._try_targets(attempts)
-        if call.inner and not isinstance(attempts.worst, _CALLER_LEFT):
+        caller_left = isinstance(attempts.worst, _CALLER_LEFT)
+        if self._is_call_of_target(call) and not caller_left:
             self.outlook.record(not served, time.monotonic())
         if served:
             self._log_served(attempts)
@@ -291,6 +292,8 @@
 
         :returns: False if it isn't to be tried again.
         """
+        if not self._is_call_of_target(attempts.call):
+            return False
         pause_s = attempts.next_round_in_s(refusal)
         if pause_s is None:
             return False
@@ -416,6 +419,12 @@
             return headers
         return _call.without_credentials(headers, self._protocol)
 
+    def _is_call_of_target(self, call: _call.Call) -> bool:
+        """Tell whether a running request of the local target waits for it."""
+        return call.inner and (
+            call.depth > 0 or not self._protocol.states_depth
+        )
+
     def _is_inner(self, request: serving.Request) -> bool:
         """Tell whether the daemon's local target sent the request."""
         return request.peer_host == self._own_host
--- a/src/chiveroad/traffic/_explanation.py
+++ b/src/chiveroad/traffic/_explanation.py
@@ -48,6 +48,11 @@
         """Return no address: the caller isn't the local target."""
         return ""
 
+    @property
+    def awaits_continue(self) -> bool:
+        """Return False: the body needn't be asked for."""
+        return False
+
     @property
     def content_length(self) -> int | None:
         """Return the size of the body."""
--- a/src/chiveroad/wire/_native.py
+++ b/src/chiveroad/wire/_native.py
@@ -67,6 +67,8 @@
 class Native(_protocol.Protocol):
     """The names and formats that ``docs/UPSTREAM.md`` describes."""
 
+    states_depth = True
+
     def read_request(self, request: serving.Request) -> _protocol.RequestTerms:
         """Read the headers in which a caller describes its request."""
         return _protocol.RequestTerms(
--- a/src/chiveroad/wire/_protocol.py
+++ b/src/chiveroad/wire/_protocol.py
@@ -157,6 +157,11 @@
     fractional_retry_after: bool = False
     """Whether callers accept a ``Retry-After`` with fractions of a second."""
 
+    states_depth: bool = False
+    """Whether targets state the depth of the calls that they make.  Otherwise
+    such calls are told by the address that they come from, which callers on
+    the same instance may share."""
+
     echoes_ids: bool = False
     """Whether each answer of a target states the id of its request."""
 
--- a/tests/test_inner_calls.py
+++ b/tests/test_inner_calls.py
@@ -48,6 +48,15 @@
     assert 1000 * pause_s < left_ms
 
 
+# Guards against a call that is run and broken off, as it began too late.
+def test_inner_call_is_not_tried_again_without_time_to_run() -> None:
+    for left_ms, tried in ((150.0, True), (90.0, False)):
+        pause_s = inner_calls.retry_pause_s(
+            1, "no", False, left_ms, 1.0, objective_ms=320.0
+        )
+        assert (pause_s is not None) is tried
+
+
 def _admitted(outcomes: str) -> list[bool]:
     """Return whether outer work begins 0.1, 0.2, 0.4 and 1.2 s later."""
     outlook = inner_calls.Outlook()
