--- a/src/chiveroad/traffic/_buffers.py
+++ b/src/chiveroad/traffic/_buffers.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-import threading
 import types
 import typing
 
+from chiveroad import limits
+
 SMALL_ANSWER_BYTES: typing.Final = 64 * 1024
 """What each answer may take without a reservation."""
 
@@ -20,28 +21,14 @@
 STEP_BYTES: typing.Final = 64 * 1024
 
 
-class BufferBudget:
+class BufferBudget(limits.ByteBudget):
     """The bytes that all buffered answers may take together.
 
     :param limit_bytes: the limit, without ``SMALL_ANSWER_BYTES`` of each.
     """
 
     def __init__(self, limit_bytes: int = BUDGET_BYTES) -> None:
-        self._lock = threading.Lock()
-        self.left_bytes = limit_bytes
-
-    def reserve(self, count: int) -> bool:
-        """Reserve bytes; return False where not as many are left."""
-        with self._lock:
-            if count > self.left_bytes:
-                return False
-            self.left_bytes -= count
-            return True
-
-    def release(self, count: int) -> None:
-        """Return reserved bytes."""
-        with self._lock:
-            self.left_bytes += count
+        super().__init__(limit_bytes)
 
 
 class Reservation:
