--- a/src/chiveroad/metrics/_export.py
+++ b/src/chiveroad/metrics/_export.py
@@ -23,6 +23,8 @@
     "chiveroad.entry.bytes": "Bytes of bodies, in from callers and out.",
     "chiveroad.entry.requests": "Requests taken by the entry, by outcome.",
     "chiveroad.entry.retries": "Tries after the first.",
+    "chiveroad.entry.inner_retries": "Rounds of inner calls after refusals.",
+    "chiveroad.entry.quarantine": "Quarantines of requests, by change.",
     "chiveroad.entry.hedges": "Hedged requests for late answers, by outcome.",
     "chiveroad.entry.hedges.wasted": "Milliseconds of withdrawn attempts.",
     "chiveroad.entry.picks": "Upstreams picked, by distance.",
