--- a/src/chiveroad/traffic/_explanation.py
+++ b/src/chiveroad/traffic/_explanation.py
@@ -31,7 +31,7 @@
 _CHUNK: typing.Final = b"\0" * 4_096
 
 
-class _ImaginedRequest(serving.Request):
+class _HypotheticalRequest(serving.Request):
     """A request that nobody has sent, with a body of zeros."""
 
     def __init__(self, question: _explanation_views.Question) -> None:
@@ -141,7 +141,7 @@
     :raises errors.Refusal: with which the entry would refuse it.
     """
     current = preview.applied.config
-    request = _ImaginedRequest(question)
+    request = _HypotheticalRequest(question)
     call, route = preview.read_call(request)
     found.route = _route(route, call)
     found.deadline_ms = int((call.deadline_s - request.received_s) * 1000)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -45,7 +45,7 @@
 
 
 @dataclasses.dataclass
-class Beheld:
+class Observed:
     """An entry with a guard of its own, and the members that it knows."""
 
     entry: _entry.Entry
@@ -53,7 +53,9 @@
     applied: control.Applied
 
 
-def beheld(with_customers: bool = False, fail_closed: bool = False) -> Beheld:
+def make_observed(
+    with_customers: bool = False, fail_closed: bool = False
+) -> Observed:
     """Return the entry of ``own`` with two more targets of ``glade``.
 
     ``/part`` is split between ``glade`` and ``dell``, which has no target.
@@ -100,7 +102,7 @@
     entry = _entry.Entry(
         options, applied, view, guard, recorder, wire.Native()
     )
-    return Beheld(entry, guard, applied)
+    return Observed(entry, guard, applied)
 
 
 def state(value: object, seen: frozenset[int] = frozenset()) -> object:
@@ -133,9 +135,9 @@
     return {name: state(each, seen) for name, each in held.items()}
 
 
-def make_busy(found: Beheld) -> None:
+def make_busy(found: Observed) -> None:
     """Fill the state of an entry and a guard with what it may change."""
-    ticket = _guard._ticket(_imagined_call(found), 0.0)
+    ticket = _guard._ticket(_hypothetical_call(found), 0.0)
     ticket.deadline_s = 1e9
     for _ in range(SLOTS + 2):
         found.guard._admission.limits = found.guard._limits()
@@ -148,14 +150,14 @@
     for seen in found.entry._targets.survey("glade"):
         seen.stats.record_load(1, SLOTS, 1.0, "k", 50.0)
     for end in "ab":
-        call = _imagined_call(found)
+        call = _hypothetical_call(found)
         found.entry.quarantine.target_ended(call, end)
 
 
-def _imagined_call(found: Beheld) -> _call.Call:
+def _hypothetical_call(found: Observed) -> _call.Call:
     question = traffic.Question("/read", key_digest=HELD)
     terms = _explanation._StatedTerms(question)
-    request = _explanation._ImaginedRequest(question)
+    request = _explanation._HypotheticalRequest(question)
     call, _ = found.entry.preview(terms).read_call(request)
     return call
 
@@ -175,7 +177,7 @@
     question: traffic.Question, with_customers: bool
 ) -> None:
     """Guards against an explanation that is counted, or takes a turn."""
-    found = beheld(with_customers)
+    found = make_observed(with_customers)
     make_busy(found)
     before = state(found.entry)
     assert "waiting" in str(before) and "_credits" in str(before)
@@ -188,14 +190,14 @@
 
 def test_what_is_explained_is_what_is_decided_next() -> None:
     """Guards against an explanation by other rules than the entry's."""
-    found = beheld()
+    found = make_observed()
     make_busy(found)
     for _ in range(12):
         said = _explanation.explain(found.entry, traffic.Question("/part"))
         assert said.route is not None
         part = found.applied.config.routes["part"]
         assert said.route.service == found.entry._splitter.choose(part)
-        call = _imagined_call(found)
+        call = _hypothetical_call(found)
         said = _explanation.explain(found.entry, traffic.Question("/read"))
         chosen, _ = found.entry._targets.pick(
             "glade", found.entry._targets.profile(call), ()
@@ -216,7 +218,7 @@
 def test_refusals_are_those_of_the_entry(
     question: traffic.Question, code: int | None
 ) -> None:
-    said = _explanation.explain(beheld(True).entry, question)
+    said = _explanation.explain(make_observed(True).entry, question)
     assert (said.refusal and said.refusal.code) == code
     assert bool(said.pick) == (code is None)
     if code is None:
@@ -228,7 +230,7 @@
 def test_key_that_is_not_confirmed_is_shown() -> None:
     """Guards against a key that seems valid while requests get a 503."""
     question = traffic.Question("/read", key_digest=HELD)
-    said = _explanation.explain(beheld(True, True).entry, question)
+    said = _explanation.explain(make_observed(True, True).entry, question)
     assert said.refusal is not None
     assert said.refusal.code == errors.KeyUnconfirmed.code
     assert said.key_confirmed is False
@@ -236,7 +238,7 @@
 
 def test_candidates_say_why_they_are_not_picked() -> None:
     """Guards against a reason that isn't the balancer's."""
-    found = beheld()
+    found = make_observed()
     make_busy(found)
     by_name = {
         seen.member.instance: seen.stats
@@ -256,14 +258,14 @@
 
 def test_quarantine_is_shown_for_a_known_content() -> None:
     """Guards against a request that seems to be sent but is refused."""
-    found = beheld()
+    found = make_observed()
     for end in "abc":
-        found.entry.quarantine.target_ended(_imagined_call(found), end)
+        found.entry.quarantine.target_ended(_hypothetical_call(found), end)
     said = _explanation.explain(found.entry, traffic.Question("/read"))
     assert said.refusal is not None and said.quarantine is not None
     assert said.refusal.code == errors.Quarantined.code
     assert said.quarantine.ended == 3
-    content = _quarantine.content_of(_imagined_call(found))
+    content = _quarantine.content_of(_hypothetical_call(found))
     assert said.quarantine.content == content
     sized = traffic.Question("/read", body_bytes=5)
     said = _explanation.explain(found.entry, sized)
@@ -306,7 +308,7 @@
     """Guards against a key that leaves the command, and its exit codes."""
     key_file = tmp_path / "key"
     key_file.write_text(f"{KEY}\n")
-    page = _Page(beheld(True).entry)
+    page = _Page(make_observed(True).entry)
     with served(page) as address:
         sent = test_product.run(
             *("explain", "/read", "--daemon", address, "-o", "json"),
