--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,16 +13,22 @@
 
 HOST, PATH, KEY, TENANT = "jepu9.example", "/puka111/", "hhacrudd", "pulo780"
 RATE = int(os.environ.get("RATE", "100"))
-BURST = int(os.environ.get("BURST", "100"))
-DEMAND = float(os.environ.get("DEMAND", "7.5"))
-"""The demand, times the rate; the site file's ``hot_tenant`` has up to 7.5."""
+BURST = int(os.environ.get("BURST", "200"))
+USUAL = RATE / 1.6
+"""The tenant's usual demand: ``quota_x`` of the site file is 1.6."""
+
+HOT_X = float(os.environ.get("HOT_X", "7.5"))
+"""The risen demand, times the usual; ``hot_tenant`` has up to 7.5 there."""
+
+DOWN_S = float(os.environ.get("DOWN", "0.2"))
+"""The delay before a killed daemon is started again."""
 
 HOME = int(os.environ.get("HOME_AT", "-1"))
 """The machine of all of the tenant's clients; its daemon alone is killed.
 Without it they are on all machines, and all daemons are killed."""
 
 QUIET_S, HOT_AFTER_S = 3.0, 5.0
-HOT_BEFORE_S = float(os.environ.get("BEFORE", "0.5"))
+HOT_BEFORE_S = float(os.environ.get("BEFORE", "1"))
 
 LAYOUT = [
     ("bts-a", "sk-west", "huvo11a"),
@@ -88,10 +94,10 @@
     try:
         await lab.start(CONFIGURATION, slots=32, work_s=0.01)
         await asyncio.sleep(2.0)
-        await load(0.05 * RATE, QUIET_S, tasks)
+        await load(USUAL, QUIET_S, tasks)
         hot_s = time.monotonic()
         hot = asyncio.create_task(
-            load(DEMAND * RATE, HOT_BEFORE_S + HOT_AFTER_S, tasks)
+            load(HOT_X * USUAL, HOT_BEFORE_S + HOT_AFTER_S, tasks)
         )
         await asyncio.sleep(HOT_BEFORE_S)
         down = 0.0
@@ -102,6 +108,8 @@
                 machine.process.kill()
             for machine in killed:
                 machine.process.wait()
+            await asyncio.sleep(DOWN_S)
+            for machine in killed:
                 machine.start()
             await lab.wait_ready()
             down = time.monotonic() - killed_s
