Log of a version: how many customers it has, and whether keys are required

The log named the version in force, but not whether the daemon checks keys, so it couldn't tell a daemon with an older version from one that checks none.

--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -170,11 +170,15 @@
             self.applied_at_s = clock.now_s()
             self._changed.notify_all()
         _log.info(
-            "Version {} is in force: {} services, {} routes.",
+            "Version {} is in force: {} services, {} routes, {} customers.",
             number,
             len(compiled.services),
             len(compiled.routes),
-            extra={"unconfirmed_ms": unconfirmed_ms},
+            len(compiled.customers),
+            extra={
+                "unconfirmed_ms": unconfirmed_ms,
+                "demands_keys": compiled.demands_keys,
+            },
         )
         return VersionOrder.NEWER
 
