An empty list of customers revokes all keys at each daemon

Cause: a configuration says that keys are needed by listing customers. The adapter read 'tenants, but none' as 'no tenants', and Config remembered from the version before, in the process only, that there had been customers.

Evidence: in a trial with the logs kept, the restarted daemon has version 8, confirmed, with demands_keys false; the others have it with true. So neither an older version nor a missing confirmation is involved.

The merger of a folder keeps the statement in all later versions. What a process remembers is in Applied instead of in a chain of configurations.

Both tests fail on the commit before: [status 200 == 401] at the entry, and the merged versions [False, True, False, False] for [False, True, True, True].

--- a/src/chiveroad/config/__init__.py
+++ b/src/chiveroad/config/__init__.py
@@ -21,9 +21,11 @@
 from chiveroad.config._model import Customer
 from chiveroad.config._model import customer_item
 from chiveroad.config._model import Items
+from chiveroad.config._model import keep_key_demand
 from chiveroad.config._model import Kind
 from chiveroad.config._model import Limits
 from chiveroad.config._model import limits_item
+from chiveroad.config._model import no_customers_item
 from chiveroad.config._model import Route
 from chiveroad.config._model import route_item
 from chiveroad.config._model import Service
@@ -50,8 +52,10 @@
     "customer_item",
     "diff",
     "digest",
+    "keep_key_demand",
     "limits_item",
     "merge",
+    "no_customers_item",
     "pack",
     "pack_delta",
     "parse",
--- a/src/chiveroad/config/_model.py
+++ b/src/chiveroad/config/_model.py
@@ -121,10 +121,13 @@
 
 LIMITS_KEY: typing.Final = "limits/callers"
 
+NO_CUSTOMERS_KEY: typing.Final = "customers/none"
+"""The item of a version that requires keys although it lists no customer."""
+
 Items: typing.TypeAlias = collections.abc.Mapping[str, str]
 """A configuration as canonical JSON texts by key: ``service/NAME``,
-``route/NAME``, ``customer/NAME`` or ``LIMITS_KEY``.  Deltas and digests are
-computed on it."""
+``route/NAME``, ``customer/NAME``, ``LIMITS_KEY`` or ``NO_CUSTOMERS_KEY``.
+Deltas and digests are computed on it."""
 
 _service_decoder = msgspec.json.Decoder(Service)
 _route_decoder = msgspec.json.Decoder(Route)
@@ -139,8 +142,8 @@
     ``match`` selects the route with the longest matching path prefix.  A
     prefix ends at a path separator.
 
-    ``demands_keys`` says that there are, or were in an earlier version,
-    customers: the version that removes the last customer revokes its keys,
+    ``demands_keys`` says that the version lists customers, or states that its
+    list is empty: a version that removes the last customer revokes its keys,
     and doesn't open the routes to everyone.
 
     :param items: the canonical texts by key.
@@ -169,6 +172,8 @@
                 self.services[service.name] = service
             elif key == LIMITS_KEY:
                 self.limits = _limits_decoder.decode(text)
+            elif key == NO_CUSTOMERS_KEY:
+                continue
             elif key.startswith("customer/"):
                 customer = _customer(key, text, reusable)
                 self.customers[customer.name] = customer
@@ -181,8 +186,7 @@
             for customer in self.customers.values()
             for digest in customer.key_digests
         }
-        former = previous is not None and previous.demands_keys
-        self.demands_keys: bool = bool(self.customers) or former
+        self.demands_keys = _demands_keys(self.items)
 
     def _index(self, previous: Config | None) -> dict[str, _Paths]:
         """Return the routes by host, method and path.
@@ -317,6 +321,32 @@
     return f"customer/{customer.name}", _encoder.encode(customer).decode()
 
 
+def no_customers_item() -> tuple[str, str]:
+    """Return the key and canonical text that state an empty list."""
+    return NO_CUSTOMERS_KEY, "{}"
+
+
+def keep_key_demand(base: Items, items: Items) -> dict[str, str]:
+    """Return a merged version's items with the demand for keys of its base.
+
+    The files that defined the last customer may be gone, so that a merge
+    alone can't tell its removal from a folder that never had customers.
+
+    >>> keep_key_demand({"customer/tusk": "{}"}, {"route/r": "{}"})
+    {'customers/none': '{}', 'route/r': '{}'}
+    """
+    kept = dict(items)
+    if _demands_keys(base) and not _demands_keys(items):
+        kept.update([no_customers_item()])
+    return dict(sorted(kept.items()))
+
+
+def _demands_keys(items: Items) -> bool:
+    return any(
+        key == NO_CUSTOMERS_KEY or key.startswith("customer/") for key in items
+    )
+
+
 def limits_item(limits: Limits) -> tuple[str, str]:
     """Return the key and canonical text of the limits for callers."""
     return LIMITS_KEY, _encoder.encode(limits).decode()
--- a/src/chiveroad/control/_agent.py
+++ b/src/chiveroad/control/_agent.py
@@ -211,7 +211,7 @@
         while not self.stopped:
             now_s = clock.now_s()
             if self._reads_store():
-                if self._node.applied.config.demands_keys:
+                if self._node.applied.demands_keys:
                     self._store.confirm(now_s)
                 time.sleep(KEYS_CONFIRM_S)
             elif self._peer_confirmations.tick(now_s):
--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -97,6 +97,9 @@
         self._earlier: collections.OrderedDict[str, _Items] = (
             collections.OrderedDict()
         )
+        self.demands_keys = False
+        """Whether a version that demands keys has been in force here."""
+
         self.current = _empty_version()
         self.applied_at_s = 0.0
         """When the present version was put in force, by ``clock``."""
@@ -168,6 +171,8 @@
                 number, digest, compiled, time.time() * 1000, revision
             )
             self.applied_at_s = clock.now_s()
+            if compiled.demands_keys:
+                self.demands_keys = True
             self._changed.notify_all()
         _log.info(
             "Version {} is in force: {} services, {} routes, {} customers.",
@@ -177,7 +182,7 @@
             len(compiled.customers),
             extra={
                 "unconfirmed_ms": unconfirmed_ms,
-                "demands_keys": compiled.demands_keys,
+                "keys_needed": self.demands_keys,
             },
         )
         return VersionOrder.NEWER
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -544,7 +544,7 @@
             answered = max(answered, event.version)
             if event.object is not None and event.object.name == ACCEPTED:
                 newest = event.object
-        demands_keys = self._node.applied.config.demands_keys
+        demands_keys = self._node.applied.demands_keys
         stale = demands_keys and store.ABSENT < answered < revision
         if newest is not None:
             stale = not self._apply(newest) or stale
@@ -593,7 +593,7 @@
                 version.number,
                 applied.current.number,
             )
-        if not applied.config.demands_keys:
+        if not applied.demands_keys:
             return True
         if order is _applied.VersionOrder.OLDER:
             return stored.version >= applied.current.revision
--- a/src/chiveroad/control/_merger.py
+++ b/src/chiveroad/control/_merger.py
@@ -172,6 +172,8 @@
                 "older than the one of the accepted version"
             )
         merged = config.merge(list(self._sources.values()), base.sources)
+        items = config.keep_key_demand(base.items, merged.items)
+        merged = dataclasses.replace(merged, items=items)
         if merged.items != base.items:
             self._accept(merged)
         else:
--- a/src/chiveroad/control/_peer_confirmations.py
+++ b/src/chiveroad/control/_peer_confirmations.py
@@ -76,7 +76,7 @@
         it one.
         """
         applied = self._node.applied
-        if applied.current.number and not applied.config.demands_keys:
+        if applied.current.number and not applied.demands_keys:
             return False
         confirmed_s = applied.confirmed_s
         return confirmed_s is None or now_s - confirmed_s > self._ask_after_s
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -84,7 +84,7 @@
         another one of the same number confirms the one in force.
         """
         current = self._node.applied.current
-        if not current.config.demands_keys:
+        if not self._node.applied.demands_keys:
             return True
         stated = (accepted.version, accepted.digest)
         return stated == (current.number, current.digest)
@@ -303,7 +303,7 @@
             answer.version_revision,
             checked=True,
         )
-    if answer.confirmed_ago_ms >= 0 and _confirms(applied.current, answer):
+    if answer.confirmed_ago_ms >= 0 and _confirms(applied, answer):
         # The other daemon states the age of its confirmation as of its
         # answer, which it sent after the wait of the long poll.
         age_ms = answer.confirmed_ago_ms - answer.held_ms
@@ -311,7 +311,7 @@
 
 
 def _confirms(
-    current: _applied.Version,
+    applied: _applied.Applied,
     answer: _messages.SyncAnswer | _messages.ConfirmationAnswer,
 ) -> bool:
     """Return whether a confirmation applies to the version in force.
@@ -320,7 +320,8 @@
     While keys are revoked by versions, one of another version with the same
     number doesn't.
     """
-    if current.number != answer.version or not current.config.demands_keys:
+    current = applied.current
+    if current.number != answer.version or not applied.demands_keys:
         return current.number >= answer.version
     return current.digest == answer.digest
 
--- a/src/chiveroad/platform/_configuration.py
+++ b/src/chiveroad/platform/_configuration.py
@@ -127,6 +127,9 @@
                 kinds=dict(sorted(kinds.get(service.name, {}).items())),
             )
             items.append(config.service_item(translated))
+        if configuration.tenants is not None and not configuration.tenants:
+            # Requests need a key, though no customer holds one.
+            items.append(config.no_customers_item())
         if configuration.limits is not None:
             items.append(config.limits_item(_limits(configuration.limits)))
         return wire.AcceptedVersion(number, dict(sorted(items)))
--- a/src/chiveroad/traffic/_entry.py
+++ b/src/chiveroad/traffic/_entry.py
@@ -400,9 +400,9 @@
         # Read before the configuration: a confirmation of a newer version
         # must not make the keys of an older one valid.
         confirmed_s = self._applied.confirmed_s
-        current = self._applied.config
-        if not current.demands_keys:
+        if not self._applied.demands_keys:
             return None
+        current = self._applied.config
         if not key_digest and (from_target or route.anonymous):
             return None
         customers.check_confirmed(
@@ -415,7 +415,7 @@
     ) -> list[serving.Header]:
         """Return the caller's headers that are forwarded to the target."""
         headers = _call.end_to_end(request.headers())
-        if not self._applied.config.demands_keys:
+        if not self._applied.demands_keys:
             return headers
         return _call.without_credentials(headers, self._protocol)
 
--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -350,7 +350,7 @@
         """
         headers = _call.end_to_end(request.headers())
         named = bool(request.header(_call.CUSTOMER))
-        if not (named or self._applied.config.demands_keys):
+        if not (named or self._applied.demands_keys):
             return headers
         return _call.without_credentials(headers, self._protocol)
 
