The store records that requests need keys, for daemons that start later

What callers saw: after all daemons had ended, a version that leaves the table of customers out opens all routes: old keys are served and shown to targets.

Cause: that keys are needed was known only to processes that had had a version with customers. Such a version doesn't state it, unlike an empty list.

Change (docs/design/22): with record_keys or fail_closed the object keys/main says so from the first version with customers on. Daemons that read versions from the store write it once an era; the others are told beside the version. A daemon that doesn't know isn't ready. test_platform.py: the template has 13 optional values instead of 12, and the customers' settings one more.

Before: test_restarted_fleet_without_a_table_of_customers_stays_closed fails with status 200 for 401.

--- a/src/chiveroad/control/_applied.py
+++ b/src/chiveroad/control/_applied.py
@@ -7,6 +7,10 @@
 of this instance may have run a version that its peers haven't received.  Where
 a return to an older version is ruled out within one incarnation only, any
 version makes the process ready.
+
+Whether requests need keys outlasts the versions that list customers.  Where
+versions don't state it, the process isn't ready before it knows, see
+``_key_record``.
 """
 
 from __future__ import annotations
@@ -85,10 +89,15 @@
 
     :param changed: notified whenever the version or the confirmation changes.
     :param confirmed_only: whether a version must be confirmed before use.
+    :param keys_recorded: whether the store records that requests need keys,
+        so that a version without customers doesn't show whether they do.
     """
 
     def __init__(
-        self, changed: threading.Condition, confirmed_only: bool = True
+        self,
+        changed: threading.Condition,
+        confirmed_only: bool = True,
+        keys_recorded: bool = False,
     ) -> None:
         self._changed = changed
         self._confirmed_only = confirmed_only
@@ -97,9 +106,8 @@
         self._earlier: collections.OrderedDict[str, _Items] = (
             collections.OrderedDict()
         )
-        self.demands_keys = False
-        """Whether a version that demands keys has been in force here."""
-
+        self.keys_recorded = keys_recorded
+        self._keys_needed: bool | None = None if keys_recorded else False
         self.current = _empty_version()
         self.applied_at_s = 0.0
         """When the present version was put in force, by ``clock``."""
@@ -112,6 +120,8 @@
     @property
     def ready(self) -> bool:
         """Tell whether the version may be used."""
+        if self._keys_needed is None:
+            return False
         if not self._confirmed_only:
             return self.current.number > 0
         return (
@@ -127,6 +137,43 @@
         """
         return self._confirmed_s
 
+    @property
+    def demands_keys(self) -> bool:
+        """Tell whether requests need keys, or may need them.
+
+        They do once a version with customers has been in force, here or at
+        any daemon that has recorded it.
+        """
+        return self._keys_needed is not False
+
+    @property
+    def keys_needed(self) -> bool | None:
+        """Return whether requests need keys, or None while it isn't known."""
+        return self._keys_needed
+
+    @property
+    def unstated_keys_needed(self) -> bool | None:
+        """Return what other daemons are told beside the version.
+
+        It is None where the version states it, and where it isn't known.
+        """
+        if not self.keys_recorded or self.current.config.demands_keys:
+            return None
+        return self._keys_needed
+
+    def learn_keys_needed(self, needed: bool) -> None:
+        """Learn whether requests need keys; once they do, they always do."""
+        with self._changed:
+            if self._keys_needed or self._keys_needed is needed:
+                return
+            self._keys_needed = needed
+            self._changed.notify_all()
+        _log.info(
+            "Requests {} with version {}.",
+            "need keys" if needed else "need no keys",
+            self.current.number,
+        )
+
     def offer(
         self,
         number: int,
@@ -172,7 +219,7 @@
             )
             self.applied_at_s = clock.now_s()
             if compiled.demands_keys:
-                self.demands_keys = True
+                self._keys_needed = True
             self._changed.notify_all()
         _log.info(
             "Version {} is in force: {} services, {} routes, {} customers.",
@@ -182,7 +229,7 @@
             len(compiled.customers),
             extra={
                 "unconfirmed_ms": unconfirmed_ms,
-                "keys_needed": self.demands_keys,
+                "keys_needed": self._keys_needed,
             },
         )
         return VersionOrder.NEWER
--- a/src/chiveroad/control/_follower.py
+++ b/src/chiveroad/control/_follower.py
@@ -21,6 +21,7 @@
 from chiveroad.control import _bootstrap
 from chiveroad.control import _control_plane
 from chiveroad.control import _freshness
+from chiveroad.control import _key_record
 from chiveroad.control import _messages
 from chiveroad.control import _node
 from chiveroad.control import _parent_exchanges
@@ -148,6 +149,9 @@
         self._peer_confirmations = _peer_confirmations.PeerConfirmations(
             node, options.customers.revoke_within_s
         )
+        self._key_record = _key_record.KeyRecord(
+            platform, node, lambda: self._watching
+        )
         self._bounds = _freshness.FreshnessBounds(
             options.control.apply_within_s
         )
@@ -182,6 +186,8 @@
         _threads.start("following a parent", self._follow_parent)
         _threads.start("bootstrapping others", self._bootstrap_others)
         _threads.start("sweeping", self._sweep)
+        if self._node.applied.keys_recorded:
+            _threads.start("recording keys", self._record_keys)
         if self._fail_closed:
             for _ in range(_peer_confirmations.THREADS):
                 _threads.start("confirming", self._confirm_with_peers)
@@ -385,6 +391,18 @@
             time.sleep(_sweeper.SWEEP_INTERVAL_S)
             self._sweeper.tick()
 
+    def _record_keys(self) -> None:
+        backoff = _backoff.Backoff(RETRY_S, MAX_RETRY_VERSIONS_S)
+        while not self.stopped:
+            try:
+                self._key_record.tick()
+            except errors.ChiveroadError as exc:
+                _log.info("The record of keys is unavailable: {}.", exc)
+                backoff.wait()
+                continue
+            backoff.reset()
+            self._key_record.wait(MAX_SLEEP_S)
+
     def _confirm_with_peers(self) -> None:
         backoff = _peer_confirmations.new_backoff()
         while not self.stopped:
--- a/src/chiveroad/control/_messages.py
+++ b/src/chiveroad/control/_messages.py
@@ -61,7 +61,8 @@
     revision of the version.  ``leads`` says that the parent is its region's
     leader.  ``as_of`` and ``as_of_era`` are as in ``SyncRequest``, for the
     parent.  ``former_suspects`` is what the child's record named before the
-    child was restarted.
+    child was restarted.  ``keys_needed`` says whether requests need keys; it
+    is None where the version states it, or where it isn't known.
     """
 
     source: str
@@ -82,6 +83,7 @@
     revision_era: int = 0
     as_of_era: int = 0
     former_suspects: membership.RecordedSuspects = ()
+    keys_needed: bool | None = None
 
     @property
     def version_revision(self) -> store.Revision:
@@ -112,6 +114,7 @@
     snapshot: bytes = b""
     revision: int = 0
     revision_era: int = 0
+    keys_needed: bool | None = None
 
     @property
     def version_revision(self) -> store.Revision:
@@ -122,7 +125,8 @@
 class SnapshotOffer(msgspec.Struct, frozen=True, omit_defaults=True):
     """A version that a child sends to a parent that has an older one.
 
-    ``revision`` and ``revision_era`` are the store's revision of the version.
+    ``revision`` and ``revision_era`` are the store's revision of the version,
+    and ``keys_needed`` is as in ``SyncAnswer``.
     """
 
     version: int
@@ -130,6 +134,7 @@
     snapshot: bytes
     revision: int = 0
     revision_era: int = 0
+    keys_needed: bool | None = None
 
     @property
     def version_revision(self) -> store.Revision:
--- a/src/chiveroad/control/_node.py
+++ b/src/chiveroad/control/_node.py
@@ -51,6 +51,7 @@
     :param member: the daemon's first self-reported state.
     :param recorded: whether the states of members, this one's too, come from
         the store's records, rather than from gossip between daemons.
+    :param keys_recorded: as in ``Applied``.
 
     ``as_of`` is the store's revision up to which the view holds all records.
     ``suspects`` is what this daemon's record is to name as suspects, and
@@ -58,12 +59,17 @@
     """
 
     def __init__(
-        self, member: membership.Member, recorded: bool = False
+        self,
+        member: membership.Member,
+        recorded: bool = False,
+        keys_recorded: bool = False,
     ) -> None:
         self.changed = threading.Condition()
         self._recorded = recorded
         self.applied = _applied.Applied(
-            self.changed, confirmed_only=not recorded
+            self.changed,
+            confirmed_only=not recorded,
+            keys_recorded=keys_recorded,
         )
         self.view = membership.View(self.changed)
         self.children: dict[str, Child] = {}
--- a/src/chiveroad/control/_peer.py
+++ b/src/chiveroad/control/_peer.py
@@ -50,6 +50,11 @@
     packed = config.pack(current.config.items)
     revision = current.revision
     offer = _messages.SnapshotOffer(
-        current.number, current.digest, packed, revision.number, revision.era
+        current.number,
+        current.digest,
+        packed,
+        revision.number,
+        revision.era,
+        node.applied.unstated_keys_needed,
     )
     return msgspec.json.encode(offer)
--- a/src/chiveroad/control/_server.py
+++ b/src/chiveroad/control/_server.py
@@ -173,6 +173,7 @@
             as_of=as_of.number,
             as_of_era=as_of.era,
             former_suspects=former_suspects,
+            keys_needed=node.applied.unstated_keys_needed,
         )
 
     def _confirmed_ago_ms(self) -> float:
@@ -197,6 +198,7 @@
             snapshot=snapshot,
             revision=current.revision.number,
             revision_era=current.revision.era,
+            keys_needed=self._node.applied.unstated_keys_needed,
         )
         request.answer(http.HTTPStatus.OK, _JSON, msgspec.json.encode(answer))
 
@@ -253,6 +255,8 @@
             )
         except errors.DigestMismatch as exc:
             raise errors.BadRequest(str(exc)) from exc
+        if offer.keys_needed is not None:
+            self._node.applied.learn_keys_needed(offer.keys_needed)
         request.answer(http.HTTPStatus.OK, _JSON, b"{}")
 
     def _hello(self, request: serving.Request) -> None:
--- a/src/chiveroad/control/_source.py
+++ b/src/chiveroad/control/_source.py
@@ -303,6 +303,8 @@
             answer.version_revision,
             checked=True,
         )
+    if answer.keys_needed is not None:
+        applied.learn_keys_needed(answer.keys_needed)
     if answer.confirmed_ago_ms >= 0 and _confirms(applied, answer):
         # The other daemon states the age of its confirmation as of its
         # answer, which it sent after the wait of the long poll.
--- a/src/chiveroad/daemon.py
+++ b/src/chiveroad/daemon.py
@@ -97,7 +97,11 @@
         self._uplink = serving.Uplink(options.capacity.link_mbps)
         self._platform = self._store(options.platform.timeout_ms / 1000)
         self._target = presence.LocalTarget(options.target.address)
-        self._node = control.Node(_initial_member(options, accepted), accepted)
+        self._node = control.Node(
+            _initial_member(options, accepted),
+            recorded=accepted,
+            keys_recorded=accepted and _records_keys(options.customers),
+        )
         self._control_plane = self._make_control_plane(accepted)
         self._claims = traffic.Claims(
             self._store(CLAIM_TIMEOUT_S), options.instance
@@ -532,6 +536,10 @@
     return platform.Protocol()
 
 
+def _records_keys(options: settings.Customers) -> bool:
+    return options.fail_closed or options.record_keys
+
+
 def _store_client(options: settings.Settings, timeout_s: float) -> store.Store:
     address = options.platform.address
     if options.platform.protocol == "native":
--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -22,6 +22,7 @@
 _PLATFORM_KINDS: typing.Final = {
     store.Kind.ACCEPTED: "config",
     store.Kind.MEMBERS: "chiveroad-members",
+    store.Kind.KEYS: "chiveroad-keys",
 }
 """The platform's names of kinds; kinds that aren't listed keep their names."""
 
--- a/src/chiveroad/settings.py
+++ b/src/chiveroad/settings.py
@@ -200,7 +200,11 @@
 class Customers(_Table, frozen=True):
     """The bounds for customers' keys and quotas.
 
-    With ``fail_closed`` a request with a key is refused once the
+    With ``record_keys`` the store records that requests need keys, so that a
+    daemon that starts after the last customer was removed refuses their keys.
+    ``fail_closed`` implies it where versions are accepted outside of
+    chiveroad; the versions that chiveroad merges state it themselves.  With
+    ``fail_closed`` a request with a key is refused once the
     configuration hasn't been confirmed for almost ``revoke_within_s``, so
     that no request sent later than that after a key was revoked is run.  In
     any window of ``quota_window_s`` a customer's requests may exceed its
@@ -213,6 +217,7 @@
     quota_window_s: typing.Annotated[float, msgspec.Meta(gt=0, le=600)] = 5.0
     quota_overage: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     quota_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 20.0
+    record_keys: bool = False
 
 
 class Hedging(_Table, frozen=True):
--- a/src/chiveroad/store/_base.py
+++ b/src/chiveroad/store/_base.py
@@ -31,6 +31,7 @@
     CLAIMS = "claims"
     ACCEPTED = "accepted"
     MEMBERS = "members"
+    KEYS = "keys"
 
 
 class EventType(enum.Enum):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -24,6 +24,7 @@
 KINDS: typing.Final = {
     "config": store.Kind.ACCEPTED,
     "chiveroad-members": store.Kind.MEMBERS,
+    "chiveroad-keys": store.Kind.KEYS,
 }
 
 _ERROR_STATUS: typing.Final = {
--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -109,6 +109,7 @@
     with contextlib.ExitStack() as stack:
         stack.callback(server.server_close)
         stack.callback(server.shutdown)
+        stack.callback(_stop_all, fleet)
         for name in NAMES:
             target = fleet.targets[name] = keyed.Target()
             stack.callback(target.close)
@@ -121,9 +122,7 @@
             fleet.controls[name] = control
             settings = folder / f"{name}.toml"
             settings.write_text(text)
-            process = _start(settings, folder / f"{name}.log")
-            fleet.processes[name] = process
-            stack.callback(_stop, process)
+            fleet.processes[name] = _start(settings, folder / f"{name}.log")
         for name in NAMES:
             mesh.wait_for(lambda: _is_serving(fleet, name) or None, name, 40.0)
         time.sleep(4.0)
@@ -143,11 +142,24 @@
         )
 
 
+def _stop_all(fleet: Fleet) -> None:
+    for process in fleet.processes.values():
+        _stop(process)
+
+
 def _stop(process: "subprocess.Popen[bytes]") -> None:
     process.kill()
     process.wait()
 
 
+def _is_answering(fleet: Fleet, name: str) -> bool:
+    """Tell whether a daemon knows a version, whatever it answers."""
+    try:
+        return fleet.status(name, [TOKEN]) != 503
+    except OSError:
+        return False
+
+
 def _is_serving(fleet: Fleet, name: str) -> bool:
     try:
         return fleet.status(name, [TOKEN]) == 200
@@ -264,6 +276,37 @@
         )
 
 
+# Guards against a mesh that opens its routes, and shows targets the revoked
+# keys, as all daemons have ended since the table of customers was left out.
+def test_restarted_fleet_without_a_table_of_customers_stays_closed(
+    fleet: Fleet,
+) -> None:
+    fleet.accept(keyed.specification(number=20))
+    for name in NAMES:
+        mesh.wait_for(lambda: _is_serving(fleet, name) or None, name, 40.0)
+    fleet.accept(keyed.specification((), number=21))
+    for name in NAMES:
+        mesh.wait_for(
+            lambda: fleet.status(name, [TOKEN]) == 401 or None, name, 40.0
+        )
+    for process in fleet.processes.values():
+        _stop(process)
+    for target in fleet.targets.values():
+        target.heads.clear()
+    for name in NAMES:
+        settings = fleet.folder / f"{name}.toml"
+        log = fleet.folder / f"{name}-restarted.log"
+        fleet.processes[name] = _start(settings, log)
+    for name in NAMES:
+        mesh.wait_for(lambda: _is_answering(fleet, name) or None, name, 40.0)
+    for _ in range(5):
+        for name in NAMES:
+            assert fleet.status(name, [TOKEN]) == 401
+            assert fleet.status(name, []) == 401
+        time.sleep(0.1)
+    assert not any(target.heads for target in fleet.targets.values())
+
+
 FOLDER: typing.Final = f"""team = "keys"
 [service.glade]
 slots = 12
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -384,11 +384,13 @@
     assert found.control.apply_within_s == 3.0
     assert found.capacity.percent == 35
     optional = re.findall(r"{{#([a-z0-9_.]+)}}", text)
-    assert len(optional) == 12
-    assert found.customers == settings.Customers(True, 4.0, 6.0, 0.2, 30.0)
+    assert len(optional) == 13
+    assert found.customers == settings.Customers(
+        True, 4.0, 6.0, 0.2, 30.0, record_keys=True
+    )
     assert found.capacity.memory_mb == 200
     assert found.capacity.file_descriptors == 4100
-    for name in optional:
+    for name in set(optional):
         del values[name]
     without_optional = settings.parse(_fill_template(text, values))
     assert without_optional.control == settings.Control(source="accepted")
