Log of the quota servers: with how much an account is opened, and why

One line an account: tokens, daemons known, the entry's place for the server, what it had admitted lately, whether it said that the limit is near.

--- a/src/chiveroad/quotas/_ledger.py
+++ b/src/chiveroad/quotas/_ledger.py
@@ -8,6 +8,7 @@
 import typing
 
 from chiveroad import config
+from chiveroad import logs
 from chiveroad import membership
 from chiveroad.quotas import _account
 from chiveroad.quotas import _limits
@@ -19,6 +20,8 @@
 """An entry that isn't idle reports at least this often, see
 ``_links.IDLE_S``, even if one report is lost."""
 
+_log = logs.Logger("quotas")
+
 Customers = collections.abc.Mapping[str, config.Customer]
 
 
@@ -107,7 +110,10 @@
             for use in report.uses:
                 account = self._account(use.customer, now_s)
                 if account is not None:
+                    opened = not account.entries
                     allowances.append(account.report(report, use, situation))
+                    if opened:
+                        self._log_opened(use, report.entry, account, now_s)
                     self._note_state(use.customer, account.close)
         self._tick(daemons, now_s)
         return self._answer(report, allowances)
@@ -164,6 +170,28 @@
             self._accounts[name] = account
         return account
 
+    def _log_opened(
+        self,
+        use: _messages.Use,
+        entry: str,
+        account: _account.Account,
+        now_s: float,
+    ) -> None:
+        """Log what an account begins with, and what was known then."""
+        _log.info(
+            "Quota account of customer {} opened by a report of {}: {:.0f} "
+            "tokens.",
+            use.customer,
+            entry,
+            account.level(now_s),
+            extra={
+                "daemons": len(self._view.all()),
+                "rank": use.rank,
+                "recent": sum(use.recent or ()),
+                "close": account.close,
+            },
+        )
+
     def _limit(self, customer: config.Customer) -> _limits.Limit:
         return _limits.limit(customer.rate_per_s, customer.burst, self._terms)
 
