A quota's bucket starts with what can be known, not with a whole burst

Cause: an account that is opened after a start begins with a full bucket.

Change (docs/design/23): the bucket starts with a quarter of the permitted excess, as of the time from which use is known: the server's start, or the entry's, which reports state now. Two starts in a window fit into the excess. A window later the level follows from the use in it. Entries that have just started ask first, and admit their share by the same rule if no server answers. Answers say whether most of a limit is used, apart from whether tokens are needed: a server that starts must not empty the bucket otherwise.

--- a/src/chiveroad/quotas/_account.py
+++ b/src/chiveroad/quotas/_account.py
@@ -42,12 +42,16 @@
 
     ``failed_over`` is the part of them that reports to this server because
     another one doesn't answer, and ``present`` the part that has reported to
-    it since it was started, 0 once that is long ago.
+    it since it was started, 0 once that is long ago.  ``server_up_s`` and
+    ``entry_up_s`` are for how long this server and the reporting entry have
+    known what was used.
     """
 
     daemons: int
     failed_over: float
     present: float
+    server_up_s: float
+    entry_up_s: float
     now_s: float
 
 
@@ -85,6 +89,8 @@
         self._scale = 0.0
         self._reserved = 0.0
         self._taken_over = False
+        self._told_close = False
+        self._window_known_at_s: float | None = None
         self._level = 0.0
         self._held = 0
         self._backlog = 0.0
@@ -163,6 +169,7 @@
             use.used,
             close=self.close,
             share=min(1.0, round(told, 4)),
+            near=self._is_near(),
         )
         if not self.close:
             allowance.count = self._unasked(share, situation.daemons)
@@ -226,11 +233,11 @@
         else:
             self._first_choice_s = now_s
         if use.recent is not None and self._learning(now_s):
-            if use.close and not self.close:
+            if use.close and not self._told_close:
                 # Other entries' use isn't known yet, but it is near the
                 # limit.
                 self._level = min(0.0, self._level)
-                self.close = True
+                self._told_close = self.close = True
             self._taken_over = self._taken_over or use.share > 0
         scale = max(0.0, 1 - self._reserved)
         if not self._is_first_choice(now_s):
@@ -241,10 +248,37 @@
             claims = self._claims(self._created_s)
             scale = min(1.0, max(claims, situation.present))
         if scale > self._scale and not self.close:
-            self._level += (scale - self._scale) * self.limit.burst
+            known_s = self._known_s(use, situation)
+            added = scale - self._scale
+            self._level += added * self.limit.level_at_start(known_s)
+            if known_s < self._terms.window_s:
+                known_at_s = now_s - known_s + self._terms.window_s
+                self._window_known_at_s = max(
+                    self._window_known_at_s or known_at_s, known_at_s
+                )
         self._scale = scale
         self._cap()
 
+    def _known_s(self, use: _messages.Use, situation: Situation) -> float:
+        """Return for how long the use of an added part of the limit is known.
+
+        An entry that was served elsewhere brings its own use along.  One that
+        has started again may have used its part, and so may entries that
+        don't report here before this server was started.
+        """
+        learning = self._learning(situation.now_s)
+        if use.rank or (self._taken_over and learning):
+            return situation.entry_up_s
+        if learning:
+            return min(situation.server_up_s, situation.entry_up_s)
+        return situation.server_up_s
+
+    def _is_near(self) -> bool:
+        """Tell whether most of the limit is known to be used."""
+        if self._window_known_at_s is not None:
+            return self._level < 1
+        return self._level < self.limit.close_at * self._scale
+
     def _claims(self, from_s: float) -> float:
         """Return the sum of the shares of entries that have reported since."""
         return sum(
@@ -297,6 +331,19 @@
                 self._slot(now_s - age * RECENT_SLOT_S)[1] += count
         self._level = min(self._level, self._level_by_window(now_s))
 
+    def _learn_window(self, now_s: float) -> None:
+        """Raise the level once all use in the last window is known.
+
+        A customer that was refused meanwhile sends more than its limit, and
+        its bucket is empty whatever was used before.
+        """
+        known_at_s = self._window_known_at_s
+        if known_at_s is None or now_s < known_at_s:
+            return
+        self._window_known_at_s = None
+        if not self.refused:
+            self._level = max(self._level, self._level_by_window(now_s))
+
     def _slot(self, at_s: float) -> list[float]:
         """Return the slot of a time; the slots are in order of time."""
         start_s = math.floor(at_s / RECENT_SLOT_S) * RECENT_SLOT_S
@@ -318,7 +365,7 @@
 
         All use of a slot counts as if it was at the slot's end.
         """
-        level, used = self._level, 0.0
+        level, used = self._scale * self.limit.burst, 0.0
         for start_s, count in reversed(self._slots):
             used += count
             span_s = max(0.0, now_s - start_s - RECENT_SLOT_S)
@@ -366,6 +413,7 @@
         self._updated_s = max(self._updated_s, now_s)
         tokens = elapsed_s * self.limit.rate_per_s * self._scale
         self._level += tokens
+        self._learn_window(now_s)
         self._backlog = max(0.0, self._backlog - tokens)
         self._cap()
 
@@ -375,7 +423,11 @@
         self._level = min(self._level, cap)
 
     def _decide_state(self) -> None:
-        if self.close:
+        if self._window_known_at_s is not None:
+            # What entries admit unasked isn't counted, and would be forgotten
+            # with the next start.
+            self.close = True
+        elif self.close:
             clear_at = self.limit.clear_at * self._scale
             learning = self._taken_over and self._learning(self._updated_s)
             self.close = learning or self._level < clear_at
--- a/src/chiveroad/quotas/_ledger.py
+++ b/src/chiveroad/quotas/_ledger.py
@@ -5,6 +5,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import typing
 
 from chiveroad import config
@@ -25,6 +26,11 @@
 Customers = collections.abc.Mapping[str, config.Customer]
 
 
+def _up_s(report: _messages.Report) -> float:
+    """Return for how long an entry has been up, at most a window."""
+    return math.inf if report.up_ms is None else report.up_ms / 1000
+
+
 @dataclasses.dataclass(slots=True)
 class _Reporter:
     """An entry that reports.
@@ -45,12 +51,18 @@
     """The accounts of one quota server.
 
     :param server: names this start of the server.
+    :param started_s: when that was, by the clock of ``now_s``.
     """
 
     def __init__(
-        self, server: str, terms: _limits.Terms, view: membership.View
+        self,
+        server: str,
+        terms: _limits.Terms,
+        view: membership.View,
+        started_s: float,
     ) -> None:
         self._server = server
+        self._started_s = started_s
         self._terms = terms
         self._view = view
         self._accounts: dict[str, _account.Account] = {}
@@ -105,6 +117,8 @@
                 daemons,
                 self._failed_over(report.failed) / daemons,
                 self._present(now_s) / daemons,
+                now_s - self._started_s,
+                _up_s(report),
                 now_s,
             )
             for use in report.uses:
@@ -113,7 +127,7 @@
                     opened = not account.entries
                     allowances.append(account.report(report, use, situation))
                     if opened:
-                        self._log_opened(use, report.entry, account, now_s)
+                        self._log_opened(use, report, account, now_s)
                     self._note_state(use.customer, account.close)
         self._tick(daemons, now_s)
         return self._answer(report, allowances)
@@ -158,22 +172,10 @@
             return 0
         return len(self._reporters)
 
-    def _account(self, name: str, now_s: float) -> _account.Account | None:
-        account = self._accounts.get(name)
-        if account is None:
-            customer = self._customers.get(name)
-            if customer is None or not customer.rate_per_s:
-                return None
-            account = _account.Account(
-                self._limit(customer), self._terms, now_s
-            )
-            self._accounts[name] = account
-        return account
-
     def _log_opened(
         self,
         use: _messages.Use,
-        entry: str,
+        report: _messages.Report,
         account: _account.Account,
         now_s: float,
     ) -> None:
@@ -182,16 +184,30 @@
             "Quota account of customer {} opened by a report of {}: {:.0f} "
             "tokens.",
             use.customer,
-            entry,
+            report.entry,
             account.level(now_s),
             extra={
                 "daemons": len(self._view.all()),
                 "rank": use.rank,
+                "entry_up_ms": report.up_ms,
+                "server_up_ms": int(1000 * (now_s - self._started_s)),
                 "recent": sum(use.recent or ()),
                 "close": account.close,
             },
         )
 
+    def _account(self, name: str, now_s: float) -> _account.Account | None:
+        account = self._accounts.get(name)
+        if account is None:
+            customer = self._customers.get(name)
+            if customer is None or not customer.rate_per_s:
+                return None
+            account = _account.Account(
+                self._limit(customer), self._terms, now_s
+            )
+            self._accounts[name] = account
+        return account
+
     def _limit(self, customer: config.Customer) -> _limits.Limit:
         return _limits.limit(customer.rate_per_s, customer.burst, self._terms)
 
--- a/src/chiveroad/quotas/_limits.py
+++ b/src/chiveroad/quotas/_limits.py
@@ -23,6 +23,12 @@
 half of the excess is left for what entries admit before they are told."""
 
 
+START_PART: typing.Final = 0.25
+"""The part of the permitted excess with which a bucket starts whose earlier
+use isn't known.  With the part by which the bucket is larger than stated, two
+starts of all daemons in a window stay within the excess."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Terms:
     """The bound for all customers: in any window, what exceeds a limit."""
@@ -39,7 +45,8 @@
     ``margin`` is how many requests beyond rate and burst the bound permits in
     a window.  ``rate_per_s`` and ``burst`` are those of the bucket.
     ``close_at`` is the level below which entries need tokens, and ``unasked``
-    what all entries together may have admitted without tokens.
+    what all entries together may have admitted without tokens.  ``start`` is
+    the level of a bucket whose earlier use isn't known.
     """
 
     rate_per_s: float
@@ -47,12 +54,24 @@
     margin: float
     close_at: float
     unasked: float
+    start: float
+    window_s: float
 
     @property
     def clear_at(self) -> float:
         """Return the level above which entries need no tokens again."""
         return (self.close_at + self.burst) / 2
 
+    def level_at_start(self, known_s: float) -> float:
+        """Return the level of a bucket of which nothing has been used lately.
+
+        :param known_s: for how long that is known.  Before, all of it may
+            have been used; what was used before the last window doesn't count.
+        """
+        if known_s >= self.window_s:
+            return self.burst
+        return min(self.burst, self.start + self.rate_per_s * known_s)
+
 
 def limit(rate_per_s: float, burst: float, terms: Terms) -> Limit:
     """Return the bucket for a stated rate and burst."""
@@ -69,4 +88,6 @@
         margin=margin,
         close_at=close_at,
         unasked=margin / 2 + close_at,
+        start=min(bucket_burst, START_PART * margin),
+        window_s=terms.window_s,
     )
--- a/src/chiveroad/quotas/_local.py
+++ b/src/chiveroad/quotas/_local.py
@@ -34,6 +34,7 @@
 
     :param instance: the name of the entry's daemon.
     :param incarnation: a number that grows with each start of the daemon.
+    :param started_s: when it was started, by the clock of ``now_s``.
     """
 
     def __init__(
@@ -42,9 +43,11 @@
         incarnation: int,
         view: membership.View,
         terms: _limits.Terms,
+        started_s: float,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
+        self._started_s = started_s
         self._view = view
         self._terms = terms
         self._links = _links.Links(view)
@@ -70,12 +73,17 @@
         meter = self._meters.get(customer.name)
         if meter is None:
             link, _ = self._links.owner(customer.name, now_s)
+            asks = customer.name in link.close or self._is_young(now_s)
             meter = self._meters[customer.name] = _meter.Meter(
-                limit, self._terms, customer.name in link.close
+                limit, self._terms, self._started_s, asks
             )
         meter.limit = limit
         return meter
 
+    def _is_young(self, now_s: float) -> bool:
+        """Tell whether an earlier process may have admitted requests."""
+        return now_s - self._started_s < self._terms.window_s
+
     def decide(
         self, name: str, meter: _meter.Meter, now_s: float
     ) -> _meter.Verdict:
@@ -186,7 +194,8 @@
             uses[name] = msgspec.structs.replace(use, customer=name)
         if not uses:
             idle_at_s = link.sent_s + _links.IDLE_S
-            if not link.told_failed and (link.idle or now_s < idle_at_s):
+            silent = link.idle or now_s < idle_at_s
+            if not link.told_failed and silent:
                 link.due_s = math.inf if link.idle else idle_at_s
                 return None
         link.idle = not uses
@@ -203,6 +212,7 @@
             link.epoch,
             list(uses.values()),
             failed,
+            int(1000 * min(now_s - self._started_s, self._terms.window_s)),
         )
         return Batch(link, report, uses, now_s)
 
--- a/src/chiveroad/quotas/_messages.py
+++ b/src/chiveroad/quotas/_messages.py
@@ -22,11 +22,12 @@
     ``used`` counts all that it has admitted since its start, less those that
     didn't run, and ``held`` the tokens beyond them that it may still use.
     ``demand`` requests have arrived since the last report, of which
-    ``refused`` were refused and ``waiting`` wait for a token. ``close`` and
-    ``share`` are what another quota server, or this one before a restart, has
-    told the entry last. ``recent`` is what it admitted in the last window, in
-    slots of ``RECENT_SLOT_S``, the latest first; it is sent where the server
-    may not know it. ``rank`` is 0 where the entry takes the server for the
+    ``refused`` were refused and ``waiting`` wait for a token. ``close`` says
+    that another quota server, or this one before a restart, has told the entry
+    last that most of the limit was used, and ``share`` what it has told.
+    ``recent`` is what it admitted in the last window, in slots of
+    ``RECENT_SLOT_S``, the latest first; it is sent where the server may not
+    know it. ``rank`` is 0 where the entry takes the server for the
     first in the customer's order.
     """
 
@@ -49,7 +50,9 @@
     report.  ``server`` and ``epoch`` say what the entry has learnt from this
     server last.  A report without uses says that the entry has become idle: an
     entry that is silent without it is cut off.  ``failed`` names the quota
-    servers that don't answer the entry.
+    servers that don't answer the entry.  ``up_ms`` is for how long the entry
+    has known what it admits, at most a window; entries of earlier releases
+    don't state it.
     """
 
     entry: str
@@ -59,6 +62,7 @@
     epoch: _Count = 0
     uses: list[Use] = []
     failed: list[str] = []
+    up_ms: _Count | None = None
 
 
 class Allowance(msgspec.Struct, array_like=True):
@@ -67,7 +71,9 @@
     With ``close`` it may admit ``count`` requests beyond the reported ``used``
     within ``GRANT_S`` of sending the report; otherwise that many without a
     further report.  ``retry_ms`` is when the next token is expected.
-    ``unknown`` asks for the recent use, and nothing has been counted.
+    ``near`` says that the customer has used most of its limit; entries may
+    need tokens for other reasons.  Servers of earlier releases don't state
+    it.  ``unknown`` asks for the recent use, and nothing has been counted.
     """
 
     customer: str
@@ -77,6 +83,7 @@
     share: _Share = 0.0
     retry_ms: _Count = 0
     unknown: bool = False
+    near: bool | None = None
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
--- a/src/chiveroad/quotas/_meter.py
+++ b/src/chiveroad/quotas/_meter.py
@@ -59,10 +59,15 @@
     """
 
     def __init__(
-        self, limit: _limits.Limit, terms: _limits.Terms, close: bool
+        self,
+        limit: _limits.Limit,
+        terms: _limits.Terms,
+        started_s: float,
+        close: bool,
     ) -> None:
         self.limit = limit
         self.close = close
+        self._near = False
         self.share = 0.0
         self.waiting = 0
         self.server = ""
@@ -70,6 +75,7 @@
         self.wants_recent = True
         self._in_report = False
         self._terms = terms
+        self._started_s = started_s
         self._used = 0
         self._allowed = 0 if close else 1
         self._allowed_until_s = math.inf
@@ -119,7 +125,8 @@
         """Decide on a request while no quota server can be reached.
 
         The entry admits its share of the customer's limit.  The sum over all
-        entries is within the limit, whichever of them are cut off.
+        entries is within the limit, whichever of them are cut off.  What an
+        earlier process has admitted in the window isn't known.
         """
         share = max(self._known_share(now_s), 1 / max(1, daemons))
         stated = self.limit
@@ -136,6 +143,11 @@
                 return Verdict.REFUSE_ALONE
         if share * (burst + rate_per_s * self._terms.window_s) < 1:
             return Verdict.REFUSE_ALONE
+        up_s = now_s - self._started_s
+        if up_s < self._terms.window_s and used + 1 > max(
+            1.0, share * stated.level_at_start(up_s)
+        ):
+            return Verdict.REFUSE_ALONE
         self._take(now_s)
         self._allowed = max(self._allowed, self._used)
         return Verdict.ADMIT
@@ -182,7 +194,7 @@
             demand=self._demand,
             refused=self._refused,
             waiting=self.waiting,
-            close=moved and self.close and known_close,
+            close=moved and self._near and known_close,
             share=self._known_share(now_s) if moved or rank else 0.0,
             recent=recent,
             rank=abs(rank),
@@ -213,6 +225,8 @@
         self.answered_s = now_s
         self.share = allowance.share
         self.close = allowance.close
+        near = allowance.close if allowance.near is None else allowance.near
+        self._near = near
         self._reported = use.used
         self._allowed = use.used + allowance.count
         self._dry_until_s = self._retry_at_s = 0.0
@@ -234,6 +248,7 @@
         if close is self.close:
             return
         self.close = close
+        self._near = self._near and close
         self._allowed = self._used if close else self._reported + 1
         self._allowed_until_s = math.inf
         self._dry_until_s = self._retry_at_s = 0.0
--- a/src/chiveroad/quotas/_quotas.py
+++ b/src/chiveroad/quotas/_quotas.py
@@ -83,8 +83,13 @@
             options.customers.quota_overage,
             options.customers.quota_slack,
         )
+        started_s = time.monotonic()
         self._local = _local.LocalQuotas(
-            options.instance, time.time_ns() // 1_000_000, view, terms
+            options.instance,
+            time.time_ns() // 1_000_000,
+            view,
+            terms,
+            started_s,
         )
         self._lock = threading.Lock()
         self._due = threading.Condition(self._lock)
@@ -92,7 +97,9 @@
         self._started = False
         self._stopped = False
         self._ledger_lock = threading.Lock()
-        self._ledger = _ledger.Ledger(uuid.uuid4().hex[:12], terms, view)
+        self._ledger = _ledger.Ledger(
+            uuid.uuid4().hex[:12], terms, view, started_s
+        )
         self._sampler = logs.Sampler()
         self._refusals: collections.defaultdict[
             str, collections.Counter[str]
--- a/standins/quota_cost.py
+++ b/standins/quota_cost.py
@@ -71,9 +71,9 @@
         )
         for number in range(size)
     }
-    ledger = _ledger.Ledger("s", _limits.Terms(), view)
+    ledger = _ledger.Ledger("s", _limits.Terms(), view, 0.0)
     ledger.configure(customers, time.monotonic())
-    local = _local.LocalQuotas("e", 1, view, _limits.Terms())
+    local = _local.LocalQuotas("e", 1, view, _limits.Terms(), 0.0)
     server = serving.Server(ADDRESS, _Answers(ledger), 4, 2)
     server.open()
     peers = control.Peers(1, 1.0)
--- a/tests/quota_mesh.py
+++ b/tests/quota_mesh.py
@@ -23,6 +23,10 @@
 TIMEOUT_S = 0.3
 MAX_WAIT_S = 1.0
 START_S = 1_000.0
+LONG_AGO_S = START_S - 60.0
+RECORD_S = 1.5
+"""The record of a daemon that has started is written with a heartbeat of its
+target."""
 
 
 @dataclasses.dataclass
@@ -38,11 +42,15 @@
     """One entry, with the requests that wait at it."""
 
     def __init__(
-        self, name: str, incarnation: int, view: membership.View
+        self,
+        name: str,
+        incarnation: int,
+        view: membership.View,
+        started_s: float,
     ) -> None:
         self.name = name
         self.quotas = _local.LocalQuotas(
-            name, incarnation, view, _limits.Terms()
+            name, incarnation, view, _limits.Terms(), started_s
         )
         self.waiting: list[Waiting] = []
         self.incarnation = incarnation
@@ -67,12 +75,15 @@
             [fakes.member(name, domain="d") for name in self.names]
         )
         self.customers: dict[str, config.Customer] = {}
-        self.entries = {name: Entry(name, 1, self.view) for name in self.names}
+        self.entries = {
+            name: Entry(name, 1, self.view, LONG_AGO_S) for name in self.names
+        }
         self.ledgers: dict[str, _ledger.Ledger] = {}
         self.starts = itertools.count(1)
         for name in self.names:
-            self.restart_server(name)
+            self._start_server(name, LONG_AGO_S)
         self.dead: set[str] = set()
+        self.ended: set[str] = set()
         self.cut: set[tuple[str, str]] = set()
         self.lost = 0.0
         self.doubled = 0.0
@@ -88,10 +99,43 @@
 
     def restart_server(self, name: str) -> None:
         """Start a daemon's ledger anew."""
+        self._start_server(name, self.now_s)
+
+    def _start_server(self, name: str, started_s: float) -> None:
         self.ledgers[name] = _ledger.Ledger(
-            f"{name}-{next(self.starts)}", _limits.Terms(), self.view
+            f"{name}-{next(self.starts)}",
+            _limits.Terms(),
+            self.view,
+            started_s,
+        )
+
+    def end_daemon(self, name: str) -> None:
+        """End a daemon, with its ledger, its entry and what waits there."""
+        self.dead.add(name)
+        self.ended.add(name)
+        entry = self.entries[name]
+        self.entries[name] = Entry(
+            name, entry.incarnation + 1, self.view, self.now_s
         )
 
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon that was ended; its record follows later."""
+        self.dead.discard(name)
+        self.ended.discard(name)
+        self.restart_server(name)
+        incarnation = self.entries[name].incarnation
+        self.entries[name] = Entry(name, incarnation, self.view, self.now_s)
+        record = fakes.member(name, incarnation, domain="d")
+        self.at(self.now_s + RECORD_S, lambda: self.view.merge([record]))
+
+    def restart_daemons(
+        self, names: list[str], at_s: float, down_s: float
+    ) -> None:
+        """Schedule an end of daemons, and their start after a while."""
+        for name in names:
+            self.at(at_s, functools.partial(self.end_daemon, name))
+            self.at(at_s + down_s, functools.partial(self.start_daemon, name))
+
     def limit(self, name: str, rate_per_s: float, burst: float) -> None:
         """Set a customer's limit at all daemons."""
         self.customers = {
@@ -135,8 +179,11 @@
     def send(self, name: str, customer: str) -> bool | None:
         """Send a request to an entry.
 
-        :returns: whether it was admitted, None while it waits.
+        :returns: whether it was admitted, None while it waits; False while
+            the daemon has ended, without its being recorded.
         """
+        if name in self.ended:
+            return False
         entry = self.entries[name]
         meter = entry.quotas.meter_of(self.customers[customer], self.now_s)
         meter.arrive()
@@ -161,6 +208,8 @@
         records.setdefault(customer, []).append(self.now_s)
 
     def _decide_waiting(self, entry: Entry) -> None:
+        if self.entries[entry.name] is not entry:
+            return
         still: list[Waiting] = []
         for each in entry.waiting:
             name = each.customer
@@ -219,12 +268,14 @@
         def deliver(answer: _messages.Answer) -> None:
             if answers or self.now_s > timeout_s:
                 return
+            if self.entries[entry.name] is not entry:
+                return
             answers.append(answer)
             entry.quotas.apply(batch, answer, self.now_s)
             self._decide_waiting(entry)
 
         def time_out() -> None:
-            if not answers:
+            if not answers and self.entries[entry.name] is entry:
                 entry.quotas.fail(batch, self.now_s)
                 self._decide_waiting(entry)
 
@@ -263,7 +314,8 @@
 
     :param usual: the load of the first 10 s, as a multiple of the rate.
     :param jump: that of the next 10 s.
-    :param fault: what happens to the quota server at the jump.
+    :param fault: what happens to the quota server at the jump, or, with
+        ``fleet``, to all daemons one second later.
     """
     mesh = Mesh(81)
     mesh.limit("c", rate_per_s, rate_per_s)
@@ -284,6 +336,8 @@
         mesh.at(jump_s, lambda: mesh.dead.add(first))
     if fault == "restarts":
         mesh.at(jump_s + 2.5, restart)
+    if fault == "fleet":
+        mesh.restart_daemons(mesh.names, jump_s + 1, 0.5)
     mesh.run(START_S + 21)
     permitted = (rate_per_s * 5 + rate_per_s) * 1.1 + 20
     refused = mesh.refused.get("c", [])
@@ -300,5 +354,5 @@
 if __name__ == "__main__":
     for stated in (2, 20, 100, 400):
         for load in ((0.6, 0.6), (0.6, 4.7), (0.01, 20), (4.7, 4.7)):
-            for what in ("", "dies", "restarts"):
+            for what in ("", "dies", "restarts", "fleet"):
                 print(trial(stated, load[0], load[1], what), flush=True)
