A quota server that serves a part counts the entry that reports

Cause: where another server may be serving other entries, the limit is the sum of the shares of those that have reported in the last 0.6 s. The entry whose report is being counted was left out if it had been silent for longer, and so the limit was 0. The shares of further entries weren't added once the bucket was low, and use that all entries had reported before was held against the share of one.

Change: the reporting entry counts; shares are added unless another server has found the customer near its limit; a report lowers the level by no more than the use that it adds.

--- a/src/chiveroad/quotas/_account.py
+++ b/src/chiveroad/quotas/_account.py
@@ -241,13 +241,13 @@
             self._taken_over = self._taken_over or use.share > 0
         scale = max(0.0, 1 - self._reserved)
         if not self._is_first_choice(now_s):
-            claims = self._claims(now_s - CLAIM_S)
+            claims = self._claims(known, now_s - CLAIM_S)
             scale = min(1.0, max(claims, situation.failed_over))
         elif self._taken_over and self._learning(now_s):
             # Entries that have changed to this server stay with it.
-            claims = self._claims(self._created_s)
+            claims = self._claims(known, self._created_s)
             scale = min(1.0, max(claims, situation.present))
-        if scale > self._scale and not self.close:
+        if scale > self._scale and not self._told_close:
             known_s = self._known_s(use, situation)
             added = scale - self._scale
             self._level += added * self.limit.level_at_start(known_s)
@@ -279,12 +279,15 @@
             return self._level < 1
         return self._level < self.limit.close_at * self._scale
 
-    def _claims(self, from_s: float) -> float:
-        """Return the sum of the shares of entries that have reported since."""
+    def _claims(self, reporting: _EntryUse, from_s: float) -> float:
+        """Return the sum of the shares of entries that have reported since.
+
+        :param reporting: an entry whose report is being counted.
+        """
         return sum(
             each.claim
             for each in self._entries.values()
-            if each.seen_s >= from_s
+            if each is reporting or each.seen_s >= from_s
         )
 
     def _count(
@@ -322,14 +325,19 @@
         """Count use in the slots in which it was, up to what is new.
 
         The bucket has been refilled since, so its level is that which follows
-        from the use in all slots.
+        from the use in all slots.  It falls by no more than what is new: the
+        other use may belong to parts of the limit that are no longer served
+        here.
         """
+        lowest = self._level
         for age, count in enumerate(recent):
             count = min(count, new)
             new -= count
+            lowest -= count
             if count:
                 self._slot(now_s - age * RECENT_SLOT_S)[1] += count
-        self._level = min(self._level, self._level_by_window(now_s))
+        by_window = max(lowest, self._level_by_window(now_s))
+        self._level = min(self._level, by_window)
 
     def _learn_window(self, now_s: float) -> None:
         """Raise the level once all use in the last window is known.
--- a/tests/test_quota_starts.py
+++ b/tests/test_quota_starts.py
@@ -15,6 +15,7 @@
 from chiveroad.quotas import _limits
 from chiveroad.quotas import _links
 from chiveroad.quotas import _local
+from chiveroad.quotas import _messages
 from chiveroad.quotas import _meter
 from chiveroad.quotas import _placement
 from tests import quota_mesh
@@ -191,6 +192,24 @@
     assert not any(batch.report.uses for batch in batches)
 
 
+# Guards against an entry that returns to a server and empties the bucket, as
+# the server counts what others have used there against the part of one.
+def test_returning_entry_costs_no_more_than_it_has_used() -> None:
+    limit = _limits.limit(100, 100, test_quotas.TERMS)
+    account = _account.Account(limit, test_quotas.TERMS, START_S)
+
+    def report(entry: str, used: int, recent: list[int], now_s: float) -> None:
+        situation = _account.Situation(4, 0.0, 0.0, 60.0, 60.0, now_s)
+        use = _messages.Use(CUSTOMER, used, share=0.25, recent=recent, rank=1)
+        account.report(_messages.Report(entry, 1, 1), use, situation)
+
+    for entry in ("a", "b", "c", "d"):
+        report(entry, 25, [25], START_S)
+    assert account.level(START_S) == pytest.approx(20.0)
+    report("a", 28, [3, 0, 0, 0, 25], START_S + 2)
+    assert account.level(START_S + 2) >= limit.burst / 4 - 3
+
+
 class StartsMachine(stateful.RuleBasedStateMachine):
     """No window has more than the formula with a term for starts says."""
 
