--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test check format measure experiments soak capacity binary clean
+.PHONY: demo test check format measure experiments soak soak-customers \
+	capacity binary clean
 
 demo: $(READY)
 	$(BIN)/python -m standins.demo
@@ -35,6 +36,9 @@
 	$(BIN)/python -m standins.soak --jobs 2 --seeds "$(SEEDS)" --fresh $(FRESH) \
 		$(OPTIONS)
 
+soak-customers: $(READY)
+	$(BIN)/python -m standins.soak_customers --jobs 2 --seeds "$(SEEDS)"
+
 capacity: $(READY)
 	$(BIN)/python -m standins.pages
 
