--- a/standins/soak.py
+++ b/standins/soak.py
@@ -631,14 +631,21 @@
     options = parser.parse_args()
     seeds = parse_seeds(options.seeds) if options.seeds else []
     seeds += [random.randrange(1_000, 10**9) for _ in range(options.fresh)]
-    failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         ends_targets = [options.ends_targets] * len(seeds)
-        runs = pool.map(_run_seed_or_report, seeds, ends_targets)
-        for seed, findings in runs:
-            failed += bool(findings)
-            print(f"seed {seed}: {'; '.join(findings) or 'clean'}", flush=True)
-    print(f"{len(seeds)} seeds played, {failed} with findings.")
+        report(pool.map(_run_seed_or_report, seeds, ends_targets))
+
+
+def report(
+    runs: collections.abc.Iterable[tuple[int, list[str]]],
+) -> typing.NoReturn:
+    """Print the findings of each seed; exit with 1 if there are any."""
+    played = failed = 0
+    for seed, findings in runs:
+        played += 1
+        failed += bool(findings)
+        print(f"seed {seed}: {'; '.join(findings) or 'clean'}", flush=True)
+    print(f"{played} seeds played, {failed} with findings.")
     sys.exit(1 if failed else 0)
 
 
--- a/standins/soak_customers.py
+++ b/standins/soak_customers.py
@@ -17,7 +17,6 @@
 import itertools
 import random
 import shutil
-import sys
 import threading
 import time
 import typing
@@ -367,14 +366,9 @@
     parser.add_argument("--seeds", default="1-4", help="such as 1-50,77")
     parser.add_argument("--jobs", type=int, default=1)
     options = parser.parse_args()
-    seeds = soak.parse_seeds(options.seeds)
-    failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        for seed, findings in pool.map(_run_or_report, seeds):
-            failed += bool(findings)
-            print(f"seed {seed}: {'; '.join(findings) or 'clean'}", flush=True)
-    print(f"{len(seeds)} seeds played, {failed} with findings.")
-    sys.exit(1 if failed else 0)
+        seeds = soak.parse_seeds(options.seeds)
+        soak.report(pool.map(_run_or_report, seeds))
 
 
 if __name__ == "__main__":
