--- a/src/chiveroad/quotas/_account.py
+++ b/src/chiveroad/quotas/_account.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import collections
 import collections.abc
 import dataclasses
 import math
@@ -16,8 +15,8 @@
 
 from chiveroad.quotas import _limits
 from chiveroad.quotas import _messages
+from chiveroad.quotas import _recent_use
 
-RECENT_SLOT_S: typing.Final = 0.5
 LEARNING_S: typing.Final = 3.0
 """Every entry with requests of the customer has reported by then, even one
 that has passed over this server after a failure, see
@@ -97,7 +96,7 @@
         self._demand = 0.0
         self._demand_s = now_s
         self._entries: dict[str, _EntryUse] = {}
-        self._slots: collections.deque[list[float]] = collections.deque()
+        self._recent = _recent_use.RecentUse(terms.window_s)
 
     @property
     def entries(self) -> int:
@@ -124,8 +123,7 @@
     def used_per_s(self, now_s: float) -> float:
         """Return the mean rate of what was counted in the last window."""
         from_s = now_s - self._terms.window_s
-        used = sum(count for at_s, count in self._slots if at_s >= from_s)
-        return used / self._terms.window_s
+        return self._recent.since(from_s) / self._terms.window_s
 
     def expire(self, now_s: float) -> bool:
         """Forget entries that are silent; True if the account isn't needed.
@@ -317,7 +315,7 @@
         if not count:
             return
         self._level -= count
-        self._slot(now_s)[1] += count
+        self._recent.add(count, now_s)
 
     def _charge_recent(
         self, recent: list[int], new: int, now_s: float
@@ -335,9 +333,10 @@
             new -= count
             lowest -= count
             if count:
-                self._slot(now_s - age * RECENT_SLOT_S)[1] += count
-        by_window = max(lowest, self._level_by_window(now_s))
-        self._level = min(self._level, by_window)
+                at_s = now_s - age * _recent_use.RECENT_SLOT_S
+                self._recent.add(count, at_s)
+        by_window = self._recent.level(self.limit, self._scale, now_s)
+        self._level = min(self._level, max(lowest, by_window))
 
     def _learn_window(self, now_s: float) -> None:
         """Raise the level once all use in the last window is known.
@@ -350,37 +349,8 @@
             return
         self._window_known_at_s = None
         if not self.refused:
-            self._level = max(self._level, self._level_by_window(now_s))
-
-    def _slot(self, at_s: float) -> list[float]:
-        """Return the slot of a time; the slots are in order of time."""
-        start_s = math.floor(at_s / RECENT_SLOT_S) * RECENT_SLOT_S
-        slots = self._slots
-        index = len(slots)
-        while index and slots[index - 1][0] > start_s:
-            index -= 1
-        if index and slots[index - 1][0] == start_s:
-            return slots[index - 1]
-        slot = [start_s, 0.0]
-        slots.insert(index, slot)
-        oldest_s = slots[-1][0] - self._terms.window_s - RECENT_SLOT_S
-        while slots[0][0] < oldest_s and slots[0] is not slot:
-            slots.popleft()
-        return slot
-
-    def _level_by_window(self, now_s: float) -> float:
-        """Return the level that follows from the use in the window.
-
-        All use of a slot counts as if it was at the slot's end.
-        """
-        level, used = self._scale * self.limit.burst, 0.0
-        for start_s, count in reversed(self._slots):
-            used += count
-            span_s = max(0.0, now_s - start_s - RECENT_SLOT_S)
-            refilled = self.limit.rate_per_s * span_s
-            full = self._scale * (self.limit.burst + refilled)
-            level = min(level, full - used)
-        return level
+            by_window = self._recent.level(self.limit, self._scale, now_s)
+            self._level = max(self._level, by_window)
 
     def _grant(
         self, known: _EntryUse, use: _messages.Use, share: float
--- a/src/chiveroad/quotas/_meter.py
+++ b/src/chiveroad/quotas/_meter.py
@@ -8,9 +8,9 @@
 import math
 import typing
 
-from chiveroad.quotas import _account
 from chiveroad.quotas import _limits
 from chiveroad.quotas import _messages
+from chiveroad.quotas import _recent_use
 
 CLOSE_KNOWN_S: typing.Final = 3.0
 """For how long an entry tells a new quota server that the customer was close
@@ -136,7 +136,7 @@
         used = 0
         for slot, count in reversed(self._slots):
             used += count
-            span_s = max(0.0, now_s - (slot + 1) * _account.RECENT_SLOT_S)
+            span_s = max(0.0, now_s - (slot + 1) * _recent_use.RECENT_SLOT_S)
             if span_s > self._terms.window_s:
                 break
             if used + 1 > share * (burst + rate_per_s * span_s):
@@ -258,7 +258,9 @@
         if self.unreported or self.close or self._in_report:
             return False
         newest_s = (
-            self._slots[-1][0] * _account.RECENT_SLOT_S if self._slots else 0
+            self._slots[-1][0] * _recent_use.RECENT_SLOT_S
+            if self._slots
+            else 0
         )
         return now_s - newest_s > 12 * self._terms.window_s
 
@@ -266,7 +268,7 @@
         """Return the share, unless its quota server has forgotten it."""
         if not self._slots:
             return 0.0
-        known_s = self._slots[-1][0] * _account.RECENT_SLOT_S
+        known_s = self._slots[-1][0] * _recent_use.RECENT_SLOT_S
         return self.share if now_s - known_s < SHARE_KNOWN_S else 0.0
 
     def _valid(self, situation: Situation, now_s: float) -> bool:
@@ -279,7 +281,7 @@
         self._add(now_s, 1)
 
     def _add(self, now_s: float, count: int) -> None:
-        slot = int(now_s / _account.RECENT_SLOT_S)
+        slot = int(now_s / _recent_use.RECENT_SLOT_S)
         slots = self._slots
         if not slots or slots[-1][0] < slot:
             slots.append([slot, 0])
@@ -290,7 +292,7 @@
 
     def _recent(self, now_s: float) -> list[int]:
         """Return what was admitted in each slot, the latest first."""
-        latest = int(now_s / _account.RECENT_SLOT_S)
+        latest = int(now_s / _recent_use.RECENT_SLOT_S)
         counts = dict((slot, count) for slot, count in self._slots)
         return [
             max(0, counts.get(latest - age, 0))
@@ -298,4 +300,4 @@
         ]
 
     def _slot_count(self) -> int:
-        return 1 + math.ceil(self._terms.window_s / _account.RECENT_SLOT_S)
+        return 1 + math.ceil(self._terms.window_s / _recent_use.RECENT_SLOT_S)
