--- a/src/chiveroad/quotas/_ledger.py
+++ b/src/chiveroad/quotas/_ledger.py
@@ -244,7 +244,7 @@
     ) -> list[tuple[str, int]]:
         """Return the quota servers that have started again lately.
 
-        Their own entries have reported here, see ``_links.Link.greeted``.
+        Their own entries have reported here, see ``_links.Link.announced``.
         """
         found: list[tuple[str, int]] = []
         for name in failed:
--- a/src/chiveroad/quotas/_links.py
+++ b/src/chiveroad/quotas/_links.py
@@ -41,7 +41,7 @@
     needed before there is something to report.  ``failures`` counts the
     reports that have failed since the last answer, ``failed`` says that the
     server is passed over, and ``told_failed`` that it was told of another one
-    that is.  ``failed_s`` is when it last failed.  ``greeted`` says that the
+    that is.  ``failed_s`` is when it last failed.  ``announced`` says that the
     server needn't be told that this entry has started.  ``server`` and
     ``epoch`` are what its last answer stated, and ``close`` the customers
     close to their limits.
@@ -58,7 +58,7 @@
     failures: int = 0
     failed: bool = False
     told_failed: bool = False
-    greeted: bool = True
+    announced: bool = True
     server: str = ""
     epoch: int = 0
     close: set[str] = dataclasses.field(default_factory=set)
@@ -66,7 +66,7 @@
     @property
     def report_due_s(self) -> float:
         """Return when a report is due, also without anything to report."""
-        if self.greeted:
+        if self.announced:
             return self.due_s
         return min(self.due_s, self.failed_until_s)
 
@@ -84,7 +84,7 @@
             self.failed = True
             self.due_s = self.failed_until_s = now_s + RETRY_FAILED_S
 
-    def restart(self, started_s: float, now_s: float) -> None:
+    def note_restart(self, started_s: float, now_s: float) -> None:
         """Ask a server again that has started since it failed last."""
         if not self.failed or self.failed_s >= started_s:
             return
@@ -106,14 +106,14 @@
 class Links:
     """The links of one entry to all quota servers.
 
-    Until ``greet_until_s``, each server gets a report from this entry even if
-    there is nothing to report.  If the entry's daemon is a quota server that
-    has started again, entries that pass it over then learn of it.
+    Until ``announce_until_s``, each server gets a report from this entry even
+    if there is nothing to report.  If the entry's daemon is a quota server
+    that has started again, entries that pass it over then learn of it.
     """
 
-    def __init__(self, view: membership.View, greet_until_s: float) -> None:
+    def __init__(self, view: membership.View, announce_until_s: float) -> None:
         self._view = view
-        self._greet_until_s = greet_until_s
+        self._announce_until_s = announce_until_s
         self._members: tuple[membership.Member, ...] = ()
         self._servers: tuple[membership.Member, ...] = ()
         self._links: dict[str, Link] = {}
@@ -186,14 +186,14 @@
     def _link(self, member: membership.Member, now_s: float) -> Link:
         link = self._links.get(member.instance)
         if link is None or _identity(link.member) != _identity(member):
-            return Link(member, greeted=now_s >= self._greet_until_s)
+            return Link(member, announced=now_s >= self._announce_until_s)
         return link
 
     def restarted(self, name: str, started_s: float, now_s: float) -> None:
         """Learn from another server when one was started."""
         link = self._links.get(name)
         if link is not None:
-            link.restart(started_s, now_s)
+            link.note_restart(started_s, now_s)
 
 
 def _identities(
--- a/src/chiveroad/quotas/_local.py
+++ b/src/chiveroad/quotas/_local.py
@@ -148,7 +148,7 @@
             link.failed = False
             self._links.report_recovery(now_s)
         link.failures = 0
-        link.greeted = True
+        link.announced = True
         self._learn_states(link, answer, now_s)
         for name, up_ms in answer.restarted:
             self._links.restarted(name, now_s - up_ms / 1000, now_s)
@@ -200,7 +200,7 @@
         if not uses:
             idle_at_s = link.sent_s + _links.IDLE_S
             silent = link.idle or now_s < idle_at_s
-            if link.greeted and not link.told_failed and silent:
+            if link.announced and not link.told_failed and silent:
                 link.due_s = math.inf if link.idle else idle_at_s
                 return None
         link.idle = not uses
--- a/tests/test_quota_starts.py
+++ b/tests/test_quota_starts.py
@@ -167,7 +167,7 @@
     link = _links.Link(mesh.view.all()[0])
     for _ in range(_links.MIN_FAILURES):
         link.fail(10.0)
-    link.restart(started_s, 10.3)
+    link.note_restart(started_s, 10.3)
     assert link.failed is failed
     assert (link.failed_until_s > 10.3) is failed
 
@@ -175,7 +175,7 @@
 # Guards against restarted servers that other servers never hear of, and
 # against such reports from entries that have been up for long.
 @pytest.mark.parametrize(("up_s", "expected"), [(0.0, 2), (60.0, 0)])
-def test_entry_that_has_started_greets_all_servers(
+def test_entry_that_has_started_announces_itself_to_all_servers(
     up_s: float, expected: int
 ) -> None:
     mesh = quota_mesh.Mesh(4)
