Calls of the store and of daemons read answers with the same grammar

What was seen: calls of the store, between daemons and of the command line took a malformed answer for one: the first of two lengths, a field name with characters that none may have, a control byte in a status line, trailers that were cut. A body of the store could be another one than was sent, and a malformed answer to a write counted as the store's.

Cause: http.client reads heads as it reads e-mail, and urllib3 reads the chunks of a watch with a parser of its own, which takes whatever int does.

http_calls reads answers with answers.Response; a watch reads its body from it. A malformed answer is no answer: a read has failed, and the outcome of a write is unknown.

--- a/src/chiveroad/http_calls.py
+++ b/src/chiveroad/http_calls.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import email.errors
 import http.client
 import io
 import select
@@ -17,7 +16,7 @@
 import urllib3
 import urllib3.connection
 
-from chiveroad.answers import _grammar
+from chiveroad import answers
 
 ANSWER_TIMEOUT_S: typing.Final = 10.0
 """How long an answer may take from its first byte on, unless the call's own
@@ -28,10 +27,6 @@
 reads several answers at once, and an instance may have 200 MB for it."""
 
 
-MAX_LINE_BYTES: typing.Final = 64 * 1024
-"""The size limit of a line of a head; the same as in ``http.client``."""
-
-
 class _BoundedReader(io.RawIOBase):
     """Reads one answer from a socket, within limits of time and size.
 
@@ -94,43 +89,22 @@
         return io.BufferedReader(_BoundedReader(self._sock))
 
 
-class _BoundedResponse(http.client.HTTPResponse):
+class _BoundedResponse(answers.Response):
     def __init__(
         self, sock: socket.socket, *args: typing.Any, **keywords: typing.Any
     ) -> None:
-        bounded = typing.cast(socket.socket, _BoundedSocket(sock))
-        super().__init__(bounded, *args, **keywords)
+        super().__init__(_BoundedSocket(sock), *args, **keywords)
 
     def begin(self) -> None:
-        """Read the head.
+        """Read the head, and offer its fields as urllib3 expects them.
 
-        :raises http.client.HTTPException: when it isn't one.
+        :raises http.client.HTTPException: when there is no whole head.
         """
         super().begin()
-        # What follows the line would be read as the body.
-        if any(
-            isinstance(defect, email.errors.MissingHeaderBodySeparatorDefect)
-            for defect in self.msg.defects
-        ):
-            raise http.client.HTTPException("no header line")
-
-    def _read_status(self) -> tuple[str, int, str]:
-        """Read the status line of the last answer, and those before it.
-
-        Overrides a method of ``http.client.HTTPResponse``.
-        """
-        line = _grammar.parse_status_line(self._read_line())
-        while line.interim:
-            while self._read_line() not in (b"\r\n", b"\n", b""):
-                """The headers of an interim answer are discarded."""
-            line = _grammar.parse_status_line(self._read_line())
-        return f"HTTP/1.{line.minor}", line.status, line.reason
-
-    def _read_line(self) -> bytes:
-        line: bytes = self.fp.readline(MAX_LINE_BYTES + 1)
-        if len(line) > MAX_LINE_BYTES:
-            raise http.client.LineTooLong("head")
-        return line
+        message = http.client.HTTPMessage()
+        for name, value in self.headers.items():
+            message[name] = value
+        self.msg = message
 
     def _safe_read(self, amt: int) -> bytes:
         """Read a number of bytes, for which memory is allocated at once.
--- a/src/chiveroad/store/_http.py
+++ b/src/chiveroad/store/_http.py
@@ -22,6 +22,8 @@
 MAX_EVENT_BYTES: typing.Final = 2 * _base.MAX_VALUE_BYTES
 """Bounds one line of a watch: a value and its metadata."""
 
+_EVENT_READ_BYTES: typing.Final = 64 * 1024
+
 ERA_HEADER: typing.Final = "Object-Api-Era"
 
 _PATH: typing.Final = "/apis/chiveroad/v1"
@@ -151,7 +153,8 @@
     response: urllib3.BaseHTTPResponse, era: int
 ) -> collections.abc.Iterator[_base.Event]:
     incomplete_line = b""
-    for chunk in response.stream(64 * 1024):
+    # urllib3 reads the chunks of a stream with a parser of its own.
+    while chunk := response.read1(_EVENT_READ_BYTES):
         *lines, incomplete_line = (incomplete_line + chunk).split(b"\n")
         if len(incomplete_line) > MAX_EVENT_BYTES:
             raise errors.StoreUnavailable("an event is too long")
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,181 @@
+"""Malformed answers at the readers that no target's answer passes.
+
+``test_broken_answers.py`` has the answers of targets.  Here the same answers
+come from the store, from other daemons, to the command line, and to probes.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import itertools
+import typing
+
+import pytest
+import urllib3
+import urllib3.exceptions
+
+from chiveroad.cli import _daemon_page
+from chiveroad.control import _peer
+from chiveroad import errors
+from chiveroad import http_calls
+from chiveroad import metrics
+from chiveroad import platform
+from chiveroad import store
+from standins import broken_answers
+from tests import test_reach
+from tests import test_status_codes
+
+KINDS: typing.Final = list(
+    broken_answers.answers(broken_answers.STARTS["success"])
+)
+Call = collections.abc.Callable[[str, str], urllib3.BaseHTTPResponse]
+VERSION: typing.Final = store.Revision(0, 1)
+
+
+def malformed(kind: str) -> dict[str, bytes]:
+    """Return answers of all starts in which one part is broken."""
+    return {
+        f"{start}, {name}": answer
+        for start, begin in broken_answers.STARTS.items()
+        for name, answer in broken_answers.answers(begin)[kind].items()
+    }
+
+
+@contextlib.contextmanager
+def calling(
+    answers: dict[str, bytes],
+) -> collections.abc.Iterator[tuple[Call, broken_answers.Arrivals]]:
+    """Yield a function that makes a call, and what arrived at its target.
+
+    The function takes the name of an answer, and what to do after it.
+    """
+    numbers = {name: str(number) for number, name in enumerate(answers)}
+    named = {numbers[name]: answer for name, answer in answers.items()}
+    arrivals = broken_answers.Arrivals()
+    target = broken_answers.Target(named, arrivals)
+    client = http_calls.Client(1, 1.0)
+
+    def call(name: str, ending: str) -> urllib3.BaseHTTPResponse:
+        path = f"/x/{numbers.get(name, name)}/{ending}"
+        return client.request(
+            "GET", f"http://{target.address}{path}", None, 1.0
+        )
+
+    yield call, arrivals
+    target.close()
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_call_with_a_malformed_answer_has_none(kind: str) -> None:
+    """Guards against calls of the store and of other daemons that mend.
+
+    The connection isn't used again.
+    """
+    answers = malformed(kind)
+    endings = ("close",) if kind == "cut" else ("close", "keep")
+    faults: list[str] = []
+    with calling(answers) as (call, arrivals):
+        for name, ending in itertools.product(answers, endings):
+            whole = call(broken_answers.WHOLE, "keep")
+            assert whole.data == broken_answers.BODY, name
+            try:
+                answer = call(name, ending)
+            except urllib3.exceptions.HTTPError:
+                continue
+            faults.append(f"{name}, {ending}: {answer.status} {answer.data!r}")
+    assert not faults, "\n".join(faults)
+    for connection in arrivals.by_id[""]:
+        assert len(connection.ids) == 2
+
+
+@pytest.mark.parametrize("name", list(broken_answers.accepted()))
+def test_call_reads_a_whole_answer(name: str) -> None:
+    """Guards against refusing a head that all readers agree on."""
+    with calling(broken_answers.accepted()) as (call, _):
+        answer = call(name, "close")
+    assert (answer.status, answer.data) == (200, broken_answers.BODY)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_malformed_answer_of_the_store_tells_nothing(kind: str) -> None:
+    """Guards against a write that counts as refused by such an answer."""
+    name, answer = list(malformed(kind).items())[-1]
+    with test_status_codes.RawPeer(answer) as peer:
+        object_store = platform.ObjectStore(peer.address, 1.0)
+        with pytest.raises(errors.StoreOutcomeUnknown):
+            object_store.put(store.Kind.MEMBERS, "a", {}, VERSION)
+        with pytest.raises(errors.StoreUnavailable):
+            object_store.get(store.Kind.MEMBERS, "a")
+        with pytest.raises(errors.PeerUnavailable):
+            _peer.Peers(1, 1.0).post(peer.address, "/x", b"", 1.0)
+        with pytest.raises(errors.PeerUnavailable):
+            _daemon_page.fetch(peer.address, "/x", object)
+
+
+WATCH: typing.Final = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+EVENT: typing.Final = (
+    b'{"type":"BOOKMARK","object":{"metadata":{"resourceVersion":"%d"}}}\n'
+)
+
+
+def _watch(sent: bytes) -> list[int]:
+    """Watch a store that sends an answer; return the versions seen."""
+    with test_status_codes.RawPeer(sent) as peer:
+        events = store.HttpStore(peer.address, 1.0).watch(
+            store.Kind.MEMBERS, VERSION, 1.0
+        )
+        return [event.version.number for event in events]
+
+
+@pytest.mark.parametrize(
+    "size", [b"+47", b"-47", b"0x47", b"4_7", b"47\x0b", b"47 x", b""]
+)
+def test_watch_with_a_malformed_chunk_fails(size: bytes) -> None:
+    """Guards against the chunk reader of a library, which reads as int does.
+
+    A chunk's size of that many bytes is a size of another one.
+    """
+    event = EVENT % 8
+    sent = b"%x\r\n%b\r\n" % (len(event), event)
+    with pytest.raises(errors.StoreUnavailable):
+        _watch(WATCH + sent + size + b"\r\n" + event + b"\r\n0\r\n\r\n")
+
+
+def test_watch_reads_events_across_chunks() -> None:
+    """Guards against an event that is read only once its chunk is whole."""
+    sent = EVENT % 8 + EVENT % 9
+    middle = len(EVENT)
+    chunks = b"".join(
+        b"%x;x=y\r\n%b\r\n" % (len(part), part)
+        for part in (sent[:middle], sent[middle:])
+    )
+    assert _watch(WATCH + chunks + b"0\r\nX-A: 1\r\n\r\n") == [8, 9]
+
+
+@pytest.mark.parametrize("kind", [kind for kind in KINDS if kind != "cut"])
+def test_entry_gets_no_answer_from_a_malformed_guard(kind: str) -> None:
+    """Guards against a malformed answer between daemons.
+
+    A request that may not be repeated isn't sent again.
+    """
+    faults = []
+    answers = malformed(kind)
+    recorder = metrics.Recorder()
+    with (
+        test_status_codes.RawPeer(b"") as peer,
+        test_reach.running_entry(peer.address, recorder=recorder) as address,
+    ):
+        for name, answer in answers.items():
+            peer._answers = [answer]
+            before = sum(peer.requests)
+            status, _ = test_reach.get(address, "/write")
+            if status != 502 or sum(peer.requests) != before + 1:
+                faults.append(f"{name}: {status}")
+    assert not faults
+    counted = [
+        count
+        for (name, part), count in recorder.counts().items()
+        if name == "chiveroad.entry.malformed" and part
+    ]
+    assert sum(counted) == len(answers)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -464,7 +464,9 @@
 
 
 @contextlib.contextmanager
-def running_entry(*guards: str) -> collections.abc.Iterator[str]:
+def running_entry(
+    *guards: str, recorder: metrics.Recorder | None = None
+) -> collections.abc.Iterator[str]:
     """Run an entry for some guards, with a thread that probes daemons."""
     address = _PORTS.take()
     entry = _entry.Entry(
@@ -472,7 +474,7 @@
         _applied(),
         _view(*guards),
         typing.cast(_guard.Guard, None),
-        metrics.Recorder(),
+        recorder or metrics.Recorder(),
         wire.Native(),
     )
     server = serving.Server(address, entry, 32)
