A probe with a malformed head is a miss

What was seen: a daemon counted as reachable by an answer whose status line was valid and whose fields, or the framing they state, weren't.

Cause: of an answer to a probe only the status line was checked.

Now each field line that has arrived is parsed, and the framing once the head is complete, with the grammar of all other readers. A part of a valid head still counts, as a daemon that is only busy must.

--- a/src/chiveroad/answers/_grammar.py
+++ b/src/chiveroad/answers/_grammar.py
@@ -218,7 +218,7 @@
 def begins_answer(data: bytes) -> bool:
     """Tell whether the first bytes that have arrived begin a last answer.
 
-    A part of a status line counts unless it is known to be invalid.
+    A part of a head counts unless it is known to be malformed.
 
     >>> begins_answer(b"HTTP/1.1 204 No Content"), begins_answer(b"HTT")
     (True, True)
@@ -226,16 +226,37 @@
     (False, False)
     """
     line, end, rest = data.partition(b"\n")
-    if not end and len(line) <= _MAX_PREFIX_BYTES:
-        return line != b"" and line.startswith(_PREFIX[: len(line)])
-    if _STATUS_LINE_START.fullmatch(line):
-        return not rest.startswith(_PREFIX)
+    if not end:
+        if len(line) <= _MAX_PREFIX_BYTES:
+            return line != b"" and line.startswith(_PREFIX[: len(line)])
+        return _STATUS_LINE_START.fullmatch(line) is not None
     try:
-        interim = parse_status_line(line + end).interim
+        status_line = parse_status_line(line + end)
+        headers, after = _parse_fields(rest)
+        if after is not None:
+            parse_framing(status_line, headers)
     except http.client.HTTPException:
         return False
-    head_end = data.find(b"\r\n\r\n")
-    return interim and head_end >= 0 and begins_answer(data[head_end + 4 :])
+    if not status_line.interim:
+        return True
+    return after is not None and begins_answer(after)
+
+
+def _parse_fields(data: bytes) -> tuple[Headers, bytes | None]:
+    """Parse the field lines that have arrived.
+
+    :returns: the fields, and what follows the head, or None if its end
+        hasn't arrived.
+    :raises Malformed: when a line isn't a field line.
+    """
+    found: list[tuple[str, str]] = []
+    while True:
+        line, end, data = data.partition(b"\n")
+        if not end:
+            return Headers(found), None
+        if line == b"\r":
+            return Headers(found), data
+        found.append(parse_field_line(line + end, len(found) + 2))
 
 
 def _fault(line: bytes) -> tuple[Part, str]:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -22,6 +22,8 @@
 from chiveroad import metrics
 from chiveroad import platform
 from chiveroad import store
+from chiveroad.traffic import _guard
+from chiveroad.traffic import _reachability
 from standins import broken_answers
 from tests import test_reach
 from tests import test_status_codes
@@ -29,6 +31,9 @@
 KINDS: typing.Final = list(
     broken_answers.answers(broken_answers.STARTS["success"])
 )
+WITH_A_HEAD: typing.Final = [
+    kind for kind in KINDS if kind not in ("chunks", "cut")
+]
 Call = collections.abc.Callable[[str, str], urllib3.BaseHTTPResponse]
 VERSION: typing.Final = store.Revision(0, 1)
 
@@ -153,6 +158,20 @@
     assert _watch(WATCH + chunks + b"0\r\nX-A: 1\r\n\r\n") == [8, 9]
 
 
+@pytest.mark.parametrize("kind", WITH_A_HEAD)
+def test_probe_with_a_malformed_head_is_a_miss(kind: str) -> None:
+    """Guards against a daemon that counts as reachable by such an answer."""
+    faults = []
+    for name, answer in malformed(kind).items():
+        if len(answer) > _reachability._STATUS_BYTES:
+            continue
+        with test_status_codes.probed(answer) as address:
+            results = _reachability.Prober(_guard.PROBE_PATH).probe([address])
+        if address in results.answered:
+            faults.append(name)
+    assert not faults
+
+
 @pytest.mark.parametrize("kind", [kind for kind in KINDS if kind != "cut"])
 def test_entry_gets_no_answer_from_a_malformed_guard(kind: str) -> None:
     """Guards against a malformed answer between daemons.
