Refuse control characters at the ends of a request's values

What was seen: a request whose Content-Length began with a vertical tab, or ended with a form feed or a second carriage return, was served as if these weren't there, and so was one whose Transfer-Encoding began so.

Cause: the library strips such characters from a value as it strips blanks, and they were looked for only afterwards.

Now each line of a head is checked before the library parses it.

--- a/src/chiveroad/serving/_http.py
+++ b/src/chiveroad/serving/_http.py
@@ -57,9 +57,6 @@
 class _Headers(dict[bytes, bytes]):
     """A header table that rejects or joins repeated headers.
 
-    It also rejects control characters, and this is the only check: headers
-    that are forwarded to a target are not checked again.
-
     :param max_fields: each field takes far more memory than its bytes, and is
         parsed and forwarded on its own.
     """
@@ -72,8 +69,6 @@
         self._fields_left -= 1
         if self._fields_left < 0:
             raise cheroot_errors.MaxSizeExceeded
-        if _CONTROL_CHARACTER.search(value):
-            raise ValueError("control character in a header")
         if name not in self or name in _LIST_HEADERS - _SINGLE_VALUE_HEADERS:
             super().__setitem__(name, value)
             return
@@ -83,6 +78,28 @@
         super().__setitem__(name, self[name] + separator + value)
 
 
+class _CheckedLines:
+    """The lines of a head, without control characters.
+
+    The library strips some of them from a header's value, as it strips
+    blanks.  This is the only check: headers that are forwarded to a target
+    are not checked again.
+    """
+
+    def __init__(self, source: typing.Any) -> None:
+        self._source = source
+
+    def readline(self) -> bytes:
+        """Return a line with its line end.
+
+        :raises ValueError: when a control character comes before its end.
+        """
+        line: bytes = self._source.readline()
+        if _CONTROL_CHARACTER.search(line.removesuffix(b"\r\n")):
+            raise ValueError("control character in a header")
+        return line
+
+
 class _HeaderReader(cheroot_server.HeaderReader):
     """Reads one head; rejects folded lines and malformed names."""
 
@@ -95,7 +112,7 @@
     ) -> typing.Any:
         """Read the lines of a head into a header table."""
         try:
-            found = super().__call__(rfile, hdict)
+            found = super().__call__(_CheckedLines(rfile), hdict)
         except UnboundLocalError as exc:
             # In the first line the library has no header to continue.
             raise ValueError("folded first header line") from exc
