A write whose answer can't be decoded has an unknown outcome

What was seen: a write that the store had answered with 200 and a body that is no JSON counted as one without effect, so that its writer could go on as if the object were unchanged.

Cause: the decoder of answers raised the error of a failed read, whatever the call was.

It takes the method of the call now, as the error of a lost answer does.

Evidence: test_write_whose_answer_is_unreadable_may_have_taken_effect failed before for both clients, for new and for changed objects.

--- a/src/chiveroad/platform/_objects.py
+++ b/src/chiveroad/platform/_objects.py
@@ -147,7 +147,9 @@
             reply = self._client.write(method, url, version, body)
         except errors.StoreNotFound as exc:
             raise errors.StoreConflict(f"{kind.value}/{name} is gone") from exc
-        written = store.decode_answer(_object_decoder, reply.body).metadata
+        written = store.decode_answer(
+            _object_decoder, reply.body, method
+        ).metadata
         return store.StoredObject(
             name, store.Revision(reply.era, written.revision), value
         )
--- a/src/chiveroad/store/_http.py
+++ b/src/chiveroad/store/_http.py
@@ -103,7 +103,7 @@
         )
         url = self._client.url(kind.value, name)
         reply = self._client.write("PUT", url, version, body)
-        written = _outcome.decode_answer(_object_decoder, reply.body)
+        written = _outcome.decode_answer(_object_decoder, reply.body, "PUT")
         return _base.StoredObject(
             name, _version(written.metadata, reply.era), value
         )
--- a/src/chiveroad/store/_outcome.py
+++ b/src/chiveroad/store/_outcome.py
@@ -43,12 +43,15 @@
     return answer_lost_error(method, message)
 
 
-def decode_answer(decoder: msgspec.json.Decoder[_T], body: bytes) -> _T:
-    """Decode the body of an answer.
+def decode_answer(
+    decoder: msgspec.json.Decoder[_T], body: bytes, method: str = "GET"
+) -> _T:
+    """Decode the body of an answer to a call.
 
-    :raises errors.StoreUnavailable: when the body can't be decoded.
+    :raises errors.StoreUnavailable: when the body can't be decoded; the
+        outcome of a write is then unknown.
     """
     try:
         return decoding.decode_each(decoder, body)
     except msgspec.DecodeError as exc:
-        raise errors.StoreUnavailable(f"unreadable answer: {exc}") from exc
+        raise answer_lost_error(method, f"unreadable answer: {exc}") from exc
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -118,6 +118,19 @@
             _daemon_page.fetch(peer.address, "/x", object)
 
 
+@pytest.mark.parametrize("client", [platform.ObjectStore, store.HttpStore])
+@pytest.mark.parametrize("version", [store.ABSENT, VERSION])
+def test_write_whose_answer_is_unreadable_may_have_taken_effect(
+    client: type[platform.ObjectStore] | type[store.HttpStore],
+    version: store.Revision,
+) -> None:
+    """Guards against a write that counts as not done by its answer's body."""
+    answer = broken_answers.accepted()["leading zero"]
+    with test_status_codes.RawPeer(answer) as peer:
+        with pytest.raises(errors.StoreOutcomeUnknown):
+            client(peer.address, 1.0).put(store.Kind.MEMBERS, "a", {}, version)
+
+
 WATCH: typing.Final = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 EVENT: typing.Final = (
     b'{"type":"BOOKMARK","object":{"metadata":{"resourceVersion":"%d"}}}\n'
