--- a/src/chiveroad/answers/_grammar.py
+++ b/src/chiveroad/answers/_grammar.py
@@ -133,6 +133,17 @@
     chunked: bool
 
 
+def read_line(lines: serving.Lines) -> bytes:
+    """Read a line with its line end, or what the connection ended with.
+
+    :raises Malformed: when the framing is over its limit.
+    """
+    try:
+        return lines.read()
+    except ValueError as exc:
+        raise Malformed(Part.SIZE, str(exc)) from exc
+
+
 def parse_status_line(line: bytes) -> StatusLine:
     """Parse a status line with its line end.
 
@@ -177,10 +188,9 @@
     :raises Malformed: when a line isn't a field line, or there are too many.
     :raises http.client.HTTPException: when the connection ends before the
         empty line: the field with the body's length may be missing then.
-    :raises ValueError: when the lines are too long in total.
     """
     found: list[tuple[str, str]] = []
-    while (line := lines.read()) != b"\r\n":
+    while (line := read_line(lines)) != b"\r\n":
         if not line.endswith(b"\n"):
             raise http.client.RemoteDisconnected("closed within the head")
         number = len(found) + 2
--- a/src/chiveroad/answers/_response.py
+++ b/src/chiveroad/answers/_response.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections.abc
-import contextlib
 import http
 import http.client
 import typing
@@ -58,14 +57,12 @@
         :raises http.client.HTTPException: when the connection ends before
             the end of the head.
         """
-        with _limited():
+        line, headers, framing = self._read_head()
+        while line.interim:
+            if self.until_continue and line.status == http.HTTPStatus.CONTINUE:
+                self.status = line.status
+                return
             line, headers, framing = self._read_head()
-            while line.interim:
-                asked = line.status == http.HTTPStatus.CONTINUE
-                if self.until_continue and asked:
-                    self.status = line.status
-                    return
-                line, headers, framing = self._read_head()
         self._lines.remaining_bytes = serving.MAX_FRAMING_BYTES
         self.code = self.status = line.status
         self.reason = line.reason
@@ -81,7 +78,7 @@
     def _read_head(
         self,
     ) -> tuple[_grammar.StatusLine, _grammar.Headers, _grammar.Framing]:
-        line = _grammar.parse_status_line(self._lines.read())
+        line = _grammar.parse_status_line(_grammar.read_line(self._lines))
         headers = _grammar.read_fields(self._lines)
         return line, headers, _grammar.parse_framing(line, headers)
 
@@ -126,18 +123,8 @@
     def _discard_trailers(self) -> None:
         """Read the trailers: a body that ends too early shows in them."""
         try:
-            with _limited():
-                _grammar.read_fields(self._lines)
+            _grammar.read_fields(self._lines)
         except _grammar.Malformed as exc:
             raise _grammar.Malformed(
                 _grammar.Part.TRAILER, f"trailers, {exc}"
             ) from exc
-
-
-@contextlib.contextmanager
-def _limited() -> collections.abc.Iterator[None]:
-    """Report framing that is over its limit as malformed."""
-    try:
-        yield
-    except ValueError as exc:
-        raise _grammar.Malformed(_grammar.Part.SIZE, str(exc)) from exc
