--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -573,6 +573,13 @@
     request.abort()
 
 
+def _answer_malformed(request: serving.Request) -> None:
+    """Send a body of four bytes whose length is stated twice."""
+    request.start(200, [("Content-Length", "4"), ("Content-Length", "2")])
+    request.send(b"done")
+    request.finish()
+
+
 def _answer_500(request: serving.Request) -> None:
     request.answer(500, (), b"failed")
 
@@ -722,6 +729,22 @@
     assert (status, guard.aborted) == (200, 0)
 
 
+@pytest.mark.parametrize(
+    "outcomes",
+    [
+        ((2.2, _answer_malformed), (1.8, None)),
+        ((2.5, None), (0.0, _answer_malformed)),
+    ],
+)
+def test_malformed_answer_does_not_supersede_a_whole_one(
+    outcomes: tuple[tuple[float, AnswerFunction | None], ...],
+) -> None:
+    """Guards against a malformed answer to a hedge, or while one runs."""
+    guard = _BusyGuards(*outcomes)
+    status, _ = read_through_entry(guard, guard)
+    assert (status, guard.finished, guard.aborted) == (200, 2, 0)
+
+
 def test_stalled_answer_does_not_block_a_whole_one() -> None:
     """Guards against leaving an answer unread while another body stalls."""
     guard = _BusyGuards((2.4, None), (0.0, _stall_answer))
