--- a/src/chiveroad/traffic/_exchange.py
+++ b/src/chiveroad/traffic/_exchange.py
@@ -341,8 +341,9 @@
         except errors.Refusal as refusal:
             self.failure = refusal
         except _FAILURES as exc:
-            broken = isinstance(exc, answers.Malformed)
-            if self._incoming is None and not broken:
+            # A peer that drops idle connections sends nothing.
+            is_lost = not isinstance(exc, answers.Malformed)
+            if self._incoming is None and is_lost:
                 self._pool.connection_lost(self.connection)
             self.failure = self._no_answer(exc)
             self.failure.__cause__ = exc
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -35,6 +35,9 @@
     broken_answers.answers(broken_answers.STARTS["success"])
 )
 MAX_BODY_BYTES: typing.Final = 1024 * 1024
+LARGE_BYTES: typing.Final = 3 * 1024 * 1024
+"""More than a daemon buffers of one answer."""
+
 UPLOAD_BYTES: typing.Final = 200_000
 _IDS: typing.Final = itertools.count()
 
@@ -104,11 +107,12 @@
         headers: dict[str, str] = {}
         while (line := received.readline()) != b"\r\n":
             name, _, value = line.decode("latin-1").partition(":")
-            lower, value = name.lower(), value.strip()
+            lower, value = name.lower(), value.strip(" \t\r\n")
             assert lower != "content-length" or lower not in headers, line
             joined = [headers[lower], value] if lower in headers else [value]
             headers[lower] = ", ".join(joined)
-        size = 0 if method == "HEAD" else int(headers["content-length"])
+        bodiless = method == "HEAD" or status in (204, 304)
+        size = 0 if bodiless else int(headers["content-length"])
         assert size < MAX_BODY_BYTES, headers
         found = Reply(status, headers, received.read(size))
         self._sock.setblocking(False)
@@ -401,6 +405,71 @@
         client.close()
 
 
+# Guards against refusing an answer that has no body, whatever length its
+# head states, or against a body that is awaited.
+@pytest.mark.parametrize("status", ["204 No Content", "304 Not Modified"])
+@pytest.mark.parametrize("length", ["", "Content-Length: 0\r\n"])
+def test_answer_without_a_body_reaches_the_client(
+    fleet: Fleet, status: str, length: str
+) -> None:
+    number = f"bodiless-{next(_IDS)}"
+    start = broken_answers.STARTS["success"]
+    start = start.replace(b"200 OK", status.encode())
+    fleet.named[number] = start + length.encode() + b"\r\n"
+    client = fleet.client("a")
+    for _ in range(3):
+        request_id = f"q{next(_IDS)}"
+        reply = client.ask(f"/once/{number}/keep", request_id)
+        assert reply.status == int(status[:3])
+        assert reply.headers["x-mark"] == "1"
+    client.close()
+    [connection] = fleet.arrivals["glade"].by_id[request_id]
+    assert len(connection.ids) >= 3
+
+
+# Guards against a length that is lost where no body follows.
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", "200 OK"), ("GET", "304 Not Modified")]
+)
+def test_length_of_a_body_that_is_not_sent_reaches_the_client(
+    fleet: Fleet, method: str, status: str
+) -> None:
+    number = f"bodiless-{next(_IDS)}"
+    start = broken_answers.STARTS["success"]
+    start = start.replace(b"200 OK", status.encode())
+    fleet.named[number] = start + b"Content-Length: 11\r\n\r\n"
+    client = fleet.client("a")
+    reply = client.ask(f"/once/{number}/keep", f"q{next(_IDS)}", method)
+    client.close()
+    assert reply.status == int(status[:3])
+    assert reply.headers["content-length"] == "11"
+
+
+# Guards against a body that looks complete although its end is malformed,
+# when the answer has begun before that shows.
+@pytest.mark.parametrize("entry", ["a", "b"])
+@pytest.mark.parametrize(
+    "end", [b"zero\r\n\r\n", b"0\r\nnonsense\r\n\r\n", b"0\r\nX-A: \0\r\n\r\n"]
+)
+def test_large_body_with_a_malformed_end_is_cut(
+    fleet: Fleet, end: bytes, entry: str
+) -> None:
+    number, request_id = f"large-{next(_IDS)}", f"q{next(_IDS)}"
+    start = broken_answers.STARTS["success"]
+    chunk = b"%x\r\n%b\r\n" % (LARGE_BYTES, bytes(LARGE_BYTES))
+    head = start + b"Transfer-Encoding: chunked\r\n\r\n"
+    fleet.named[number] = head + chunk + end
+    sent = keyed.head_of(
+        f"/once/{number}/keep",
+        [f"X-Request-Id: {request_id}", "X-Deadline-Ms: 1500"],
+    )
+    received = keyed.ask(fleet.entries[entry], sent)
+    assert received.startswith("HTTP/1.1 200 ")
+    assert "transfer-encoding: chunked\r\n" in received[:1_000].lower()
+    assert len(received) > LARGE_BYTES / 2
+    assert not received.endswith("0\r\n\r\n")
+
+
 # Guards against a log or a metric that doesn't say why there is no answer.
 @pytest.mark.parametrize(
     ("part", "kind", "name", "position"),
