A target that ends within a malformed answer has ended

A request that ends its targets was not found out so.

Cause: the guard asks whether the target has ended after two errors by name.

Now it asks after a malformed answer as well, as it did when these were among the others.

--- a/src/chiveroad/traffic/_guard.py
+++ b/src/chiveroad/traffic/_guard.py
@@ -54,7 +54,11 @@
 
 _FALLBACK_LIMITS: typing.Final = _admission.Limits(slots=8, queue_length=8)
 _NO_LIMITS: typing.Final = _admission.Limits(slots=10_000, queue_length=0)
-_BROKEN_OFF: typing.Final = (errors.OutcomeUnknown, errors.AnswerTruncated)
+_BROKEN_OFF: typing.Final = (
+    errors.OutcomeUnknown,
+    errors.AnswerTruncated,
+    errors.AnswerMalformed,
+)
 """The refusals that a target may have caused by ending."""
 
 _log = logs.Logger("guard")
@@ -146,8 +150,6 @@
         except errors.Refusal as refusal:
             outcome = str(refusal.code)
             self._recorder.count("chiveroad.guard.requests", outcome)
-            if isinstance(refusal, errors.AnswerMalformed):
-                self._recorder.count("chiveroad.guard.malformed", refusal.part)
             if refusal.ran == "unknown":
                 _log.warning(
                     "Request {} got no answer from its target: {}.",
@@ -170,6 +172,8 @@
         try:
             return self._serve(request, call, extra)
         except errors.OutcomeUnknown as refusal:
+            if isinstance(refusal, errors.AnswerMalformed):
+                self._recorder.count("chiveroad.guard.malformed", refusal.part)
             broken_off = type(refusal) in _BROKEN_OFF
             if request.begun or not broken_off or call.recipient is None:
                 raise
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -9,6 +9,8 @@
 import collections.abc
 import contextlib
 import itertools
+import socket
+import threading
 import typing
 
 import pytest
@@ -25,6 +27,7 @@
 from chiveroad.traffic import _guard
 from chiveroad.traffic import _reachability
 from standins import broken_answers
+from tests import test_headers
 from tests import test_reach
 from tests import test_status_codes
 
@@ -211,3 +214,34 @@
         if name == "chiveroad.entry.malformed" and part
     ]
     assert sum(counted) == len(answers)
+
+
+@contextlib.contextmanager
+def _ending_target(sent: bytes) -> collections.abc.Iterator[str]:
+    """Run a target that ends while it answers; yield its address."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def run() -> None:
+        accepted, _ = listener.accept()
+        listener.close()
+        with accepted:
+            accepted.recv(65_536)
+            accepted.sendall(sent)
+
+    threading.Thread(target=run, daemon=True).start()
+    yield f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@pytest.mark.parametrize("kind", [kind for kind in KINDS if kind != "cut"])
+def test_target_that_ends_within_a_malformed_answer_has_ended(
+    kind: str,
+) -> None:
+    """Guards against a request that ends its targets and isn't found out."""
+    answer = malformed(kind).popitem()[1]
+    with (
+        _ending_target(answer) as target,
+        test_headers.guard_for(target) as address,
+    ):
+        received = test_headers._exchange(address, test_headers.REQUEST)
+    assert b"Chiveroad-Code: 4034\r\n" in received
+    assert b"Chiveroad-Ran: unknown\r\n" in received
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -155,28 +155,35 @@
 def _guard_of(answer: bytes) -> collections.abc.Iterator[str]:
     """Yield the address of a guard whose target gives one answer."""
     with test_exchange.target(test_exchange.answering(answer)) as target:
-        options = fakes.options()
-        options = msgspec.structs.replace(
-            options,
-            target=msgspec.structs.replace(options.target, address=target),
-        )
-        local = presence.LocalTarget(target)
-        local.set_status(
-            presence.TargetStatus("i-7", "glade", presence.Phase.READY)
-        )
-        guard = _guard.Guard(
-            options,
-            control.Applied(threading.Condition(), confirmed_only=False),
-            typing.cast(_claims.Claims, None),
-            metrics.Recorder(),
-            platform.Protocol(),
-            local,
-        )
-        address = _PORTS.take()
-        server = serving.Server(address, guard, threads=2)
-        server.open()
-        yield address
-        server.stop()
+        with guard_for(target) as address:
+            yield address
+
+
+@contextlib.contextmanager
+def guard_for(target: str) -> collections.abc.Iterator[str]:
+    """Yield the address of a guard of the target at an address."""
+    options = fakes.options()
+    options = msgspec.structs.replace(
+        options,
+        target=msgspec.structs.replace(options.target, address=target),
+    )
+    local = presence.LocalTarget(target)
+    local.set_status(
+        presence.TargetStatus("i-7", "glade", presence.Phase.READY)
+    )
+    guard = _guard.Guard(
+        options,
+        control.Applied(threading.Condition(), confirmed_only=False),
+        typing.cast(_claims.Claims, None),
+        metrics.Recorder(),
+        platform.Protocol(),
+        local,
+    )
+    address = _PORTS.take()
+    server = serving.Server(address, guard, threads=2)
+    server.open()
+    yield address
+    server.stop()
 
 
 def _exchange(address: str, sent: bytes) -> bytes:
