--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,7 +1,6 @@
-"""Malformed answers at the readers that no target's answer passes.
+"""Malformed answers of the store and of other daemons, and to probes.
 
-``test_broken_answers.py`` has the answers of targets.  Here the same answers
-come from the store, from other daemons, to the command line, and to probes.
+They are those of ``test_broken_answers.py``, where targets send them.
 """
 
 from __future__ import annotations
@@ -150,17 +149,17 @@
 
 
 @pytest.mark.parametrize(
-    "size", [b"+47", b"-47", b"0x47", b"4_7", b"47\x0b", b"47 x", b""]
+    "form", [b"+%x", b"-%x", b"0x%x", b"0_%x", b"%x\x0b", b"%x x", b"\xa0%x"]
 )
-def test_watch_with_a_malformed_chunk_fails(size: bytes) -> None:
-    """Guards against the chunk reader of a library, which reads as int does.
-
-    A chunk's size of that many bytes is a size of another one.
-    """
-    event = EVENT % 8
-    sent = b"%x\r\n%b\r\n" % (len(event), event)
+def test_watch_with_a_malformed_chunk_fails(form: bytes) -> None:
+    """Guards against a library's reader of chunks, which mends their sizes."""
+    first, second = EVENT % 8, EVENT % 9
+    chunks = b"".join(
+        size % len(event) + b"\r\n" + event + b"\r\n"
+        for size, event in ((b"%x", first), (form, second))
+    )
     with pytest.raises(errors.StoreUnavailable):
-        _watch(WATCH + sent + size + b"\r\n" + event + b"\r\n0\r\n\r\n")
+        _watch(WATCH + chunks + b"0\r\n\r\n")
 
 
 def test_watch_reads_events_across_chunks() -> None:
