Store: an answer with a malformed version is unreadable

Callers saw: a read, a watch and a write of the native store raised ValueError when a 200 of the store named a version that is no number; of " 1", "1_0" and an Arabic digit it took what int() makes of them. Loops that retry after a StoreError don't expect ValueError; which ones it ends is known from reading only.

Cause: the model at the border declared the version as any text, and it was converted later.

Evidence: test_object_with_a_malformed_version_is_unreadable, 8 forms; 8 of 8 failed before.

Change: the model accepts one to 18 digits. Any other version makes the answer unreadable, as other bodies that can't be decoded: a read has none, a write's outcome is unknown.

--- a/src/chiveroad/store/_http.py
+++ b/src/chiveroad/store/_http.py
@@ -29,8 +29,11 @@
 _PATH: typing.Final = "/apis/chiveroad/v1"
 
 
+_Version = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,18}\Z")]
+
+
 class _Metadata(msgspec.Struct, rename="camel"):
-    resource_version: str
+    resource_version: _Version
     name: str = ""
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -162,6 +162,25 @@
         _watch(WATCH + chunks + b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    "version", ["", "x", "-1", " 1", "1.0", "1_0", "\u0661", "9" * 4_400]
+)
+def test_object_with_a_malformed_version_is_unreadable(version: str) -> None:
+    """Guards against a version that ends its reader's thread, or is mended."""
+    text = f'{{"metadata":{{"name":"a","resourceVersion":"{version}"}}}}'
+    event = f'{{"type":"ADDED","object":{text}}}\n'.encode()
+    body = text.encode()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    with test_status_codes.RawPeer(head + body) as peer:
+        object_store = store.HttpStore(peer.address, 1.0)
+        with pytest.raises(errors.StoreUnavailable):
+            object_store.get(store.Kind.MEMBERS, "a")
+        with pytest.raises(errors.StoreOutcomeUnknown):
+            object_store.put(store.Kind.MEMBERS, "a", {}, VERSION)
+    with pytest.raises(errors.StoreUnavailable):
+        _watch(WATCH + b"%x\r\n%b\r\n0\r\n\r\n" % (len(event), event))
+
+
 def test_watch_reads_events_across_chunks() -> None:
     """Guards against an event that is read only once its chunk is whole."""
     sent = EVENT % 8 + EVENT % 9
