Soak: targets that answer with malformed heads

The soak had no malformed answers, so that they were tested only while nothing else failed. Two targets a run give them, for 4 and for 2 s, beside the other faults. Some heads state that the request wasn't run, a limit, or a leave. The draws are separate, as those of statements are, so that the faults of the kept seeds stay the same.

--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -144,6 +144,13 @@
     "Latin letter": b"X-\xe9: 1",
     "no-break space": b"X-Other\xa0: 1",
 }
+MALFORMED_LINES: typing.Final = tuple(
+    line
+    for lines in (SPOILT_LENGTHS, NO_FIELDS, BROKEN_NAMES)
+    for line in lines.values()
+)
+"""Each of these makes a head malformed that states no length."""
+
 STATUS_LINES: typing.Final = {
     "zeros": b"HTTP/1.1 000 OK",
     "zeros without a reason": b"HTTP/1.1 000",
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -136,6 +136,8 @@
 binds only some seconds after its first statement."""
 
 STATED_LIMIT: typing.Final = "6.5"
+MALFORMED_S: typing.Final = (4.0, 2.0)
+"""For how long targets give malformed answers, one target after the other."""
 
 
 def draw_statements(
@@ -143,14 +145,36 @@
     names: collections.abc.Sequence[str],
     faults: collections.abc.Sequence[PlannedFault],
 ) -> list[PlannedFault]:
-    """Return what targets state during a run, and when.
+    """Return what targets state during a run, and when."""
+    kinds = list(STATEMENT_KINDS.items())
+    return _draw_apart(f"statements {seed}", kinds, names, faults)
 
-    A target states something only while it has no other fault.  These draws
-    are separate, so that the faults of a seed stay the same.
+
+def draw_malformed(
+    seed: int,
+    names: collections.abc.Sequence[str],
+    faults: collections.abc.Sequence[PlannedFault],
+) -> list[PlannedFault]:
+    """Return which targets give malformed answers during a run, and when."""
+    kinds = [("answers-malformed", duration_s) for duration_s in MALFORMED_S]
+    return _draw_apart(f"malformed {seed}", kinds, names, faults)
+
+
+def _draw_apart(
+    seed: str,
+    kinds: collections.abc.Iterable[tuple[str, float]],
+    names: collections.abc.Sequence[str],
+    faults: collections.abc.Sequence[PlannedFault],
+) -> list[PlannedFault]:
+    """Return further faults of targets that have no other fault meanwhile.
+
+    They have a seed of their own, so that the faults of a run stay the same.
+
+    :param kinds: the kinds, each with its duration in seconds.
     """
-    rng = random.Random(f"statements {seed}")
+    rng = random.Random(seed)
     planned: list[PlannedFault] = []
-    for kind, duration_s in STATEMENT_KINDS.items():
+    for kind, duration_s in kinds:
         for name in rng.sample(list(names), len(names)):
             start_s = rng.uniform(0.0, FAULT_PHASE_S - 3.0)
             drawn = PlannedFault(start_s, kind, name, duration_s)
@@ -424,6 +448,7 @@
             findings = _run_with_ending_requests(running_mesh, faults, entry)
         else:
             faults += draw_statements(seed, names, faults)
+            faults += draw_malformed(seed, names, faults)
             findings = _run_with_load(running_mesh, faults)
         if findings:
             folder = FINDINGS / str(seed)
--- a/standins/target.py
+++ b/standins/target.py
@@ -14,6 +14,7 @@
 import http
 import http.server
 import os
+import random
 import select
 import socket
 import socketserver
@@ -24,11 +25,21 @@
 
 import msgspec
 
+from standins import broken_answers
+
 SLOTS: typing.Final = 12
 MAX_CONNECTIONS: typing.Final = 120
 LOAD_REPORT_INTERVAL_S: typing.Final = 2.0
 SLOT_WAIT_S: typing.Final = 0.05
 ENDLESS_TIMEOUT_S: typing.Final = 5.0
+MALFORMED_STARTS: typing.Final = (
+    "HTTP/1.1 200 OK",
+    "HTTP/1.1 503 Service Unavailable\r\nChiveroad-Ran: no\r\nRetry-After: 1",
+    "HTTP/1.1 200 OK\r\nChiveroad-Leaving: 1\r\nChiveroad-Rate-Limit: 0.01",
+    "HTTP/1.1 000 OK",
+)
+"""What malformed heads begin with."""
+
 LAST_RECORD: typing.Final = b"last record: "
 """The start of the line of the log with the record of a process that a request
 has ended."""
@@ -46,8 +57,9 @@
     request), ``late`` (the answer is delayed by ``late_ms``), ``extra`` (bytes
     after the answer), ``unframed`` (an answer without a length), ``shed``
     (load shedding: an answer that says that the request didn't run),
-    ``error`` (status 500) and ``endless`` (a body without end, until the
-    connection is closed).  For ``cold_s`` after the start of the target,
+    ``error`` (status 500), ``endless`` (a body without end, until the
+    connection is closed) and ``malformed`` (a malformed head, with statements
+    that aren't true).  For ``cold_s`` after the start of the target,
     requests take ten times as long.  ``reported_load``, unless negative, is
     reported in place of the actual load.  ``rate_limit`` is the text of the
     limit that answers state, and ``leaving`` has them state a leave.  A
@@ -344,6 +356,9 @@
         if mode.fault == "unframed":
             self._answer_unframed(answer)
             return
+        if mode.fault == "malformed":
+            self._answer_malformed(answer, headers)
+            return
         if mode.fault == "endless":
             self._answer_without_end(headers)
             return
@@ -371,6 +386,16 @@
         self.wfile.flush()
         self.close_connection = True
 
+    def _answer_malformed(
+        self, answer: bytes, headers: dict[str, str]
+    ) -> None:
+        rng = random.Random(headers["X-Request-Id"])
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join([rng.choice(MALFORMED_STARTS), *lines, ""]).encode()
+        line = rng.choice(broken_answers.MALFORMED_LINES)
+        self.wfile.write(head + line + b"\r\n\r\n" + answer)
+        self.wfile.flush()
+
     def _answer_without_end(self, headers: dict[str, str]) -> None:
         self.close_connection = True
         self.send_response(http.HTTPStatus.OK)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,22 +38,23 @@
     assert drawn_kinds == all_kinds
 
 
-def test_target_that_states_something_has_no_other_fault() -> None:
+def test_target_with_a_fault_drawn_apart_has_no_other_fault() -> None:
     drawn = 0
     for seed in range(200):
         faults = soak.draw_faults(seed, INSTANCES)
-        statements = soak.draw_statements(seed, INSTANCES, faults)
-        drawn += len(statements)
-        for stated in statements:
-            for other in [*faults, *statements]:
-                if other is stated or _is_daemon_fault(other):
+        apart = soak.draw_statements(seed, INSTANCES, faults)
+        apart += soak.draw_malformed(seed, INSTANCES, [*faults, *apart])
+        drawn += len(apart)
+        for fault in apart:
+            for other in [*faults, *apart]:
+                if other is fault or _is_daemon_fault(other):
                     continue
-                apart = (
-                    other.start_s > stated.start_s + stated.duration_s
-                    or other.start_s + other.duration_s < stated.start_s
+                overlap = (
+                    other.start_s <= fault.start_s + fault.duration_s
+                    and other.start_s + other.duration_s >= fault.start_s
                 )
-                assert apart or other.affected != stated.affected
-    assert drawn > 200
+                assert not overlap or other.affected != fault.affected
+    assert drawn > 400
 
 
 def _is_daemon_fault(fault: soak.PlannedFault) -> bool:
