Tests: one check that calls learn nothing from an answer

The check stood in test_answers.py and test_status_codes.py. The calls and the errors that are expected are the same as before.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -16,8 +16,6 @@
 import urllib3
 import urllib3.exceptions
 
-from chiveroad.cli import _daemon_page
-from chiveroad.control import _peer
 from chiveroad import errors
 from chiveroad import http_calls
 from chiveroad import metrics
@@ -107,17 +105,7 @@
 @pytest.mark.parametrize("kind", KINDS)
 def test_malformed_answer_of_the_store_tells_nothing(kind: str) -> None:
     """Guards against a write that counts as refused by such an answer."""
-    name, answer = list(malformed(kind).items())[-1]
-    with test_status_codes.RawPeer(answer) as peer:
-        object_store = platform.ObjectStore(peer.address, 1.0)
-        with pytest.raises(errors.StoreOutcomeUnknown):
-            object_store.put(store.Kind.MEMBERS, "a", {}, VERSION)
-        with pytest.raises(errors.StoreUnavailable):
-            object_store.get(store.Kind.MEMBERS, "a")
-        with pytest.raises(errors.PeerUnavailable):
-            _peer.Peers(1, 1.0).post(peer.address, "/x", b"", 1.0)
-        with pytest.raises(errors.PeerUnavailable):
-            _daemon_page.fetch(peer.address, "/x", object)
+    test_status_codes.check_tells_nothing(malformed(kind).popitem()[1])
 
 
 @pytest.mark.parametrize("client", [platform.ObjectStore, store.HttpStore])
--- a/tests/test_status_codes.py
+++ b/tests/test_status_codes.py
@@ -257,10 +257,10 @@
     assert answer.data == b"new\r\n"
 
 
-def test_writes_with_an_invalid_status_have_an_unknown_outcome() -> None:
-    """Guards against a write that counts as done, or as not done."""
+def check_tells_nothing(answer: bytes) -> None:
+    """Check that calls of the store and of daemons learn nothing from it."""
     version = store.Revision(0, 1)
-    with RawPeer(answer_of(INVALID["600"])) as peer:
+    with RawPeer(answer) as peer:
         object_store = platform.ObjectStore(peer.address, 1.0)
         with pytest.raises(errors.StoreOutcomeUnknown):
             object_store.put(store.Kind.MEMBERS, "a", {}, version)
@@ -272,6 +272,11 @@
             _daemon_page.fetch(peer.address, "/x", object)
 
 
+def test_writes_with_an_invalid_status_have_an_unknown_outcome() -> None:
+    """Guards against a write that counts as done, or as not done."""
+    check_tells_nothing(answer_of(INVALID["600"]))
+
+
 @contextlib.contextmanager
 def probed(answer: bytes) -> collections.abc.Iterator[str]:
     """Run a guard that gives one answer to a probe; yield its address."""
